Warn new work of a silent engine; keep fleets of tests apart

Cause (engine): with an engine frozen for 2 s, running generations resumed within 0.35 s, but new requests still went to it: the router knew only failures, and a wait for a first token was judged by itself, up to 1.2 s. Ruled out: the standby budget (not used up), the resume of running streams (gap max 340 ms before and after). Change: when one stream of an upstream falls silent the upstream is doubted: no new work for 2 s or until it is heard, and attempts that wait there for a first token count as silent. Change: a block of ports is reserved.

--- a/Controllers/generation.c
+++ b/Controllers/generation.c
@@ -32,6 +32,7 @@
     uint32_t number;
     CaroHandle upstream;
     bool has_token;
+    bool is_suspected;    /* Its upstream is silent for others. */
     CaroTime quiet_since; /* On the awake clock. */
     CaroTime last_gap;
     CaroTime silence_after;
@@ -223,6 +224,15 @@
     g->retry_at = 0;
 }
 
+void
+CaroGeneration_Suspect(CaroGeneration *g, uint32_t attempt)
+{
+    Slot *s = find_slot(g, attempt);
+    if (s != NULL) {
+        s->is_suspected = true;
+    }
+}
+
 void
 CaroGeneration_Cancelled(CaroGeneration *g, uint32_t attempt)
 {
@@ -249,24 +259,28 @@
     }
 }
 
-static bool
-is_any_silent(const CaroGeneration *g, CaroTime awake)
+/* The live slot that fell silent, or NULL. */
+static const Slot *
+find_silent(const CaroGeneration *g, CaroTime awake)
 {
     for (int i = 0; i < ATTEMPT_SLOTS; i++) {
         const Slot *s = &g->slots[i];
-        if (s->state == SLOT_LIVE && awake - s->quiet_since >= limit_of(s)) {
-            return true;
+        bool is_silent = awake - s->quiet_since >= limit_of(s) ||
+                         (s->is_suspected && !s->has_token);
+        if (s->state == SLOT_LIVE && is_silent) {
+            return s;
         }
     }
-    return false;
+    return NULL;
 }
 
 static CaroAction
-start_action(CaroGeneration *g, bool is_standby)
+start_action(CaroGeneration *g, const Slot *silent)
 {
     CaroAction a = {.kind = CARO_ACT_START};
     a.u.start.attempt = g->next_attempt;
-    a.u.start.is_standby = is_standby;
+    a.u.start.is_standby = silent != NULL;
+    a.u.start.silent = silent == NULL ? CARO_NO_HANDLE : silent->upstream;
     a.u.start.is_resume = g->next_attempt > 1;
     return a;
 }
@@ -310,11 +324,12 @@
         if (g->next_attempt > (uint32_t)g->limits.attempts_max) {
             return fail_action(CARO_ERR_GONE);
         }
-        return start_action(g, false);
+        return start_action(g, NULL);
     }
-    if (live == 1 && has_standby_budget && is_any_silent(g, awake)) {
+    const Slot *silent = find_silent(g, awake);
+    if (live == 1 && has_standby_budget && silent != NULL) {
         g->is_stalled = true;
-        return start_action(g, true);
+        return start_action(g, silent);
     }
     return none;
 }
--- a/Include/internal/caro_generation.h
+++ b/Include/internal/caro_generation.h
@@ -37,9 +37,10 @@
     CaroActionKind kind;
     union {
         struct {
-            uint32_t attempt; /* Number of the attempt to start. */
-            bool is_standby;  /* Beside a silent attempt. */
-            bool is_resume;   /* Some attempt was made before. */
+            uint32_t attempt;  /* Number of the attempt to start. */
+            CaroHandle silent; /* Upstream that fell silent, or none. */
+            bool is_standby;   /* Beside a silent attempt. */
+            bool is_resume;    /* Some attempt was made before. */
         } start;
         struct {
             uint32_t attempt;
@@ -91,6 +92,12 @@
 void CaroGeneration_OnClosed(CaroGeneration *g, uint32_t attempt,
                              bool is_whole, CaroTime now);
 
+/*
+ * Other streams of the attempt's upstream fell silent: an attempt that
+ * waits for its first token counts as silent too.
+ */
+void CaroGeneration_Suspect(CaroGeneration *g, uint32_t attempt);
+
 /* The cancellation that Decide asked for was carried out. */
 void CaroGeneration_Cancelled(CaroGeneration *g, uint32_t attempt);
 
--- a/Include/internal/caro_upstreams.h
+++ b/Include/internal/caro_upstreams.h
@@ -72,6 +72,15 @@
 void CaroUpstreams_Failed(CaroUpstreams *t, CaroHandle h, CaroTime now);
 void CaroUpstreams_Succeeded(CaroUpstreams *t, CaroHandle h);
 
+/*
+ * A stream of the upstream fell silent: it gets no new work for a short
+ * while, unless it is heard again before.
+ */
+void CaroUpstreams_Doubt(CaroUpstreams *t, CaroHandle h, CaroTime now);
+void CaroUpstreams_Heard(CaroUpstreams *t, CaroHandle h);
+bool CaroUpstreams_IsDoubted(const CaroUpstreams *t, CaroHandle h,
+                             CaroTime now);
+
 /* Own count in flight plus the report, faded with its age. */
 double CaroUpstreams_Load(const CaroUpstreams *t, CaroHandle h, CaroTime now);
 
--- a/Modules/node_generate.c
+++ b/Modules/node_generate.c
@@ -82,6 +82,7 @@
         CaroCounters_Add(&n->counters, CARO_COUNT_TOKENS_DROPPED, 1);
         return;
     }
+    CaroUpstreams_Heard(n->upstreams, h);
     observe_token(s, i, h, now);
     if (CaroJournal_Append(s->journal, text, size, now) < 0) {
         CaroLog_Error("generate", "A journal is full. generation=%016llx",
@@ -205,6 +206,7 @@
     CaroUpstreams_Started(n->upstreams, h);
     CARO_COPY(s->version, CaroUpstreams_Get(n->upstreams, h)->version);
     if (a->u.start.is_standby) {
+        CaroUpstreams_Doubt(n->upstreams, a->u.start.silent, now);
         n->standby_budget -= 1.0;
         CaroCounters_Add(&n->counters, CARO_COUNT_STANDBYS, 1);
     }
@@ -603,6 +605,23 @@
            now >= n->drain_until - half;
 }
 
+/* Silence of an upstream towards one generation warns the others. */
+static void
+suspect_attempts(CaroSession *s, CaroTime now)
+{
+    for (int i = 0; i < 2; i++) {
+        uint32_t attempt = s->attempts[i].attempt;
+        CaroHandle h = CARO_NO_HANDLE;
+        if (attempt != 0) {
+            h = CaroGeneration_UpstreamOf(s->generation, attempt);
+        }
+        if (h != CARO_NO_HANDLE &&
+            CaroUpstreams_IsDoubted(s->node->upstreams, h, now)) {
+            CaroGeneration_Suspect(s->generation, attempt);
+        }
+    }
+}
+
 void
 CaroNode_TickSessions(CaroNode *n, CaroTime now)
 {
@@ -618,6 +637,7 @@
             hand_over(s);
         }
         else if (s->generation != NULL) {
+            suspect_attempts(s, now);
             CaroNode_Advance(s, now);
         }
     }
--- a/Objects/upstreams.c
+++ b/Objects/upstreams.c
@@ -28,6 +28,7 @@
 #define REPORT_FADE (4 * CARO_SECOND)
 #define AVOID_FIRST (500 * CARO_MS)
 #define AVOID_MOST (30 * CARO_SECOND)
+#define DOUBT_TIME (2 * CARO_SECOND)
 #define DOMAIN_WINDOW (3 * CARO_SECOND)
 #define DOMAIN_SHARE 0.5
 
@@ -42,7 +43,8 @@
     GapModel gaps;
     GapModel firsts;
     CaroTime failed_at;
-    bool is_kept; /* Named by the configuration being applied. */
+    CaroTime doubted_until; /* A stream fell silent. */
+    bool is_kept;           /* Named by the configuration being applied. */
 } Entry;
 
 struct CaroUpstreams {
@@ -268,6 +270,24 @@
     t->entries[h].u.avoided_until = 0;
 }
 
+void
+CaroUpstreams_Doubt(CaroUpstreams *t, CaroHandle h, CaroTime now)
+{
+    t->entries[h].doubted_until = now + DOUBT_TIME;
+}
+
+void
+CaroUpstreams_Heard(CaroUpstreams *t, CaroHandle h)
+{
+    t->entries[h].doubted_until = 0;
+}
+
+bool
+CaroUpstreams_IsDoubted(const CaroUpstreams *t, CaroHandle h, CaroTime now)
+{
+    return now < t->entries[h].doubted_until;
+}
+
 double
 CaroUpstreams_Load(const CaroUpstreams *t, CaroHandle h, CaroTime now)
 {
@@ -289,7 +309,8 @@
 CaroUpstreams_IsUsable(const CaroUpstreams *t, CaroHandle h, CaroTime now)
 {
     const CaroUpstream *u = &t->entries[h].u;
-    return !u->is_leaving && now >= u->avoided_until;
+    return !u->is_leaving && now >= u->avoided_until &&
+           !CaroUpstreams_IsDoubted(t, h, now);
 }
 
 bool
--- a/Tools/fleet.sh
+++ b/Tools/fleet.sh
@@ -8,11 +8,32 @@
 bin=${BIN:-build}
 fleet_dir=$(mktemp -d)
 fleet_pids=""
-fleet_base=${FLEET_BASE:-$((20000 + RANDOM % 20000))}
+fleet_base=0
+fleet_lock=""
 export CARO_TOKEN=demo-token
 token_hash=$(printf '%s' "$CARO_TOKEN" | sha256sum | cut -c1-64)
 secret=$(printf 'fleet' | sha256sum | cut -c1-64)
 
+# Reserves a block of 400 ports below those the system gives out, so that
+# fleets that run at once do not meet.
+fleet_reserve() {
+    local block lock owner
+    while [ "$fleet_base" -eq 0 ]; do
+        block=$((RANDOM % 55))
+        lock=${TMPDIR:-/tmp}/carobloft-ports.$block
+        owner=$(cat "$lock/pid" 2>/dev/null || true)
+        if [ -n "$owner" ] && ! kill -0 "$owner" 2>/dev/null; then
+            rm -rf "$lock"
+        fi
+        if mkdir "$lock" 2>/dev/null; then
+            echo $$ >"$lock/pid"
+            fleet_lock=$lock
+            fleet_base=$((10000 + 400 * block))
+        fi
+    done
+}
+fleet_reserve
+
 fleet_http() { echo "127.0.0.1:$((fleet_base + $1))"; }
 fleet_peer() { echo "127.0.0.1:$((fleet_base + 100 + $1))"; }
 fleet_engine() { echo "127.0.0.1:$((fleet_base + 200 + $1))"; }
@@ -150,7 +171,7 @@
         kill -KILL "$(fleet_pid "$name")" 2>/dev/null || true
     done
     wait 2>/dev/null || true
-    rm -rf "$fleet_dir"
+    rm -rf "$fleet_dir" "$fleet_lock"
 }
 
 # GET or POST by the project's own client: fleet_fault ADDRESS QUERY
