--- a/Modules/node_operator.c
+++ b/Modules/node_operator.c
@@ -583,9 +583,9 @@
     char text[TEXT_SIZE];
     size_t at = 0;
     for (int i = 0; i < CARO_COUNTERS; i++) {
-        (void)snprintf(text + at, sizeof(text) - at, "%s %" PRIu64 "\n",
-                       CaroCounters_Name((CaroCounter)i),
-                       n->counters.values[i]);
+        at += (size_t)snprintf(
+            text + at, sizeof(text) - at, "%s %" PRIu64 "\n",
+            CaroCounters_Name((CaroCounter)i), n->counters.values[i]);
     }
     (void)snprintf(text + at, sizeof(text) - at,
                    "udp_bytes %" PRIu64 "\ntcp_peer_bytes %" PRIu64
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -3,6 +3,7 @@
 
 #include <argtable2.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* The flags of "carobench load". */
@@ -103,6 +104,57 @@
     return answer_status == HTTP_OK ? 0 : 1;
 }
 
+static void
+on_call_answer(void *context, int code, int status, const char *body,
+               size_t size, bool is_sent, const struct evkeyvalq *headers)
+{
+    (void)printf("%d ", code < 0 ? 0 : status);
+    on_answer(context, code, status, body, size, is_sent, headers);
+}
+
+/* A body of so many bytes, for "BODY" written as "#N". */
+static char *
+make_filler(const char *count)
+{
+    size_t n = (size_t)strtoul(count, NULL, 10);
+    char *body = malloc(n + 1);
+    if (body != NULL) {
+        memset(body, 'x', n);
+        body[n] = '\0';
+    }
+    return body;
+}
+
+/* "carobench call ADDRESS METHOD PATH BODY [HEADER VALUE]" prints the
+   status and the answer. */
+static int
+run_call(int argc, char **argv)
+{
+    if (argc != 5 && argc != 7) {
+        (void)fprintf(stderr, "usage: carobench call IP:PORT METHOD PATH "
+                              "BODY [HEADER VALUE]\n");
+        return 2;
+    }
+    char *filler = argv[4][0] == '#' ? make_filler(argv[4] + 1) : NULL;
+    const char *body = filler == NULL ? argv[4] : filler;
+    struct event_base *base = event_base_new();
+    bool is_get = strcmp(argv[2], "GET") == 0;
+    CaroHttpCall call = {.address = argv[1],
+                         .path = argv[3],
+                         .method = is_get ? EVHTTP_REQ_GET : EVHTTP_REQ_POST,
+                         .body = is_get ? NULL : body,
+                         .size = strlen(body),
+                         .header_name = argc == 7 ? argv[5] : NULL,
+                         .header_value = argc == 7 ? argv[6] : NULL,
+                         .timeout = 10 * CARO_SECOND};
+    CaroHttp_Call(base, &call, on_call_answer, NULL);
+    event_base_dispatch(base);
+    CaroHttp_Settle(base);
+    event_base_free(base);
+    free(filler);
+    return answer_status < 400 ? 0 : 1;
+}
+
 /* "carobench order" books one order. */
 static int
 run_order(int argc, char **argv)
@@ -139,6 +191,9 @@
     if (strcmp(kind, "get") == 0) {
         return run_get(argc - 1, argv + 1);
     }
-    (void)fprintf(stderr, "usage: carobench load|order|get [FLAGS]\n");
+    if (strcmp(kind, "call") == 0) {
+        return run_call(argc - 1, argv + 1);
+    }
+    (void)fprintf(stderr, "usage: carobench load|order|get|call [FLAGS]\n");
     return 2;
 }
