Measure the decisions on a virtual clock; mend what it shows

Measurement: carobench decisions drives the library's own generation, router, admission and limits with a table of engines, delays and faults.

A failed upstream now gets no work before it has answered a probe; two silent upstreams and no word from their domain suspect the domain; a resume after silence leaves the domain. - A resume after the loss of a node read its context anew though the engine it ran on still cached it. They now go where least waits to be read, and short ones have a higher priority than long ones: a context of 641 tokens had waited 969 ms behind one of 14,052. - The limit of a VM followed what it ran (+1 a tick), so at twice the load nothing was refused and 6,190 streams stood at 640 slots. It counts free slots by fresh reports only; the expected wait counts what is served before the request; patience is 2 s.

--- a/Controllers/admission.c
+++ b/Controllers/admission.c
@@ -16,7 +16,7 @@
 #include <utlist.h>
 
 /* Weight of a new sample in the measured rate of service. */
-#define RATE_ALPHA 0.2
+#define RATE_ALPHA 0.1
 #define RATE_WINDOW (500 * CARO_MS)
 
 typedef struct Waiter {
@@ -46,9 +46,9 @@
     int n_running;
     int limit;
     double virtual_time;
-    double cost_waiting[CARO_CLASSES];
     double cost_rate; /* Cost served a second, smoothed; 0 unknown. */
     double cost_window;
+    int window_most; /* Most that ran at once in the window. */
     CaroTime window_start;
 };
 
@@ -124,23 +124,25 @@
     }
 }
 
-/* Wait until "cost" more and all before it in its class are served. */
+/* Wait until all that is served before a new request of the account. */
 static CaroTime
 expected_wait(const CaroAdmission *a, const Account *acc, CaroClass class)
 {
-    if (a->cost_rate <= 0.0) {
-        return 0;
-    }
+    double tag =
+        acc->finish_tag > a->virtual_time ? acc->finish_tag : a->virtual_time;
     double before = 0.0;
-    for (int c = 0; c <= (int)class; c++) {
-        before += a->cost_waiting[c];
+    Waiter *w;
+    Waiter *next;
+    HASH_ITER(hh, a->waiters, w, next)
+    {
+        if (w->class < class || (w->class == class && w->start_tag <= tag)) {
+            before += w->cost;
+        }
     }
-    /* An account that is ahead of the virtual time also waits for itself;
-       one that is not shares with those that wait. */
-    double lead = acc->finish_tag - a->virtual_time;
-    double own = lead > 0.0 ? lead * acc->weight : 0.0;
-    double cost = own < before ? own + (before - own) * 0.5 : before;
-    return (CaroTime)(cost / a->cost_rate * (double)CARO_SECOND);
+    if (before <= 0.0 || a->cost_rate <= 0.0) {
+        return 0;
+    }
+    return (CaroTime)(before / a->cost_rate * (double)CARO_SECOND);
 }
 
 static double
@@ -167,10 +169,18 @@
     DL_APPEND(acc->queues[offer->class], w);
     HASH_ADD(hh, a->waiters, id, sizeof(w->id), w);
     a->n_waiting++;
-    a->cost_waiting[offer->class] += offer->cost;
     return 0;
 }
 
+static void
+start_running(CaroAdmission *a)
+{
+    a->n_running++;
+    if (a->n_running > a->window_most) {
+        a->window_most = a->n_running;
+    }
+}
+
 CaroVerdict
 CaroAdmission_Offer(CaroAdmission *a, const CaroOffer *offer, CaroTime now)
 {
@@ -185,7 +195,7 @@
         if (tag > a->virtual_time) {
             a->virtual_time = tag;
         }
-        a->n_running++;
+        start_running(a);
         v.kind = CARO_ADMITTED;
         return v;
     }
@@ -200,6 +210,27 @@
     return v;
 }
 
+/*
+ * The rate of service at the full limit.  A window in which less ran is
+ * scaled up, so that a quiet time does not make the next rush look slow.
+ */
+static void
+close_window(CaroAdmission *a, CaroTime passed)
+{
+    double seconds = (double)passed / (double)CARO_SECOND;
+    if (a->window_most > 0 && a->cost_window > 0.0) {
+        double full = a->limit > a->window_most
+                          ? (double)a->limit / a->window_most
+                          : 1.0;
+        double rate = a->cost_window / seconds * full;
+        a->cost_rate = a->cost_rate <= 0.0
+                           ? rate
+                           : a->cost_rate + RATE_ALPHA * (rate - a->cost_rate);
+    }
+    a->cost_window = 0.0;
+    a->window_most = a->n_running;
+}
+
 void
 CaroAdmission_Release(CaroAdmission *a, double cost, CaroTime now)
 {
@@ -208,22 +239,10 @@
     }
     a->cost_window += cost;
     CaroTime passed = now - a->window_start;
-    if (passed < RATE_WINDOW) {
-        return;
-    }
-    double rate = a->cost_window * (double)CARO_SECOND / (double)passed;
-    if (a->n_running < a->limit / 2) {
-        /* An idle VM serves less than it could; that is no measure. */
-        a->cost_rate = rate > a->cost_rate ? rate : a->cost_rate;
+    if (passed >= RATE_WINDOW) {
+        close_window(a, passed);
+        a->window_start = now;
     }
-    else if (a->cost_rate <= 0.0) {
-        a->cost_rate = rate;
-    }
-    else {
-        a->cost_rate += RATE_ALPHA * (rate - a->cost_rate);
-    }
-    a->cost_window = 0.0;
-    a->window_start = now;
 }
 
 static void
@@ -232,7 +251,6 @@
     DL_DELETE(w->account->queues[w->class], w);
     HASH_DEL(a->waiters, w);
     a->n_waiting--;
-    a->cost_waiting[w->class] -= w->cost;
     free(w);
 }
 
@@ -279,7 +297,7 @@
             a->virtual_time = w->start_tag;
         }
         remove_waiter(a, w);
-        a->n_running++;
+        start_running(a);
         return true;
     }
     return false;
--- a/Controllers/generation.c
+++ b/Controllers/generation.c
@@ -52,6 +52,7 @@
     bool is_stalled;     /* A loss is being repaired. */
     CaroHandle avoid[CARO_AVOID_MAX];
     int n_avoid;
+    bool is_loss_silent; /* The newest loss was a silence. */
     CaroGenerationStats stats;
 };
 
@@ -103,10 +104,16 @@
     return s->has_token ? s->silence_after : s->first_after;
 }
 
+/* A stream whose upstream is silent for others too is given up sooner. */
 static CaroTime
 ceiling_of(const CaroGeneration *g, const Slot *s)
 {
-    return s->has_token ? g->limits.silence_ceiling : g->limits.first_token;
+    CaroTime ceiling =
+        s->has_token ? g->limits.silence_ceiling : g->limits.first_token;
+    /* A caller in the middle of its answer waits less for a first token. */
+    bool is_urgent = s->is_suspected || (!s->has_token && g->count > 0);
+    CaroTime sooner = limit_of(s) + limit_of(s) / 2;
+    return is_urgent && sooner < ceiling ? sooner : ceiling;
 }
 
 CaroGeneration *
@@ -189,6 +196,7 @@
     }
     s->last_gap = s->has_token ? awake - s->quiet_since : -1;
     s->has_token = true;
+    s->is_suspected = false;
     s->quiet_since = awake;
     outrun_others(g, s);
     if (g->is_stalled && now - g->last_token > g->stats.stall_longest) {
@@ -220,6 +228,7 @@
         return;
     }
     remember_failure(g, s->upstream);
+    g->is_loss_silent = false;
     g->is_stalled = true;
     g->retry_at = 0;
 }
@@ -254,6 +263,7 @@
         }
         s->state = SLOT_LOST;
         remember_failure(g, s->upstream);
+        g->is_loss_silent = true;
         g->is_stalled = true;
         g->retry_at = 0;
     }
@@ -320,15 +330,15 @@
         return none;
     }
     int live = count_live(g);
+    bool has_attempts = g->next_attempt <= (uint32_t)g->limits.attempts_max;
     if (live == 0) {
-        if (g->next_attempt > (uint32_t)g->limits.attempts_max) {
-            return fail_action(CARO_ERR_GONE);
-        }
-        return start_action(g, NULL);
+        return has_attempts ? start_action(g, NULL)
+                            : fail_action(CARO_ERR_GONE);
     }
     const Slot *silent = find_silent(g, awake);
-    if (live == 1 && has_standby_budget && silent != NULL) {
+    if (live == 1 && has_attempts && has_standby_budget && silent != NULL) {
         g->is_stalled = true;
+        g->is_loss_silent = true;
         return start_action(g, silent);
     }
     return none;
@@ -349,6 +359,12 @@
     return n;
 }
 
+bool
+CaroGeneration_IsLossSilent(const CaroGeneration *g)
+{
+    return g->is_loss_silent;
+}
+
 CaroHandle
 CaroGeneration_UpstreamOf(const CaroGeneration *g, uint32_t attempt)
 {
--- a/Controllers/router.c
+++ b/Controllers/router.c
@@ -19,6 +19,10 @@
 /* The favourite is kept while its load is at most this above the mean. */
 #define AFFINITY_BOUND 0.25
 #define AFFINITY_SLACK 0.10
+#define RESUME_SPREAD 0.2
+#define WARM_LOAD_MOST 1.25
+/* Load that a resume takes on to leave the domain of a failure. */
+#define NEAR_PENALTY 0.5
 #define PREFIX_BYTES 512
 
 typedef struct {
@@ -182,6 +186,65 @@
     return choose_of_two(t, c, now, rng);
 }
 
+/* The upstream shares a domain with one that failed the generation. */
+static bool
+is_near_failure(const CaroUpstreams *t, const CaroRouteQuery *q, CaroHandle h)
+{
+    const CaroUpstream *u = CaroUpstreams_Get((CaroUpstreams *)t, h);
+    for (int i = 0; i < q->n_avoid; i++) {
+        const CaroUpstream *failed =
+            CaroUpstreams_Get((CaroUpstreams *)t, q->avoid[i]);
+        if (strcmp(failed->domain, u->domain) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The upstream that served the generation before still caches it, and is
+   no busier than a new reading elsewhere would be worth. */
+static bool
+is_warm_usable(const CaroUpstreams *t, const CaroRouteQuery *q,
+               const Candidates *c, CaroTime now)
+{
+    for (int i = 0; i < c->n; i++) {
+        if (c->handles[i] == q->warm) {
+            return CaroUpstreams_Load(t, q->warm, now) < WARM_LOAD_MOST;
+        }
+    }
+    return false;
+}
+
+/*
+ * A resume reads prompt and answer anew, so it goes where least waits to
+ * be read.  After a mass loss many VMs choose at the same time from the
+ * same reports; the small random part keeps them apart.
+ */
+static CaroHandle
+choose_for_resume(const CaroUpstreams *t, const CaroRouteQuery *q,
+                  const Candidates *c, CaroTime now, uint64_t *rng)
+{
+    CaroHandle best = CARO_NO_HANDLE;
+    double best_load = 0.0;
+    if (is_warm_usable(t, q, c, now)) {
+        return q->warm;
+    }
+    for (int i = 0; i < c->n; i++) {
+        CaroHandle h = c->handles[i];
+        double load = CaroUpstreams_Load(t, h, now);
+        double part = (double)(CaroRandom_Next(rng) >> 11) * 0x1.0p-53;
+        load += RESUME_SPREAD * part;
+        if (q->leaves_domain && is_near_failure(t, q, h)) {
+            load += NEAR_PENALTY;
+        }
+        if (best == CARO_NO_HANDLE || load < best_load) {
+            best = h;
+            best_load = load;
+        }
+    }
+    return best;
+}
+
 CaroHandle
 CaroRouter_Choose(const CaroUpstreams *t, const CaroRouteQuery *q,
                   CaroTime now, uint64_t *rng)
@@ -192,6 +255,9 @@
     if (c.n == 0) {
         return CARO_NO_HANDLE;
     }
+    if (q->is_resume && q->policy == CARO_ROUTE_BOUNDED_AFFINITY) {
+        return choose_for_resume(t, q, &c, now, rng);
+    }
     switch (q->policy) {
     case CARO_ROUTE_RANDOM:
         return c.handles[CaroRandom_Next(rng) % (uint64_t)c.n];
--- a/Include/internal/caro_engine.h
+++ b/Include/internal/caro_engine.h
@@ -11,6 +11,18 @@
 
 #include "internal/caro_http.h"
 
+/* Priorities told to engines; lower is served first. */
+enum {
+    CARO_PRIORITY_SHORT_RESUME = 0,
+    CARO_PRIORITY_LONG_RESUME = 1,
+    CARO_PRIORITY_INTERACTIVE = 2,
+    CARO_PRIORITY_BACKGROUND = 3,
+    CARO_PRIORITIES = 4
+};
+
+/* A resume that reads so many tokens or more gives way to shorter ones. */
+enum { CARO_LONG_RESUME_TOKENS = 4096 };
+
 typedef struct CaroEngineStream CaroEngineStream;
 
 typedef struct {
--- a/Include/internal/caro_generation.h
+++ b/Include/internal/caro_generation.h
@@ -112,6 +112,9 @@
 int CaroGeneration_Avoid(const CaroGeneration *g,
                          CaroHandle avoid[CARO_AVOID_MAX]);
 
+/* The newest loss was a silence, which may be that of a whole domain. */
+bool CaroGeneration_IsLossSilent(const CaroGeneration *g);
+
 /* The upstream of an attempt, or CARO_NO_HANDLE. */
 CaroHandle CaroGeneration_UpstreamOf(const CaroGeneration *g,
                                      uint32_t attempt);
--- a/Include/internal/caro_journal.h
+++ b/Include/internal/caro_journal.h
@@ -84,6 +84,10 @@
 /* Raises the epoch: appends of the earlier owner are refused from now. */
 void CaroJournal_Fence(CaroJournal *j, uint32_t epoch);
 
+/* Upstream that served it last; empty at first.  Borrowed. */
+void CaroJournal_SetUpstream(CaroJournal *j, const char *name);
+const char *CaroJournal_Upstream(const CaroJournal *j);
+
 /* The journal is in use: it does not expire yet. */
 void CaroJournal_Touch(CaroJournal *j, CaroTime now);
 
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -111,6 +111,7 @@
         uint32_t attempt; /* 0 when free. */
         CaroEngineStream *stream;
         uint32_t next_index;
+        int64_t prefill; /* Tokens it was sent to read, until the first. */
         CaroTime started;
     } attempts[2];
     UT_hash_handle hh;
--- a/Include/internal/caro_router.h
+++ b/Include/internal/caro_router.h
@@ -22,10 +22,13 @@
 
 typedef struct {
     CaroRoutePolicy policy;
-    const char *deployment;           /* Borrowed. */
-    const char *vm;                   /* Borrowed; selects the subset. */
-    int subset;                       /* Size of the subset. */
-    uint64_t prefix_hash;             /* Hash of the prompt's head. */
+    const char *deployment; /* Borrowed. */
+    const char *vm;         /* Borrowed; selects the subset. */
+    int subset;             /* Size of the subset. */
+    uint64_t prefix_hash;   /* Hash of the prompt's head. */
+    bool leaves_domain;     /* Prefers other domains than the failures'. */
+    CaroHandle warm;        /* Caches a resumed generation, or no handle. */
+    bool is_resume;         /* Its caller waits in the middle of an answer. */
     CaroHandle avoid[CARO_AVOID_MAX]; /* Upstreams that failed it. */
     int n_avoid;
 } CaroRouteQuery;
--- a/Include/internal/caro_upstreams.h
+++ b/Include/internal/caro_upstreams.h
@@ -30,8 +30,11 @@
     int reported_waiting;    /* Last load report. */
     int capacity;            /* Sequences it runs at once; 0 unknown. */
     CaroTime reported_at;    /* Time of the last load report. */
+    int started_since;       /* Requests of this VM since the report. */
     CaroTime avoided_until;  /* After a failure, no new work before. */
     int failures;            /* Failures in a row. */
+    bool is_probed;          /* It answered a probe after its failure. */
+    int64_t prefill_pending; /* Tokens sent there to be read, no answer. */
     uint64_t requests_total; /* Attempts started here. */
     uint64_t failures_total; /* Attempts that ended in a failure. */
 } CaroUpstream;
@@ -68,27 +71,51 @@
 void CaroUpstreams_Report(CaroUpstreams *t, CaroHandle h, int running,
                           int waiting, int capacity, CaroTime now);
 
-/* A failure or a sign of life at an upstream. */
+/*
+ * A failed upstream gets no work for a time that doubles with each
+ * failure in a row, and then none before it has answered a probe.
+ * Succeeded ends the row: a generation was given a token.
+ */
 void CaroUpstreams_Failed(CaroUpstreams *t, CaroHandle h, CaroTime now);
+void CaroUpstreams_Probed(CaroUpstreams *t, CaroHandle h);
 void CaroUpstreams_Succeeded(CaroUpstreams *t, CaroHandle h);
 
+/* The upstream waits for a probe. */
+bool CaroUpstreams_NeedsProbe(const CaroUpstreams *t, CaroHandle h,
+                              CaroTime now);
+
+/* Prompt tokens sent to be read (positive), or read or given up. */
+void CaroUpstreams_AddPrefill(CaroUpstreams *t, CaroHandle h, int64_t tokens);
+
 /*
  * A stream of the upstream fell silent: it gets no new work for a short
  * while, unless it is heard again before.
  */
 void CaroUpstreams_Doubt(CaroUpstreams *t, CaroHandle h, CaroTime now);
-void CaroUpstreams_Heard(CaroUpstreams *t, CaroHandle h);
+void CaroUpstreams_Heard(CaroUpstreams *t, CaroHandle h, CaroTime now);
 bool CaroUpstreams_IsDoubted(const CaroUpstreams *t, CaroHandle h,
                              CaroTime now);
 
-/* Own count in flight plus the report, faded with its age. */
+/*
+ * Own count in flight plus the report, faded with its age, as a share of
+ * the capacity, and the prompt tokens this VM waits for.
+ */
 double CaroUpstreams_Load(const CaroUpstreams *t, CaroHandle h, CaroTime now);
 
+/*
+ * Sequences that the upstream could still run at once, by its last report
+ * and what this VM started since; 0 when the report is old.
+ */
+int CaroUpstreams_Free(const CaroUpstreams *t, CaroHandle h, CaroTime now);
+
 /* New work may go there now. */
 bool CaroUpstreams_IsUsable(const CaroUpstreams *t, CaroHandle h,
                             CaroTime now);
 
-/* Most upstreams of the domain failed together a short time ago. */
+/*
+ * Two upstreams of the domain or more fell silent or failed a short time
+ * ago, and none of the domain has been heard since.
+ */
 bool CaroUpstreams_IsDomainSuspected(const CaroUpstreams *t,
                                      const char *domain, CaroTime now);
 
--- a/Modules/node_generate.c
+++ b/Modules/node_generate.c
@@ -17,11 +17,7 @@
 #define RETRY_WAIT (50 * CARO_MS)
 #define GENERATION_DEADLINE (3600 * CARO_SECOND)
 
-enum {
-    ATTEMPTS_MAX = 12,
-    SSE_LINE_MAX = 256,
-    PRIORITY_RESUME = 0 /* Engines serve lower numbers first. */
-};
+enum { ATTEMPTS_MAX = 12, SSE_LINE_MAX = 256 };
 
 static int
 find_attempt(const CaroSession *s, uint32_t attempt)
@@ -41,8 +37,11 @@
     CaroHandle h =
         CaroGeneration_UpstreamOf(s->generation, s->attempts[i].attempt);
     if (h != CARO_NO_HANDLE) {
+        CaroUpstreams_AddPrefill(s->node->upstreams, h,
+                                 -s->attempts[i].prefill);
         CaroUpstreams_Done(s->node->upstreams, h);
     }
+    s->attempts[i].prefill = 0;
     s->attempts[i].attempt = 0;
     s->attempts[i].stream = NULL;
 }
@@ -66,6 +65,8 @@
         CaroUpstreams_ObserveGap(n->upstreams, h, gap);
         return;
     }
+    CaroUpstreams_AddPrefill(n->upstreams, h, -s->attempts[i].prefill);
+    s->attempts[i].prefill = 0;
     CaroUpstreams_ObserveFirst(n->upstreams, h, now - s->attempts[i].started);
     CaroUpstreams_Succeeded(n->upstreams, h);
 }
@@ -82,7 +83,11 @@
         CaroCounters_Add(&n->counters, CARO_COUNT_TOKENS_DROPPED, 1);
         return;
     }
-    CaroUpstreams_Heard(n->upstreams, h);
+    CaroUpstreams_Heard(n->upstreams, h, now);
+    if (s->attempts[i].prefill > 0) {
+        CaroJournal_SetUpstream(s->journal,
+                                CaroUpstreams_Get(n->upstreams, h)->name);
+    }
     observe_token(s, i, h, now);
     if (CaroJournal_Append(s->journal, text, size, now) < 0) {
         CaroLog_Error("generate", "A journal is full. generation=%016llx",
@@ -142,18 +147,43 @@
 }
 
 static CaroHandle
-choose_upstream(CaroSession *s, CaroTime now)
+choose_upstream(CaroSession *s, bool is_resume, CaroTime now)
 {
     CaroNode *n = s->node;
     CaroRouteQuery q = {.policy = CARO_ROUTE_BOUNDED_AFFINITY,
                         .deployment = s->deployment,
                         .vm = n->settings.vm,
                         .subset = (int)n->settings.upstream_subset,
-                        .prefix_hash = s->prefix_hash};
+                        .prefix_hash = s->prefix_hash,
+                        .leaves_domain =
+                            CaroGeneration_IsLossSilent(s->generation),
+                        .is_resume = is_resume};
     q.n_avoid = CaroGeneration_Avoid(s->generation, q.avoid);
+    q.warm =
+        CaroUpstreams_Find(n->upstreams, CaroJournal_Upstream(s->journal));
     return CaroRouter_Choose(n->upstreams, &q, now, &n->rng);
 }
 
+/* Short resumes go before long ones, so that one long reading does not
+   hold up the callers of many short ones. */
+static int
+priority_of(const CaroSession *s, bool is_resume, int64_t prefill)
+{
+    if (is_resume) {
+        return prefill < CARO_LONG_RESUME_TOKENS ? CARO_PRIORITY_SHORT_RESUME
+                                                 : CARO_PRIORITY_LONG_RESUME;
+    }
+    return s->class == CARO_CLASS_BACKGROUND ? CARO_PRIORITY_BACKGROUND
+                                             : CARO_PRIORITY_INTERACTIVE;
+}
+
+/* Tokens that an engine without a cache would read for the session. */
+static int64_t
+prefill_of(const CaroSession *s)
+{
+    return (int64_t)s->cost - s->tokens_max + CaroJournal_Count(s->journal);
+}
+
 static int
 open_stream(CaroSession *s, int slot, uint32_t attempt, CaroHandle h,
             bool is_resume)
@@ -169,7 +199,7 @@
                            .tokens_max = s->tokens_max,
                            .prefix_tokens = CaroJournal_Count(s->journal),
                            .priority =
-                               is_resume ? PRIORITY_RESUME : (int)s->class};
+                               priority_of(s, is_resume, prefill_of(s))};
     r.prefix = CaroJournal_Text(s->journal, 0, &r.prefix_size);
     s->attempts[slot].stream =
         CaroEngine_Open(n->base, &r, on_engine_event, n);
@@ -189,9 +219,10 @@
     CaroNode *n = s->node;
     uint32_t attempt = a->u.start.attempt;
     int slot = find_attempt(s, 0);
-    CaroHandle h = choose_upstream(s, now);
+    bool is_resume = a->u.start.is_resume || s->class == CARO_CLASS_RESUME;
+    CaroHandle h = choose_upstream(s, is_resume, now);
     if (h == CARO_NO_HANDLE || slot < 0 ||
-        open_stream(s, slot, attempt, h, a->u.start.is_resume) < 0) {
+        open_stream(s, slot, attempt, h, is_resume) < 0) {
         CaroGeneration_Deferred(s->generation, now + RETRY_WAIT);
         return;
     }
@@ -204,6 +235,8 @@
         CaroUpstreams_FirstTokenAfter(n->upstreams, h, 4 * floor, first), now,
         n->awake);
     CaroUpstreams_Started(n->upstreams, h);
+    s->attempts[slot].prefill = prefill_of(s);
+    CaroUpstreams_AddPrefill(n->upstreams, h, s->attempts[slot].prefill);
     CARO_COPY(s->version, CaroUpstreams_Get(n->upstreams, h)->version);
     if (a->u.start.is_standby) {
         CaroUpstreams_Doubt(n->upstreams, a->u.start.silent, now);
--- a/Modules/node_journal.c
+++ b/Modules/node_journal.c
@@ -117,6 +117,7 @@
     e->id = s->id;
     e->epoch = CaroJournal_Epoch(s->journal);
     e->base = s->shipped;
+    e->upstream = (char *)CaroJournal_Upstream(s->journal);
     if (!s->is_opened) {
         e->request.request_val =
             (char *)CaroJournal_Request(s->journal, &size);
@@ -287,6 +288,9 @@
                                e->bytes.bytes_len, e->ends.ends_val,
                                e->ends.ends_len, now);
     *count = CaroJournal_Count(j);
+    if (rc == 0) {
+        CaroJournal_SetUpstream(j, e->upstream);
+    }
     if (rc == 0 && e->finished) {
         CaroJournal_Finish(j);
     }
@@ -319,6 +323,7 @@
     reply->ends.ends_len = CaroJournal_Count(j);
     reply->finished = CaroJournal_IsFinished(j);
     reply->epoch = CaroJournal_Epoch(j);
+    reply->upstream = (char *)CaroJournal_Upstream(j);
 }
 
 /* Hands a generation to another VM: from the owner, or from the backup,
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -280,6 +280,7 @@
     caro_take_reply take;
     memset(&outcome, 0, sizeof(outcome));
     memset(&take, 0, sizeof(take));
+    take.upstream = "";
     outcome.key = "";
     switch (procedure) {
     case CARO_HEARTBEAT:
--- a/Modules/node_reconnect.c
+++ b/Modules/node_reconnect.c
@@ -108,6 +108,7 @@
         CaroNode_CloseSession(s, false);
         return NULL;
     }
+    CaroJournal_SetUpstream(s->journal, r->upstream);
     s->admission = CaroNode_AdmissionOf(n, s->deployment);
     s->class = CARO_CLASS_RESUME;
     return s;
@@ -267,6 +268,7 @@
     size_t bytes;
     const char *tokens = CaroJournal_Text(j, 0, &bytes);
     char *copy = malloc(bytes + 1);
+    char upstream[CARO_NAME_SIZE];
     CaroSession *s = NULL;
     if (request != NULL && ends != NULL && copy != NULL) {
         memcpy(request, text, size);
@@ -275,6 +277,8 @@
             memcpy(ends, CaroJournal_Ends(j), count * sizeof(*ends));
         }
         reply.epoch = CaroJournal_Epoch(j);
+        CARO_COPY(upstream, CaroJournal_Upstream(j));
+        reply.upstream = upstream;
         reply.request.request_val = request;
         reply.request.request_len = (u_int)size;
         reply.bytes.bytes_val = copy;
--- a/Modules/node_upstreams.c
+++ b/Modules/node_upstreams.c
@@ -5,6 +5,7 @@
  * been silent for a while is polled, and at most a few a second are, so
  * the cost of polling does not grow with the fleet.
  */
+#include "internal/caro_limits.h"
 #include "internal/caro_node_state.h"
 
 #include <stdlib.h>
@@ -14,10 +15,6 @@
 #define POLL_SILENCE (5 * CARO_SECOND)
 #define POLL_TIMEOUT (1500 * CARO_MS)
 
-enum { CAPACITY_ASSUMED = 32 /* Of an engine that has not reported. */ };
-
-#define LIMIT_HEADROOM 1.25
-
 typedef struct {
     CaroNode *node;
     CaroHandle upstream;
@@ -51,7 +48,7 @@
         const char *text =
             evhttp_find_header(headers, "endpoint-load-metrics");
         CaroEngineLoad load;
-        CaroUpstreams_Succeeded(n->upstreams, p->upstream);
+        CaroUpstreams_Probed(n->upstreams, p->upstream);
         if (text != NULL && CaroEngine_ParseLoad(text, &load)) {
             CaroNode_HeardLoad(n, p->upstream, &load, now);
         }
@@ -78,12 +75,17 @@
     CaroHttp_Call(n->base, &call, on_polled, p);
 }
 
+/* A failed upstream that may come back, or the longest silent. */
 static CaroHandle
-longest_silent(const CaroNode *n, CaroTime now)
+next_to_poll(const CaroNode *n, CaroTime now)
 {
     CaroHandle best = CARO_NO_HANDLE;
     for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
         const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
+        if (!n->is_polling[h] &&
+            CaroUpstreams_NeedsProbe(n->upstreams, h, now)) {
+            return h;
+        }
         if (u->is_leaving || n->is_polling[h] ||
             now - n->heard_upstream[h] < POLL_SILENCE) {
             continue;
@@ -103,39 +105,12 @@
         return;
     }
     n->next_poll = now + POLL_INTERVAL;
-    CaroHandle h = longest_silent(n, now);
+    CaroHandle h = next_to_poll(n, now);
     if (h != CARO_NO_HANDLE) {
         poll_upstream(n, h);
     }
 }
 
-/*
- * A node may run its share of the deployment's capacity and some more,
- * and beyond that a part of what its upstreams report as free, so that
- * uneven arrivals do not leave engines idle.
- */
-static int
-limit_of(const CaroNode *n, const char *deployment, int running, int vms,
-         CaroTime now)
-{
-    double capacity = 0.0;
-    double free_slots = 0.0;
-    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
-        if (strcmp(u->deployment, deployment) != 0 ||
-            !CaroUpstreams_IsUsable(n->upstreams, h, now)) {
-            continue;
-        }
-        int slots = u->capacity > 0 ? u->capacity : CAPACITY_ASSUMED;
-        double load = CaroUpstreams_Load(n->upstreams, h, now);
-        capacity += slots;
-        free_slots += load < 1.0 ? (1.0 - load) * slots : 0.0;
-    }
-    double share = capacity / vms * LIMIT_HEADROOM;
-    double grown = running + free_slots / vms;
-    return (int)(share > grown ? share : grown) + 1;
-}
-
 void
 CaroNode_UpdateLimits(CaroNode *n, CaroTime now)
 {
@@ -143,7 +118,8 @@
     for (int i = 0; i < n->n_admissions; i++) {
         int running = CaroAdmission_Running(n->admissions[i]);
         CaroAdmission_SetLimit(n->admissions[i],
-                               limit_of(n, n->admission_names[i], running,
-                                        vms < 1 ? 1 : vms, now));
+                               CaroLimits_Of(n->upstreams,
+                                             n->admission_names[i], running,
+                                             vms < 1 ? 1 : vms, now));
     }
 }
--- a/Objects/journal.c
+++ b/Objects/journal.c
@@ -17,6 +17,7 @@
     uint64_t id;
     uint32_t epoch;
     char owner[CARO_NAME_SIZE]; /* VM that appends to a copy, or empty. */
+    char upstream[CARO_NAME_SIZE];
     uint32_t count;
     uint32_t ends_capacity;
     uint32_t *ends;
@@ -305,6 +306,18 @@
     j->owner[0] = '\0';
 }
 
+void
+CaroJournal_SetUpstream(CaroJournal *j, const char *name)
+{
+    CARO_COPY(j->upstream, name);
+}
+
+const char *
+CaroJournal_Upstream(const CaroJournal *j)
+{
+    return j->upstream;
+}
+
 void
 CaroJournal_Touch(CaroJournal *j, CaroTime now)
 {
--- a/Objects/upstreams.c
+++ b/Objects/upstreams.c
@@ -16,21 +16,25 @@
 
 enum {
     GAP_BINS = 48,
-    GAP_REFRESH = 64,   /* Observations between two percentiles. */
-    GAP_HALVE_AT = 4096 /* Observations after which counts are halved. */
+    GAP_REFRESH = 64,      /* Observations between two percentiles. */
+    CAPACITY_ASSUMED = 16, /* Of an engine that has not reported. */
+    GAP_HALVE_AT = 4096    /* Observations after which counts are halved. */
 };
 
+/* Pending prompt tokens that weigh as much as a full batch. */
+#define PREFILL_FULL 8192.0
+
 #define GAP_LOW_US 1000.0
 #define GAP_HIGH_US 20000000.0
 #define GAP_PERCENTILE 0.99
 #define GAP_FACTOR 4.0
 #define FIRST_FACTOR 3.0
+#define REPORT_OLD (6 * CARO_SECOND)
 #define REPORT_FADE (4 * CARO_SECOND)
 #define AVOID_FIRST (500 * CARO_MS)
 #define AVOID_MOST (30 * CARO_SECOND)
 #define DOUBT_TIME (2 * CARO_SECOND)
 #define DOMAIN_WINDOW (3 * CARO_SECOND)
-#define DOMAIN_SHARE 0.5
 
 typedef struct {
     gsl_histogram *bins;
@@ -44,7 +48,9 @@
     GapModel firsts;
     CaroTime failed_at;
     CaroTime doubted_until; /* A stream fell silent. */
-    bool is_kept;           /* Named by the configuration being applied. */
+    CaroTime doubted_at;
+    CaroTime heard_at; /* Last token of any stream. */
+    bool is_kept;      /* Named by the configuration being applied. */
 } Entry;
 
 struct CaroUpstreams {
@@ -156,6 +162,8 @@
     }
     e->u.reported_at = -REPORT_FADE;
     e->failed_at = -DOMAIN_WINDOW;
+    e->doubted_at = -DOMAIN_WINDOW;
+    e->heard_at = -1;
     t->n++;
     return e;
 }
@@ -225,6 +233,7 @@
 CaroUpstreams_Started(CaroUpstreams *t, CaroHandle h)
 {
     t->entries[h].u.in_flight++;
+    t->entries[h].u.started_since++;
     t->entries[h].u.requests_total++;
 }
 
@@ -244,6 +253,7 @@
     u->reported_waiting = waiting;
     u->capacity = capacity;
     u->reported_at = now;
+    u->started_since = 0;
 }
 
 void
@@ -255,6 +265,7 @@
         wait *= 2;
     }
     /* Streams of one loss fail together and count as one failure. */
+    e->u.is_probed = false;
     if (now >= e->u.avoided_until) {
         e->u.failures++;
         e->u.avoided_until = now + (wait > AVOID_MOST ? AVOID_MOST : wait);
@@ -263,6 +274,27 @@
     e->failed_at = now;
 }
 
+void
+CaroUpstreams_Probed(CaroUpstreams *t, CaroHandle h)
+{
+    t->entries[h].u.is_probed = true;
+}
+
+bool
+CaroUpstreams_NeedsProbe(const CaroUpstreams *t, CaroHandle h, CaroTime now)
+{
+    const CaroUpstream *u = &t->entries[h].u;
+    return !u->is_leaving && u->failures > 0 && !u->is_probed &&
+           now >= u->avoided_until;
+}
+
+void
+CaroUpstreams_AddPrefill(CaroUpstreams *t, CaroHandle h, int64_t tokens)
+{
+    t->entries[h].u.prefill_pending += tokens;
+    assert(t->entries[h].u.prefill_pending >= 0);
+}
+
 void
 CaroUpstreams_Succeeded(CaroUpstreams *t, CaroHandle h)
 {
@@ -274,12 +306,14 @@
 CaroUpstreams_Doubt(CaroUpstreams *t, CaroHandle h, CaroTime now)
 {
     t->entries[h].doubted_until = now + DOUBT_TIME;
+    t->entries[h].doubted_at = now;
 }
 
 void
-CaroUpstreams_Heard(CaroUpstreams *t, CaroHandle h)
+CaroUpstreams_Heard(CaroUpstreams *t, CaroHandle h, CaroTime now)
 {
     t->entries[h].doubted_until = 0;
+    t->entries[h].heard_at = now;
 }
 
 bool
@@ -302,34 +336,60 @@
         others = 0.0;
     }
     double load = u->in_flight + weight * others;
-    return u->capacity > 0 ? load / u->capacity : load / 16.0;
+    int capacity = u->capacity > 0 ? u->capacity : CAPACITY_ASSUMED;
+    return load / capacity + (double)u->prefill_pending / PREFILL_FULL;
+}
+
+int
+CaroUpstreams_Free(const CaroUpstreams *t, CaroHandle h, CaroTime now)
+{
+    const CaroUpstream *u = &t->entries[h].u;
+    if (now - u->reported_at > REPORT_OLD) {
+        return 0;
+    }
+    int used = u->reported_running + u->reported_waiting + u->started_since;
+    return used < u->capacity ? u->capacity - used : 0;
 }
 
 bool
 CaroUpstreams_IsUsable(const CaroUpstreams *t, CaroHandle h, CaroTime now)
 {
     const CaroUpstream *u = &t->entries[h].u;
-    return !u->is_leaving && now >= u->avoided_until &&
+    bool is_trusted = u->failures == 0 || u->is_probed;
+    return !u->is_leaving && now >= u->avoided_until && is_trusted &&
            !CaroUpstreams_IsDoubted(t, h, now);
 }
 
+/* Time of the upstream's newest bad sign within the window, or -1. */
+static CaroTime
+bad_sign(const Entry *e, CaroTime now)
+{
+    CaroTime at = e->failed_at > e->doubted_at ? e->failed_at : e->doubted_at;
+    return now - at < DOMAIN_WINDOW && at > e->heard_at ? at : -1;
+}
+
 bool
 CaroUpstreams_IsDomainSuspected(const CaroUpstreams *t, const char *domain,
                                 CaroTime now)
 {
-    int all = 0;
-    int failed = 0;
+    int bad = 0;
+    CaroTime first_bad = now;
+    CaroTime last_heard = -1;
     for (int i = 0; i < t->n; i++) {
         const Entry *e = &t->entries[i];
         if (strcmp(e->u.domain, domain) != 0 || e->u.is_leaving) {
             continue;
         }
-        all++;
-        if (e->u.failures > 0 && now - e->failed_at < DOMAIN_WINDOW) {
-            failed++;
+        CaroTime at = bad_sign(e, now);
+        if (at >= 0) {
+            bad++;
+            first_bad = at < first_bad ? at : first_bad;
+        }
+        else if (e->heard_at > last_heard) {
+            last_heard = e->heard_at;
         }
     }
-    return failed >= 2 && failed >= all * DOMAIN_SHARE;
+    return bad >= 2 && last_heard < first_bad;
 }
 
 void
--- a/Parser/settings.c
+++ b/Parser/settings.c
@@ -63,7 +63,7 @@
     NUMBER("ticket_ttl_ms", ticket_ttl_ms, 1000, 3600000, 600000),
     NUMBER("order_timeout_ms", order_timeout_ms, 100, 600000, 10000),
     NUMBER("drain_ms", drain_ms, 100, 3600000, 20000),
-    NUMBER("patience_ms", patience_ms, 10, 600000, 4000),
+    NUMBER("patience_ms", patience_ms, 10, 600000, 2000),
     CARO_END_OF_FIELDS,
 };
 
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -191,9 +191,13 @@
     if (strcmp(kind, "get") == 0) {
         return run_get(argc - 1, argv + 1);
     }
+    if (strcmp(kind, "decisions") == 0) {
+        return Bench_RunDecisions(argc - 1, argv + 1);
+    }
     if (strcmp(kind, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
-    (void)fprintf(stderr, "usage: carobench load|order|get|call [FLAGS]\n");
+    (void)fprintf(stderr,
+                  "usage: carobench load|order|get|call|decisions [FLAGS]\n");
     return 2;
 }
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -72,6 +72,7 @@
 	u_quad_t id;
 	u_int epoch;
 	u_int base;
+	char *upstream;
 	struct {
 		u_int request_len;
 		char *request_val;
@@ -121,6 +122,7 @@
 struct caro_take_reply {
 	int status;
 	u_int epoch;
+	char *upstream;
 	bool_t finished;
 	struct {
 		u_int request_len;
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -58,6 +58,7 @@
     unsigned hyper id;
     unsigned int epoch;
     unsigned int base;
+    string upstream<CARO_NAME_MAX>;
     opaque request<CARO_REQUEST_MAX>;
     opaque bytes<CARO_TOKEN_BYTES_MAX>;
     unsigned int ends<CARO_TOKENS_MAX>;
@@ -87,6 +88,7 @@
 struct caro_take_reply {
     int status;
     unsigned int epoch;
+    string upstream<CARO_NAME_MAX>;
     bool finished;
     opaque request<CARO_REQUEST_MAX>;
     opaque bytes<CARO_TOKEN_BYTES_MAX>;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -88,6 +88,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->base))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->upstream, CARO_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->request.request_val, (u_int *) &objp->request.request_len, CARO_REQUEST_MAX))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, CARO_TOKEN_BYTES_MAX))
@@ -155,59 +157,12 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->status))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->epoch))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->finished))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_LONG(buf, objp->status);
-		IXDR_PUT_U_LONG(buf, objp->epoch);
-		IXDR_PUT_BOOL(buf, objp->finished);
-		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->request.request_val, (u_int *) &objp->request.request_len, CARO_REQUEST_MAX))
-			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, CARO_TOKEN_BYTES_MAX))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, CARO_TOKENS_MAX,
-			sizeof (u_int), (xdrproc_t) xdr_u_int))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->status))
-				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->epoch))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->finished))
-				 return FALSE;
-
-		} else {
-		objp->status = IXDR_GET_LONG(buf);
-		objp->epoch = IXDR_GET_U_LONG(buf);
-		objp->finished = IXDR_GET_BOOL(buf);
-		}
-		 if (!xdr_bytes (xdrs, (char **)&objp->request.request_val, (u_int *) &objp->request.request_len, CARO_REQUEST_MAX))
-			 return FALSE;
-		 if (!xdr_bytes (xdrs, (char **)&objp->bytes.bytes_val, (u_int *) &objp->bytes.bytes_len, CARO_TOKEN_BYTES_MAX))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, CARO_TOKENS_MAX,
-			sizeof (u_int), (xdrproc_t) xdr_u_int))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_int (xdrs, &objp->status))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->epoch))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->upstream, CARO_NAME_MAX))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->finished))
 		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->request.request_val, (u_int *) &objp->request.request_len, CARO_REQUEST_MAX))
