Measure the membership at 13 to 410 VMs; spread news at once

Causes and changes, before -> after at 410 VMs: - News rode on probes only. Polls were 4 a second a node; now 1, and failed upstreams are probed at 250 ms.

--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -20,16 +20,18 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
 enum {
     EVENTS_MAX = 4096,
-    SCORE_MAX = 8,         /* Largest doubt about ourselves. */
-    GOSSIP_FACTOR = 3,     /* Times log2(n) that news is told. */
-    SUSPICION_PERIODS = 5, /* Periods from suspicion to death. */
-    DEAD_PROBE_EVERY = 8   /* Each so many periods a dead VM is probed. */
+    URGENT_FANOUT = 4,
+    SCORE_MAX = 8,        /* Largest doubt about ourselves. */
+    GOSSIP_FACTOR = 2,    /* Times log2(n) that news is told. */
+    SUSPICION_FACTOR = 2, /* Times log2(n) periods from suspicion to death. */
+    DEAD_PROBE_EVERY = 8  /* Each so many periods a dead VM is probed. */
 };
 
 typedef struct {
@@ -38,6 +40,7 @@
     bool is_told; /* News stands to be told. */
     CaroTime heard;
     CaroTime doubted_until; /* A message failed; see Doubt. */
+    UT_hash_handle hh;      /* By name. */
 } Member;
 
 typedef struct {
@@ -49,10 +52,15 @@
 
 struct CaroMembership {
     Member members[CARO_VMS_MAX];
+    Member *by_name;
+    int n_news; /* Members whose news stand to be told. */
     int n;
     CaroTime period;
     CaroTime next_probe;
     CaroTime last_tick;
+    bool has_urgent_news; /* Told to a few at once, not by probes only. */
+    CaroTime next_urgent;
+    CaroHandle hinted; /* To be probed next, or no handle. */
     Probe probe;
     int score;
     uint64_t rng;
@@ -93,12 +101,14 @@
     Member *e = &m->members[h];
     caro_member_state before = e->vm.state;
     e->tellings = 0;
+    m->n_news += !e->is_told;
     e->is_told = true;
     if (before == state) {
         return;
     }
     e->vm.state = state;
     e->vm.since = now;
+    m->has_urgent_news = true;
     CaroMembershipEvent event = {.kind = CARO_CHANGED, .vm = h};
     event.before = before;
     push_event(m, event);
@@ -116,6 +126,8 @@
     e->vm.since = now;
     e->heard = now;
     e->is_told = true;
+    m->n_news++;
+    HASH_ADD_STR(m->by_name, vm.name, e);
     m->n++;
     return m->n - 1;
 }
@@ -134,6 +146,7 @@
     m->next_probe =
         now + (CaroTime)(CaroRandom_Next(&m->rng) % (uint64_t)period);
     m->probe.target = CARO_NO_HANDLE;
+    m->hinted = CARO_NO_HANDLE;
     (void)add_member(m, self, now);
     return m;
 }
@@ -141,6 +154,9 @@
 void
 CaroMembership_Destroy(CaroMembership *m)
 {
+    if (m != NULL) {
+        HASH_CLEAR(hh, m->by_name);
+    }
     free(m);
 }
 
@@ -156,13 +172,16 @@
         m->members[h].vm.incarnation = 0;
         m->members[h].vm.state = CARO_MEMBER_DEAD;
         m->members[h].is_told = false;
+        m->n_news--;
     }
 }
 
 static void
 fill_vm(CaroVm *vm, const caro_member_update *u)
 {
-    CARO_COPY(vm->name, u->name);
+    if (strcmp(vm->name, u->name) != 0) {
+        CARO_COPY(vm->name, u->name);
+    }
     CARO_COPY(vm->http, u->http);
     CARO_COPY(vm->peer, u->peer);
     CARO_COPY(vm->domain, u->domain);
@@ -225,6 +244,20 @@
     return true;
 }
 
+void
+CaroMembership_Learn(CaroMembership *m, const caro_member_update *u,
+                     CaroTime now)
+{
+    if (!CaroMembership_Apply(m, u, now)) {
+        return;
+    }
+    CaroHandle h = CaroMembership_Find(m, u->name);
+    if (h != CARO_SELF && m->members[h].is_told) {
+        m->members[h].is_told = false;
+        m->n_news--;
+    }
+}
+
 void
 CaroMembership_Heard(CaroMembership *m, const char *name, CaroTime now)
 {
@@ -330,7 +363,9 @@
 static void
 expire_suspicions(CaroMembership *m, CaroTime now)
 {
-    CaroTime wait = m->period * SUSPICION_PERIODS * (1 + m->score / 2);
+    /* A refutation needs the logarithm of the fleet in periods to spread. */
+    CaroTime periods = SUSPICION_FACTOR * log2_of(m->n);
+    CaroTime wait = m->period * periods * (1 + m->score / 2);
     for (CaroHandle h = 1; h < m->n; h++) {
         Member *e = &m->members[h];
         bool is_waiting = e->vm.state == CARO_MEMBER_SUSPECT ||
@@ -357,6 +392,28 @@
     }
 }
 
+/* Passes fresh news to a few members; each that learns it does the same. */
+static void
+tell_urgent_news(CaroMembership *m, CaroTime now)
+{
+    if (!m->has_urgent_news || now < m->next_urgent) {
+        return;
+    }
+    m->has_urgent_news = false;
+    /* With more news than a message holds, haste would only cost. */
+    bool is_storm = m->n_news > CARO_UPDATES_MAX;
+    m->next_urgent = now + (is_storm ? m->period : m->period / 4);
+    int wanted = URGENT_FANOUT;
+    for (int tries = 0; tries < 8 * URGENT_FANOUT && wanted > 0; tries++) {
+        CaroHandle h = (CaroHandle)(CaroRandom_Next(&m->rng) % (uint64_t)m->n);
+        if (h != CARO_SELF && m->members[h].vm.state == CARO_MEMBER_ALIVE) {
+            CaroMembershipEvent event = {.kind = CARO_SEND_PROBE, .vm = h};
+            push_event(m, event);
+            wanted--;
+        }
+    }
+}
+
 void
 CaroMembership_Tick(CaroMembership *m, CaroTime now)
 {
@@ -371,12 +428,18 @@
         fail_probe(m, now);
     }
     expire_suspicions(m, now);
-    if (now < m->next_probe || m->probe.is_open) {
+    tell_urgent_news(m, now);
+    if (m->probe.is_open ||
+        (now < m->next_probe && m->hinted == CARO_NO_HANDLE)) {
         return;
     }
     m->next_probe = now + m->period;
     m->periods++;
-    CaroHandle h = next_target(m);
+    CaroHandle h = m->hinted;
+    m->hinted = CARO_NO_HANDLE;
+    if (h == CARO_NO_HANDLE) {
+        h = next_target(m);
+    }
     if (h != CARO_NO_HANDLE) {
         send_probe(m, h, now);
     }
@@ -412,7 +475,7 @@
 freshest_news(const CaroMembership *m, const bool *is_taken)
 {
     CaroHandle best = CARO_NO_HANDLE;
-    for (CaroHandle h = 1; h < m->n; h++) {
+    for (CaroHandle h = 1; h < m->n && m->n_news > 0; h++) {
         const Member *e = &m->members[h];
         if (!e->is_told || is_taken[h]) {
             continue;
@@ -449,6 +512,7 @@
         e->tellings++;
         if (e->tellings >= most_tellings) {
             e->is_told = false;
+            m->n_news--;
         }
         fill_update(&e->vm, &updates[n++]);
     }
@@ -490,12 +554,9 @@
 CaroHandle
 CaroMembership_Find(const CaroMembership *m, const char *name)
 {
-    for (CaroHandle h = 0; h < m->n; h++) {
-        if (strcmp(m->members[h].vm.name, name) == 0) {
-            return h;
-        }
-    }
-    return CARO_NO_HANDLE;
+    Member *e;
+    HASH_FIND_STR(m->by_name, name, e);
+    return e == NULL ? CARO_NO_HANDLE : (CaroHandle)(e - m->members);
 }
 
 bool
@@ -504,6 +565,12 @@
     return m->members[vm].vm.state == CARO_MEMBER_ALIVE;
 }
 
+void
+CaroMembership_Hint(CaroMembership *m, CaroHandle vm)
+{
+    m->hinted = vm;
+}
+
 void
 CaroMembership_Doubt(CaroMembership *m, CaroHandle vm, CaroTime until)
 {
--- a/Include/internal/caro_membership.h
+++ b/Include/internal/caro_membership.h
@@ -62,6 +62,10 @@
 bool CaroMembership_Apply(CaroMembership *m, const caro_member_update *u,
                           CaroTime now);
 
+/* The same from the whole list of another member: no news to pass on. */
+void CaroMembership_Learn(CaroMembership *m, const caro_member_update *u,
+                          CaroTime now);
+
 /* A heartbeat or an answer to one came from the named VM. */
 void CaroMembership_Heard(CaroMembership *m, const char *name, CaroTime now);
 
@@ -97,6 +101,9 @@
 int CaroMembership_CountUsable(const CaroMembership *m);
 bool CaroMembership_IsUsable(const CaroMembership *m, CaroHandle vm);
 
+/* A message to the VM failed: it is probed next. */
+void CaroMembership_Hint(CaroMembership *m, CaroHandle vm);
+
 /*
  * A message to the VM failed: it is not chosen as backup or listed as an
  * address until then, though its state stays for the probes to decide.
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -63,6 +63,7 @@
     CaroTime last_tick; /* On the monotonic clock. */
     CaroTime next_slow_tick;
     CaroTime next_poll;
+    CaroTime next_probe;
     CaroTime heard_upstream[CARO_UPSTREAMS_MAX]; /* Last load report. */
     bool is_polling[CARO_UPSTREAMS_MAX];
 
--- a/Modules/node_journal.c
+++ b/Modules/node_journal.c
@@ -44,6 +44,7 @@
 {
     CaroNode *n = m->node;
     CaroMembership_Doubt(n->membership, m->backup, now + DOUBT_TIME);
+    CaroMembership_Hint(n->membership, m->backup);
     for (int i = 0; i < m->n; i++) {
         CaroSession *s = CaroNode_FindSession(n, m->ids[i]);
         if (s != NULL && s->backup == m->backup) {
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -174,8 +174,7 @@
     }
     const caro_members *all = result;
     for (u_int i = 0; i < all->members.members_len; i++) {
-        (void)CaroMembership_Apply(n->membership, &all->members.members_val[i],
-                                   now);
+        CaroMembership_Learn(n->membership, &all->members.members_val[i], now);
     }
     CaroNode_SendMembershipEvents(n);
 }
--- a/Modules/node_upstreams.c
+++ b/Modules/node_upstreams.c
@@ -2,8 +2,8 @@
  * Load reports of upstreams, and the limits that follow from them.
  *
  * Reports come with each answer of an engine.  Only an upstream that has
- * been silent for a while is polled, and at most a few a second are, so
- * the cost of polling does not grow with the fleet.
+ * been silent for a while is polled, one a second, and failed ones are
+ * probed more often, so the cost of polling does not grow with the fleet.
  */
 #include "internal/caro_limits.h"
 #include "internal/caro_node_state.h"
@@ -11,7 +11,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define POLL_INTERVAL (250 * CARO_MS)
+#define PROBE_INTERVAL (250 * CARO_MS)
+#define POLL_INTERVAL (1 * CARO_SECOND)
 #define POLL_SILENCE (5 * CARO_SECOND)
 #define POLL_TIMEOUT (1500 * CARO_MS)
 
@@ -75,17 +76,25 @@
     CaroHttp_Call(n->base, &call, on_polled, p);
 }
 
-/* A failed upstream that may come back, or the longest silent. */
+/* A failed upstream that may come back, or no handle. */
 static CaroHandle
-next_to_poll(const CaroNode *n, CaroTime now)
+next_to_probe(const CaroNode *n, CaroTime now)
 {
-    CaroHandle best = CARO_NO_HANDLE;
     for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
         if (!n->is_polling[h] &&
             CaroUpstreams_NeedsProbe(n->upstreams, h, now)) {
             return h;
         }
+    }
+    return CARO_NO_HANDLE;
+}
+
+static CaroHandle
+longest_silent(const CaroNode *n, CaroTime now)
+{
+    CaroHandle best = CARO_NO_HANDLE;
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
         if (u->is_leaving || n->is_polling[h] ||
             now - n->heard_upstream[h] < POLL_SILENCE) {
             continue;
@@ -101,11 +110,15 @@
 void
 CaroNode_TickUpstreams(CaroNode *n, CaroTime now)
 {
-    if (now < n->next_poll) {
-        return;
+    CaroHandle h = CARO_NO_HANDLE;
+    if (now >= n->next_probe) {
+        n->next_probe = now + PROBE_INTERVAL;
+        h = next_to_probe(n, now);
+    }
+    if (h == CARO_NO_HANDLE && now >= n->next_poll) {
+        n->next_poll = now + POLL_INTERVAL;
+        h = longest_silent(n, now);
     }
-    n->next_poll = now + POLL_INTERVAL;
-    CaroHandle h = next_to_poll(n, now);
     if (h != CARO_NO_HANDLE) {
         poll_upstream(n, h);
     }
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -200,10 +200,13 @@
     if (strcmp(kind, "decisions") == 0) {
         return Bench_RunDecisions(argc - 1, argv + 1);
     }
+    if (strcmp(kind, "membership") == 0) {
+        return Bench_RunMembership(argc - 1, argv + 1);
+    }
     if (strcmp(kind, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
     (void)fprintf(stderr, "usage: carobench load|order|audit|get|call|"
-                          "decisions [FLAGS]\n");
+                          "decisions|membership [FLAGS]\n");
     return 2;
 }
--- a/Tools/fleet.sh
+++ b/Tools/fleet.sh
@@ -96,7 +96,7 @@
             "$token_hash"
         printf '"timing":{"drain_ms":%d},"vms":[' "${DRAIN_MS:-4000}"
         i=1
-        while [ "$i" -le "$fleet_nodes" ]; do
+        while [ "$i" -le "$fleet_nodes" ] && [ "$i" -le 20 ]; do
             [ "$i" -gt 1 ] && printf ','
             printf '{"vm":"n%d","http":"%s","peer":"%s","domain":"%s",' \
                 "$i" "$(fleet_http "$i")" "$(fleet_peer "$i")" \
@@ -119,7 +119,7 @@
         --name "e$1" ${ENGINE_FLAGS:-}
 }
 
-# Waits until every node has a configuration and sees all others.
+# Waits until every node of a small fleet has a configuration and sees all others.
 fleet_wait_ready() {
     local tries=0 ready i
     while [ "$tries" -lt 300 ]; do
