--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -203,10 +203,13 @@
     if (strcmp(kind, "membership") == 0) {
         return Bench_RunMembership(argc - 1, argv + 1);
     }
+    if (strcmp(kind, "rollouts") == 0) {
+        return Bench_RunRollouts(argc - 1, argv + 1);
+    }
     if (strcmp(kind, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
     (void)fprintf(stderr, "usage: carobench load|order|audit|get|call|"
-                          "decisions|membership [FLAGS]\n");
+                          "decisions|membership|rollouts [FLAGS]\n");
     return 2;
 }
--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -101,5 +101,6 @@
 /* Measurements of the decisions alone, on a virtual clock. */
 int Bench_RunDecisions(int argc, char **argv);
 int Bench_RunMembership(int argc, char **argv);
+int Bench_RunRollouts(int argc, char **argv);
 
 #endif
