--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -7,7 +7,8 @@
  *   - Only a VM itself raises its incarnation, to refute a suspicion.
  *   - Members are probed in a random order, each once in a round, so that
  *     the time to the first probe of a failed VM is bounded.
- *   - Entries are never removed from the table, so handles stay valid.
+ *   - A handle stays valid until its VM has been dead longest of all in a
+ *     full table; only then is its entry taken for another.
  *
  * When many members fall silent at once, the silence may be our own: a
  * VM that misses answers raises its score, and waits in proportion.
@@ -114,13 +115,35 @@
     push_event(m, event);
 }
 
+/* Frees the entry of the VM that has been dead longest, in a full table. */
+static CaroHandle
+forget_longest_dead(CaroMembership *m)
+{
+    CaroHandle oldest = CARO_NO_HANDLE;
+    for (CaroHandle h = 1; h < m->n; h++) {
+        const Member *e = &m->members[h];
+        if (e->vm.state == CARO_MEMBER_DEAD &&
+            (oldest == CARO_NO_HANDLE ||
+             e->vm.since < m->members[oldest].vm.since)) {
+            oldest = h;
+        }
+    }
+    if (oldest != CARO_NO_HANDLE) {
+        Member *e = &m->members[oldest];
+        HASH_DEL(m->by_name, e);
+        m->n_news -= e->is_told;
+    }
+    return oldest;
+}
+
 static CaroHandle
 add_member(CaroMembership *m, const CaroVm *vm, CaroTime now)
 {
-    if (m->n == CARO_VMS_MAX) {
+    CaroHandle h = m->n < CARO_VMS_MAX ? m->n : forget_longest_dead(m);
+    if (h == CARO_NO_HANDLE) {
         return CARO_NO_HANDLE;
     }
-    Member *e = &m->members[m->n];
+    Member *e = &m->members[h];
     memset(e, 0, sizeof(*e));
     e->vm = *vm;
     e->vm.since = now;
@@ -128,8 +151,10 @@
     e->is_told = true;
     m->n_news++;
     HASH_ADD_STR(m->by_name, vm.name, e);
-    m->n++;
-    return m->n - 1;
+    if (h == m->n) {
+        m->n++;
+    }
+    return h;
 }
 
 CaroMembership *
--- a/Include/internal/caro_config.h
+++ b/Include/internal/caro_config.h
@@ -12,6 +12,8 @@
 #include "caro_error.h"
 #include "internal/caro_upstreams.h"
 
+#include <jansson.h>
+
 enum {
     CARO_DEPLOYMENTS_MAX = 64,
     CARO_ACCOUNTS_MAX = 65536,
@@ -73,4 +75,7 @@
                                             const char *name);
 const CaroAccount *CaroConfig_Account(const CaroConfig *c, const char *name);
 
+/* The JSON object of a deployment, borrowed, or NULL. */
+json_t *CaroConfig_FindJson(const json_t *root, const char *deployment);
+
 #endif
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -11,6 +11,7 @@
 #include "caro_node.h"
 #include "internal/caro_admission.h"
 #include "internal/caro_clock.h"
+#include "internal/caro_command.h"
 #include "internal/caro_config.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_decisions.h"
@@ -31,7 +32,6 @@
 
 typedef struct CaroSession CaroSession;
 typedef struct CaroOrderWaiter CaroOrderWaiter;
-typedef struct CaroReport CaroReport;
 
 /* A move in work at this node. */
 typedef struct {
@@ -172,7 +172,7 @@
 void CaroNode_TakeOver(CaroNode *n, uint64_t id, caro_take_reply *reply,
                        CaroTime now);
 
-/* node_generate.c: sessions. */
+/* node_session.c: generations in service. */
 CaroSession *CaroNode_OpenSession(CaroNode *n, uint64_t id, uint32_t epoch,
                                   json_t *request, const char *text,
                                   size_t size, CaroTime now);
@@ -187,6 +187,15 @@
 void CaroNode_AdmitWaiting(CaroNode *n, CaroTime now);
 CaroAdmission *CaroNode_AdmissionOf(CaroNode *n, const char *deployment);
 
+/* node_generate.c: the attempts of a session. */
+void CaroNode_CancelAttempts(CaroSession *s);
+void CaroNode_SuspectAttempts(CaroSession *s, CaroTime now);
+
+/* node_caller.c: the caller of a session. */
+void CaroNode_DropCaller(CaroSession *s);
+void CaroNode_SendReconnect(CaroSession *s);
+struct evhttp_request *CaroNode_DetachCaller(CaroSession *s);
+
 /* node_reconnect.c: callers that come back, perhaps from another VM. */
 void CaroNode_Reconnect(CaroNode *n, struct evhttp_request *req,
                         const char *event_id, CaroTime now);
@@ -230,7 +239,10 @@
 /* node_http.c: routes of callers and operators. */
 void CaroNode_OnHttp(struct evhttp_request *req, void *context);
 
-/* node_operator.c: commands and the dump. */
+/* node_reports.c, node_dump.c and node_operator.c: for operators. */
+const char *CaroNode_StateWord(caro_member_state state);
+void CaroNode_RunReport(CaroNode *n, struct evhttp_request *req,
+                        const CaroCommand *c, CaroTime now);
 void CaroNode_OnCommand(CaroNode *n, struct evhttp_request *req, CaroTime now);
 void CaroNode_OnDump(CaroNode *n, struct evhttp_request *req, CaroTime now);
 void CaroNode_OnCounters(CaroNode *n, struct evhttp_request *req);
--- a/Makefile
+++ b/Makefile
@@ -75,6 +75,9 @@
 	$(MAKE) -j8 all
 	Tools/demo.sh
 
+fuzz:
+	bash Test/fuzz_run.sh
+
 model:
 	Tools/models/check.sh
 
@@ -105,10 +108,10 @@
 	    $(CPPFLAGS) 2>/dev/null' lint
 
 clean:
-	rm -rf build build-san
+	rm -rf build build-san build-fuzz
 
 # BIN names the folder of the programs in scripts.
 export BIN = $(BUILD)
 
-.PHONY: bench-membership model bench-decisions all demo test unit-tests protocol format lint clean
+.PHONY: fuzz bench-membership model bench-decisions all demo test unit-tests protocol format lint clean
 .SECONDARY:
--- a/Modules/node_config.c
+++ b/Modules/node_config.c
@@ -175,6 +175,16 @@
     }
 }
 
+static void
+on_filled(void *context, const CaroStoreResult *result)
+{
+    CaroNode *n = context;
+    n->next_store_read = 0;
+    if (result->code < 0) {
+        CaroLog_Error("store", "The embedded store was not filled.");
+    }
+}
+
 /* Fills an embedded store from the file that the settings name. */
 static void
 fill_embedded(CaroNode *n)
@@ -192,7 +202,7 @@
     }
     else {
         CaroStore_Put(n->store, CONFIG_KEY, text, strlen(text), 0, 0,
-                      on_store_read, n);
+                      on_filled, n);
     }
     free(text);
     json_decref(root);
--- a/Modules/node_moves.c
+++ b/Modules/node_moves.c
@@ -297,27 +297,12 @@
                  revision);
 }
 
-static json_t *
-find_deployment(json_t *root, const char *name)
-{
-    size_t i;
-    json_t *d;
-    json_array_foreach(json_object_get(root, "deployments"), i, d)
-    {
-        const char *s = json_string_value(json_object_get(d, "name"));
-        if (s != NULL && strcmp(s, name) == 0) {
-            return d;
-        }
-    }
-    return NULL;
-}
-
 /* Writes "done" or "undone" into the configuration. */
 static void
 write_end(CaroNode *n, CaroMove *m, bool is_done)
 {
     json_t *root = json_loadb(n->config->text, n->config->text_size, 0, NULL);
-    json_t *d = find_deployment(root, m->deployment);
+    json_t *d = CaroConfig_FindJson(root, m->deployment);
     json_t *rollout = json_object_get(d, "rollout");
     if (rollout != NULL) {
         char reason[96] = "";
--- /dev/null
+++ b/Modules/node_reports.c
@@ -0,0 +1,249 @@
+/*
+ * Reports for operators: at most 40 columns and 20 lines, the worst first.
+ */
+#include "internal/caro_node_state.h"
+
+#include "internal/caro_command.h"
+#include "internal/caro_report.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+const char *
+CaroNode_StateWord(caro_member_state state)
+{
+    static const char *const words[] = {"ok", "SUSPECT", "leaving", "DEAD"};
+    return words[state];
+}
+
+static int
+count_upstreams(CaroNode *n, CaroTime now, bool is_usable)
+{
+    int count = 0;
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
+        count += !u->is_leaving &&
+                 CaroUpstreams_IsUsable(n->upstreams, h, now) == is_usable;
+    }
+    return count;
+}
+
+static void
+report_status(CaroNode *n, CaroReport *r, CaroTime now)
+{
+    const uint64_t *c = n->counters.values;
+    int usable = CaroMembership_CountUsable(n->membership);
+    int all = CaroMembership_Count(n->membership);
+    int bad = count_upstreams(n, now, false);
+    bool is_store_away = n->store_backoff != 0;
+    bool is_well = usable == all && bad == 0 && !is_store_away;
+    CaroReport_Line(r, "%s  seen by %s", is_well ? "ok" : "LOOK",
+                    n->settings.vm);
+    CaroReport_Line(r, "vms    %d of %d usable", usable, all);
+    CaroReport_Line(r, "up     %d usable, %d avoided",
+                    count_upstreams(n, now, true), bad);
+    CaroReport_Line(r, "store  %s", is_store_away ? "AWAY" : "answers");
+    CaroReport_Line(r, "config rev %" PRIu64, CaroNode_ConfigRevision(n));
+    CaroReport_Line(r, "gen    %u now, %" PRIu64 " done, %" PRIu64 " failed",
+                    HASH_COUNT(n->sessions), c[CARO_COUNT_GENERATIONS_DONE],
+                    c[CARO_COUNT_GENERATIONS_FAILED]);
+    CaroReport_Line(r, "resume %" PRIu64 ", taken over %" PRIu64,
+                    c[CARO_COUNT_RESUMES], c[CARO_COUNT_TAKEOVERS]);
+    CaroReport_Line(r, "orders %" PRIu64 " done, %" PRIu64 " unknown",
+                    c[CARO_COUNT_ORDERS_DONE], c[CARO_COUNT_ORDERS_UNKNOWN]);
+    for (int i = 0; i < n->n_admissions; i++) {
+        CaroReport_Line(r, "%-10.10s %d run of %d, %d wait",
+                        n->admission_names[i],
+                        CaroAdmission_Running(n->admissions[i]),
+                        CaroAdmission_Limit(n->admissions[i]),
+                        CaroAdmission_Waiting(n->admissions[i]));
+    }
+}
+
+static void
+report_vms(CaroNode *n, CaroReport *r)
+{
+    static const caro_member_state order[] = {
+        CARO_MEMBER_DEAD, CARO_MEMBER_SUSPECT, CARO_MEMBER_LEAVING,
+        CARO_MEMBER_ALIVE};
+    for (int i = 0; i < 4; i++) {
+        for (CaroHandle h = 0; h < CaroMembership_Count(n->membership); h++) {
+            const CaroVm *vm = CaroMembership_Get(n->membership, h);
+            if (vm->state == order[i]) {
+                CaroReport_Line(r, "%-10.10s %-7s %-8.8s %s", vm->name,
+                                CaroNode_StateWord(vm->state), vm->domain,
+                                vm->http);
+            }
+        }
+    }
+}
+
+static void
+report_upstreams(CaroNode *n, CaroReport *r, const char *deployment,
+                 CaroTime now)
+{
+    for (int pass = 0; pass < 2; pass++) {
+        for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
+            const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
+            bool is_usable = CaroUpstreams_IsUsable(n->upstreams, h, now);
+            bool is_other = deployment[0] != '\0' &&
+                            strcmp(u->deployment, deployment) != 0;
+            if (is_usable != (pass == 1) || is_other) {
+                continue;
+            }
+            const char *word = is_usable       ? "ok"
+                               : u->is_leaving ? "leaving"
+                                               : "AVOIDED";
+            CaroReport_Line(r, "%-9.9s %-7s %-7.7s %-4.4s %3.0f%%", u->name,
+                            word, u->domain, u->version,
+                            100.0 * CaroUpstreams_Load(n->upstreams, h, now));
+        }
+    }
+}
+
+static void
+report_deployments(CaroNode *n, CaroReport *r)
+{
+    static const char *const words[] = {"", "moving", "done", "UNDONE"};
+    for (int i = 0; n->config != NULL && i < n->config->n_deployments; i++) {
+        const CaroDeployment *d = &n->config->deployments[i];
+        const CaroRolloutPlan *p = &d->rollout;
+        CaroReport_Line(r, "%-14.14s %-10.10s %s", d->name, d->version,
+                        words[p->state]);
+        if (p->state != CARO_ROLLOUT_NONE) {
+            CaroReport_Line(r, "  %.12s to %.12s", p->from, p->to);
+        }
+        const CaroMove *move = CaroNode_FindMove(n, d->name);
+        if (p->state == CARO_ROLLOUT_MOVING && move != NULL) {
+            char text[96];
+            double share =
+                CaroRollout_Share(p, &CARO_PACE_CAREFUL, CaroClock_WallMs());
+            bool is_bad = CaroRollout_IsBad(move->rollout);
+            CaroReport_Line(r, "  share %.1f%%%s", is_bad ? 0.0 : 100 * share,
+                            is_bad ? ", taken back" : "");
+            CaroReport_Line(
+                r, "  %.38s",
+                CaroRollout_Evidence(move->rollout, text, sizeof(text)));
+        }
+        if (p->reason[0] != '\0') {
+            CaroReport_Line(r, "  %.38s", p->reason);
+        }
+    }
+}
+
+static void
+report_why(CaroNode *n, CaroReport *r, const char *subject)
+{
+    enum { SHOWN = 6 };
+    const CaroDecision *d;
+    int shown = 0;
+    for (int i = 0; (d = CaroDecisions_Get(n->decisions, i)) != NULL; i++) {
+        bool is_match = subject[0] == '\0' ||
+                        strcmp(d->subject, subject) == 0 ||
+                        strcmp(d->part, subject) == 0;
+        if (!is_match || shown == SHOWN) {
+            continue;
+        }
+        time_t seconds = (time_t)(d->wall_ms / 1000);
+        struct tm parts;
+        char text[16];
+        (void)gmtime_r(&seconds, &parts);
+        (void)strftime(text, sizeof(text), "%H:%M:%S", &parts);
+        CaroReport_Line(r, "%s %s", text, d->subject);
+        CaroReport_Line(r, "  %s", d->action);
+        CaroReport_Line(r, "  %.38s", d->cause);
+        shown++;
+    }
+    if (shown == 0) {
+        CaroReport_Line(r, "no decision is kept about %.14s",
+                        subject[0] == '\0' ? "anything" : subject);
+    }
+}
+
+static void
+report_top(CaroNode *n, CaroReport *r)
+{
+    enum { SHOWN = 12 };
+    typedef struct {
+        const char *account;
+        int count;
+    } Row;
+    Row rows[SHOWN];
+    int count = 0;
+    CaroSession *s;
+    CaroSession *next;
+    HASH_ITER(hh, n->sessions, s, next)
+    {
+        int i = 0;
+        while (i < count && strcmp(rows[i].account, s->account) != 0) {
+            i++;
+        }
+        if (i < count) {
+            rows[i].count++;
+        }
+        else if (count < SHOWN) {
+            rows[count++] = (Row){s->account, 1};
+        }
+    }
+    for (int i = 0; i < count; i++) {
+        for (int j = i + 1; j < count; j++) {
+            if (rows[j].count > rows[i].count) {
+                Row swap = rows[i];
+                rows[i] = rows[j];
+                rows[j] = swap;
+            }
+        }
+        CaroReport_Line(r, "%-24.24s %5d now", rows[i].account, rows[i].count);
+    }
+    if (count == 0) {
+        CaroReport_Line(r, "no account has work on %s", n->settings.vm);
+    }
+}
+
+static void
+report_help(CaroReport *r)
+{
+    CaroReport_Line(r, "st             the fleet in short");
+    CaroReport_Line(r, "vm             VMs, worst first");
+    CaroReport_Line(r, "up [DEP]       upstreams, worst first");
+    CaroReport_Line(r, "dep            deployments and moves");
+    CaroReport_Line(r, "mv DEP V by T  move traffic to version V");
+    CaroReport_Line(r, "undo DEP       take a move back");
+    CaroReport_Line(r, "why [NAME]     decisions, newest first");
+    CaroReport_Line(r, "drain VM       planned stop of a VM");
+    CaroReport_Line(r, "top            accounts with most work");
+}
+
+void
+CaroNode_RunReport(CaroNode *n, struct evhttp_request *req,
+                   const CaroCommand *c, CaroTime now)
+{
+    CaroReport r;
+    CaroReport_Init(&r);
+    switch (c->kind) {
+    case CARO_CMD_STATUS:
+        report_status(n, &r, now);
+        break;
+    case CARO_CMD_VMS:
+        report_vms(n, &r);
+        break;
+    case CARO_CMD_UPSTREAMS:
+        report_upstreams(n, &r, c->subject, now);
+        break;
+    case CARO_CMD_DEPLOYMENTS:
+        report_deployments(n, &r);
+        break;
+    case CARO_CMD_WHY:
+        report_why(n, &r, c->subject);
+        break;
+    case CARO_CMD_TOP:
+        report_top(n, &r);
+        break;
+    default:
+        report_help(&r);
+        break;
+    }
+    CaroHttp_Text(req, HTTP_OK, CaroReport_End(&r));
+}
--- a/Modules/rpc.c
+++ b/Modules/rpc.c
@@ -8,6 +8,7 @@
 #include "internal/caro_rpc.h"
 
 #include "internal/caro_clock.h"
+#include "internal/caro_rpc_message.h"
 
 #include <assert.h>
 #include <errno.h>
@@ -34,35 +35,6 @@
     DECODED_MAX = 256   /* Bytes of the largest top-level structure. */
 };
 
-typedef struct {
-    xdrproc_t args;
-    size_t args_size;
-    xdrproc_t result;
-    size_t result_size;
-} Procedure;
-
-#define PROCEDURE(args, result)                                               \
-    {                                                                         \
-        (xdrproc_t) xdr_##args, sizeof(args), (xdrproc_t)xdr_##result,        \
-            sizeof(result)                                                    \
-    }
-
-static const Procedure procedures[] = {
-    [CARO_HEARTBEAT] = PROCEDURE(caro_heartbeat, caro_heartbeat),
-    [CARO_INDIRECT] = PROCEDURE(caro_indirect, caro_heartbeat),
-    [CARO_MEMBERS] = PROCEDURE(caro_heartbeat, caro_members),
-    [CARO_JOURNAL] = PROCEDURE(caro_journal_batch, caro_journal_acks),
-    [CARO_TAKE] = PROCEDURE(caro_take_args, caro_take_reply),
-    [CARO_INTENT] = PROCEDURE(caro_order_intent, caro_order_outcome),
-    [CARO_OUTCOME] = PROCEDURE(caro_order_outcome, caro_order_outcome),
-    [CARO_FORWARD] = PROCEDURE(caro_order_forward, caro_order_outcome),
-    [CARO_DECIDE] = PROCEDURE(caro_order_decide, caro_order_outcome),
-    [CARO_CONFIG] = PROCEDURE(caro_heartbeat, caro_config),
-    [CARO_DRAIN] = PROCEDURE(caro_heartbeat, caro_heartbeat),
-};
-
-enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
-
 /* One TCP connection, made or accepted. */
 typedef struct Link {
     CaroRpc *rpc;
@@ -165,64 +137,6 @@
     fail_calls_of(rpc, serial);
 }
 
-/* Encodes a message and body; returns a malloc'd buffer or NULL. */
-static char *
-encode_call(uint32_t xid, uint32_t procedure, const void *args, size_t *size)
-{
-    struct rpc_msg msg;
-    memset(&msg, 0, sizeof(msg));
-    msg.rm_xid = xid;
-    msg.rm_direction = CALL;
-    msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
-    msg.rm_call.cb_prog = CARO_PEER;
-    msg.rm_call.cb_vers = CARO_PEER_V1;
-    msg.rm_call.cb_proc = procedure;
-    enum { CALL_HEADER_MAX = 64 };
-    const Procedure *p = &procedures[procedure];
-    size_t most = CALL_HEADER_MAX + xdr_sizeof(p->args, (void *)args);
-    char *buf = malloc(most);
-    if (buf == NULL) {
-        return NULL;
-    }
-    XDR xdr;
-    xdrmem_create(&xdr, buf, (u_int)most, XDR_ENCODE);
-    if (!xdr_callmsg(&xdr, &msg) || !p->args(&xdr, (void *)args)) {
-        free(buf);
-        return NULL;
-    }
-    *size = xdr_getpos(&xdr);
-    return buf;
-}
-
-static char *
-encode_reply(const CaroRpcRequest *request, enum accept_stat status,
-             const void *result, size_t *size)
-{
-    const Procedure *p = &procedures[request->procedure];
-    struct rpc_msg msg;
-    memset(&msg, 0, sizeof(msg));
-    msg.rm_xid = request->xid;
-    msg.rm_direction = REPLY;
-    msg.rm_reply.rp_stat = MSG_ACCEPTED;
-    msg.acpted_rply.ar_stat = status;
-    msg.acpted_rply.ar_results.where = (caddr_t)result;
-    msg.acpted_rply.ar_results.proc = p->result;
-    enum { REPLY_HEADER_MAX = 64 };
-    size_t most = REPLY_HEADER_MAX + xdr_sizeof(p->result, (void *)result);
-    char *buf = malloc(most);
-    if (buf == NULL) {
-        return NULL;
-    }
-    XDR xdr;
-    xdrmem_create(&xdr, buf, (u_int)most, XDR_ENCODE);
-    if (!xdr_replymsg(&xdr, &msg)) {
-        free(buf);
-        return NULL;
-    }
-    *size = xdr_getpos(&xdr);
-    return buf;
-}
-
 static void
 send_record(Link *link, const char *buf, size_t size)
 {
@@ -271,7 +185,7 @@
         finish_call(rpc, call, CARO_ERR_STATE, NULL);
         return;
     }
-    const Procedure *p = &procedures[call->procedure];
+    const CaroRpcProcedure *p = CaroRpcMessage_Procedure(call->procedure);
     union {
         char bytes[DECODED_MAX];
         max_align_t align;
@@ -296,12 +210,12 @@
     free(msg.rm_call.cb_cred.oa_base);
     free(msg.rm_call.cb_verf.oa_base);
     uint32_t procedure = (uint32_t)msg.rm_call.cb_proc;
-    if (!is_good || msg.rm_call.cb_prog != CARO_PEER ||
-        msg.rm_call.cb_vers != CARO_PEER_V1 || procedure == 0 ||
-        procedure >= N_PROCEDURES) {
+    const CaroRpcProcedure *p = CaroRpcMessage_Procedure(procedure);
+    if (!is_good || p == NULL || msg.rm_call.cb_prog != CARO_PEER ||
+        msg.rm_call.cb_vers != CARO_PEER_V1) {
         return;
     }
-    const Procedure *p = &procedures[procedure];
+
     union {
         char bytes[DECODED_MAX];
         max_align_t align;
@@ -613,7 +527,7 @@
              uint32_t procedure, const void *args, CaroTime timeout,
              CaroRpcDone done, void *context)
 {
-    assert(procedure < N_PROCEDURES);
+    assert(CaroRpcMessage_Procedure(procedure) != NULL);
     Call *call = calloc(1, sizeof(*call));
     if (call == NULL) {
         abort(); /* The promise to call back cannot be kept without it. */
@@ -624,7 +538,7 @@
     call->context = context;
     call->deadline = CaroClock_Now() + timeout;
     size_t size = 0;
-    char *buf = encode_call(call->xid, procedure, args, &size);
+    char *buf = CaroRpcMessage_EncodeCall(call->xid, procedure, args, &size);
     Link *link = NULL;
     struct sockaddr_in to;
     if (transport == CARO_RPC_TCP) {
@@ -650,7 +564,8 @@
 {
     CaroRpc *rpc = request->rpc;
     size_t size = 0;
-    char *buf = encode_reply(request, SUCCESS, result, &size);
+    char *buf = CaroRpcMessage_EncodeReply(request->xid, request->procedure,
+                                           result, &size);
     if (buf != NULL && request->link_serial == 0) {
         send_datagram(rpc, &request->from, buf, size);
     }
--- /dev/null
+++ b/Modules/rpc_message.c
@@ -0,0 +1,97 @@
+/*
+ * Messages of ONC RPC: the procedures between nodes, and the encoding of
+ * calls and answers by libtirpc's and rpcgen's codecs.
+ */
+#include "internal/caro_rpc_message.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PROCEDURE(args, result)                                               \
+    {                                                                         \
+        (xdrproc_t) xdr_##args, sizeof(args), (xdrproc_t)xdr_##result,        \
+            sizeof(result)                                                    \
+    }
+
+static const CaroRpcProcedure procedures[] = {
+    [CARO_HEARTBEAT] = PROCEDURE(caro_heartbeat, caro_heartbeat),
+    [CARO_INDIRECT] = PROCEDURE(caro_indirect, caro_heartbeat),
+    [CARO_MEMBERS] = PROCEDURE(caro_heartbeat, caro_members),
+    [CARO_JOURNAL] = PROCEDURE(caro_journal_batch, caro_journal_acks),
+    [CARO_TAKE] = PROCEDURE(caro_take_args, caro_take_reply),
+    [CARO_INTENT] = PROCEDURE(caro_order_intent, caro_order_outcome),
+    [CARO_OUTCOME] = PROCEDURE(caro_order_outcome, caro_order_outcome),
+    [CARO_FORWARD] = PROCEDURE(caro_order_forward, caro_order_outcome),
+    [CARO_DECIDE] = PROCEDURE(caro_order_decide, caro_order_outcome),
+    [CARO_CONFIG] = PROCEDURE(caro_heartbeat, caro_config),
+    [CARO_DRAIN] = PROCEDURE(caro_heartbeat, caro_heartbeat),
+};
+
+enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
+
+const CaroRpcProcedure *
+CaroRpcMessage_Procedure(uint32_t number)
+{
+    if (number == 0 || number >= N_PROCEDURES) {
+        return NULL;
+    }
+    return &procedures[number];
+}
+
+char *
+CaroRpcMessage_EncodeCall(uint32_t xid, uint32_t procedure, const void *args,
+                          size_t *size)
+{
+    struct rpc_msg msg;
+    memset(&msg, 0, sizeof(msg));
+    msg.rm_xid = xid;
+    msg.rm_direction = CALL;
+    msg.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+    msg.rm_call.cb_prog = CARO_PEER;
+    msg.rm_call.cb_vers = CARO_PEER_V1;
+    msg.rm_call.cb_proc = procedure;
+    enum { CALL_HEADER_MAX = 64 };
+    const CaroRpcProcedure *p = &procedures[procedure];
+    size_t most = CALL_HEADER_MAX + xdr_sizeof(p->args, (void *)args);
+    char *buf = malloc(most);
+    if (buf == NULL) {
+        return NULL;
+    }
+    XDR xdr;
+    xdrmem_create(&xdr, buf, (u_int)most, XDR_ENCODE);
+    if (!xdr_callmsg(&xdr, &msg) || !p->args(&xdr, (void *)args)) {
+        free(buf);
+        return NULL;
+    }
+    *size = xdr_getpos(&xdr);
+    return buf;
+}
+
+char *
+CaroRpcMessage_EncodeReply(uint32_t xid, uint32_t procedure,
+                           const void *result, size_t *size)
+{
+    const CaroRpcProcedure *p = &procedures[procedure];
+    struct rpc_msg msg;
+    memset(&msg, 0, sizeof(msg));
+    msg.rm_xid = xid;
+    msg.rm_direction = REPLY;
+    msg.rm_reply.rp_stat = MSG_ACCEPTED;
+    msg.acpted_rply.ar_stat = SUCCESS;
+    msg.acpted_rply.ar_results.where = (caddr_t)result;
+    msg.acpted_rply.ar_results.proc = p->result;
+    enum { REPLY_HEADER_MAX = 64 };
+    size_t most = REPLY_HEADER_MAX + xdr_sizeof(p->result, (void *)result);
+    char *buf = malloc(most);
+    if (buf == NULL) {
+        return NULL;
+    }
+    XDR xdr;
+    xdrmem_create(&xdr, buf, (u_int)most, XDR_ENCODE);
+    if (!xdr_replymsg(&xdr, &msg)) {
+        free(buf);
+        return NULL;
+    }
+    *size = xdr_getpos(&xdr);
+    return buf;
+}
--- a/Objects/upstreams.c
+++ b/Objects/upstreams.c
@@ -145,11 +145,55 @@
     free(t);
 }
 
+/* An entry that the configuration dropped and nothing uses, or NULL. */
+static Entry *
+find_unused(CaroUpstreams *t)
+{
+    for (int i = 0; i < t->n; i++) {
+        Entry *e = &t->entries[i];
+        if (e->u.is_leaving && !e->is_kept && e->u.in_flight == 0) {
+            return e;
+        }
+    }
+    return NULL;
+}
+
+/* A full table takes over an entry that is not used any more. */
+static Entry *
+reuse_entry(CaroUpstreams *t)
+{
+    Entry *e = find_unused(t);
+    if (e == NULL) {
+        return NULL;
+    }
+    GapModel gaps = e->gaps;
+    GapModel firsts = e->firsts;
+    gsl_histogram_reset(gaps.bins);
+    gsl_histogram_reset(firsts.bins);
+    memset(e, 0, sizeof(*e));
+    e->gaps.bins = gaps.bins;
+    e->firsts.bins = firsts.bins;
+    return e;
+}
+
+static void
+start_entry(Entry *e)
+{
+    e->u.reported_at = -REPORT_FADE;
+    e->failed_at = -DOMAIN_WINDOW;
+    e->doubted_at = -DOMAIN_WINDOW;
+    e->heard_at = -1;
+}
+
 static Entry *
 add_entry(CaroUpstreams *t)
 {
     if (t->n == CARO_UPSTREAMS_MAX) {
-        return NULL;
+        Entry *old = reuse_entry(t);
+        if (old != NULL) {
+            start_entry(old);
+        }
+        return old;
     }
     Entry *e = &t->entries[t->n];
     memset(e, 0, sizeof(*e));
@@ -160,10 +204,7 @@
         gsl_histogram_free(e->gaps.bins);
         return NULL;
     }
-    e->u.reported_at = -REPORT_FADE;
-    e->failed_at = -DOMAIN_WINDOW;
-    e->doubted_at = -DOMAIN_WINDOW;
-    e->heard_at = -1;
+    start_entry(e);
     t->n++;
     return e;
 }
--- a/Parser/config.c
+++ b/Parser/config.c
@@ -388,3 +388,18 @@
     }
     return NULL;
 }
+
+json_t *
+CaroConfig_FindJson(const json_t *root, const char *deployment)
+{
+    size_t i;
+    json_t *d;
+    json_array_foreach(json_object_get(root, "deployments"), i, d)
+    {
+        const char *s = json_string_value(json_object_get(d, "name"));
+        if (s != NULL && strcmp(s, deployment) == 0) {
+            return d;
+        }
+    }
+    return NULL;
+}
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -31,12 +31,14 @@
         arg_int0(NULL, "tokens", "N", "mean length of an answer");
     struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the load");
     struct arg_str *json = arg_str0(NULL, "json", "FILE", "result as JSON");
+    struct arg_str *direct =
+        arg_str0(NULL, "direct", "IP:PORT", "use this address, ask for none");
     struct arg_str *orders_file = arg_str0(NULL, "orders-file", "FILE",
                                            "what callers were told of orders");
     struct arg_end *end = arg_end(8);
-    void *table[] = {orders_file, nodes,      model,   service, accounts,
-                     rate,        order_rate, seconds, prompt,  groups,
-                     tokens,      seed,       json,    end};
+    void *table[] = {direct,   orders_file, nodes,      model,   service,
+                     accounts, rate,        order_rate, seconds, prompt,
+                     groups,   tokens,      seed,       json,    end};
     LoadOptions o = {.model = "chat",
                      .accounts = 10,
                      .rate = 10.0,
@@ -66,6 +68,7 @@
     o.tokens = tokens->count > 0 ? tokens->ival[0] : o.tokens;
     o.seed = seed->count > 0 ? (unsigned long)seed->ival[0] : o.seed;
     o.orders_file = orders_file->count > 0 ? orders_file->sval[0] : NULL;
+    o.direct = direct->count > 0 ? direct->sval[0] : NULL;
     o.json_file = json->count > 0 ? json->sval[0] : NULL;
     int rc = Bench_RunLoad(&o);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
@@ -188,6 +191,12 @@
     if (strcmp(kind, "load") == 0) {
         return run_load(argc - 1, argv + 1);
     }
+    if (strcmp(kind, "capacity") == 0) {
+        return Bench_RunCapacity();
+    }
+    if (strcmp(kind, "relay") == 0 && argc == 4) {
+        return Bench_RunRelay(argv[2], argv[3]);
+    }
     if (strcmp(kind, "audit") == 0 && argc > 3) {
         return Bench_RunAudit(argv[2], argv + 3, argc - 3);
     }
@@ -209,7 +218,8 @@
     if (strcmp(kind, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
-    (void)fprintf(stderr, "usage: carobench load|order|audit|get|call|"
-                          "decisions|membership|rollouts [FLAGS]\n");
+    (void)fprintf(stderr,
+                  "usage: carobench load|order|audit|get|call|"
+                  "decisions|membership|rollouts|capacity|relay [FLAGS]\n");
     return 2;
 }
--- /dev/null
+++ b/Test/fuzz_run.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Builds the fuzz target and runs it for a bounded number of inputs with a
+# fixed seed, from the committed corpus.
+set -eu
+out=build-fuzz
+mkdir -p "$out"
+packages="libtirpc jansson gsl libcrypto"
+# shellcheck disable=SC2046,SC2086
+clang -std=c11 -O1 -g -D_GNU_SOURCE -fsanitize=fuzzer,address,undefined \
+    -fno-sanitize-recover=all -IInclude -IProtocol \
+    $(pkg-config --cflags $packages) -o "$out/fuzz_parsers" \
+    Test/fuzz_parsers.c Parser/*.c Objects/error.c Objects/ticket.c \
+    $(pkg-config --libs $packages) -lm
+cp -r Test/corpus "$out/"
+"$out/fuzz_parsers" -seed=1 -runs="${RUNS:-200000}" -max_len=4096 \
+    "$out/corpus" 2>&1 | tail -3
+exit "${PIPESTATUS[0]}"
--- a/Test/run.sh
+++ b/Test/run.sh
@@ -34,7 +34,7 @@
     case $test in *.o | *.d) continue ;; esac
     run_test "$(basename "$test")" "$test"
 done
-for test in Test/model_*.sh Test/bench_*.sh Test/proc_*.sh; do
+for test in Test/fuzz_run.sh Test/model_*.sh Test/bench_*.sh Test/proc_*.sh; do
     run_test "$(basename "$test" .sh)" bash "$test"
 done
 if [ -s KNOWN-RED.txt ]; then
--- a/Test/test_membership.c
+++ b/Test/test_membership.c
@@ -182,6 +182,26 @@
     CaroMembership_Destroy(m);
 }
 
+/* VMs are replaced under new names for ever; the table must not fill up. */
+static void
+test_new_names_displace_the_longest_dead(void **state)
+{
+    (void)state;
+    CaroMembership *m = create();
+    char name[16];
+    for (int i = 0; i < 3 * CARO_VMS_MAX; i++) {
+        (void)snprintf(name, sizeof(name), "vm%d", i);
+        caro_member_update u = update(name, 5, CARO_MEMBER_ALIVE);
+        assert_true(CaroMembership_Apply(m, &u, i));
+        u.state = CARO_MEMBER_DEAD;
+        assert_true(CaroMembership_Apply(m, &u, i));
+    }
+    assert_int_equal(CaroMembership_Count(m), CARO_VMS_MAX);
+    assert_int_not_equal(CaroMembership_Find(m, name), CARO_NO_HANDLE);
+    assert_int_equal(CaroMembership_Find(m, "vm0"), CARO_NO_HANDLE);
+    CaroMembership_Destroy(m);
+}
+
 int
 main(void)
 {
@@ -191,6 +211,7 @@
         cmocka_unit_test(test_a_silent_vm_is_suspected_then_dead),
         cmocka_unit_test(test_own_pause_blames_nobody),
         cmocka_unit_test(test_the_backup_is_in_another_domain),
+        cmocka_unit_test(test_new_names_displace_the_longest_dead),
         cmocka_unit_test(test_gossip_tells_itself_and_the_accused),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Test/test_router.c
+++ b/Test/test_router.c
@@ -187,6 +187,22 @@
     CaroUpstreams_Destroy(t);
 }
 
+static void
+test_new_upstreams_displace_those_that_left(void **state)
+{
+    (void)state;
+    CaroUpstreams *t = CaroUpstreams_Create();
+    for (int i = 0; i < 3 * CARO_UPSTREAMS_MAX; i++) {
+        CaroUpstream u = {.kind = CARO_UPSTREAM_MODEL};
+        (void)snprintf(u.name, sizeof(u.name), "u%d", i);
+        CaroUpstreams_BeginUpdate(t);
+        assert_int_not_equal(CaroUpstreams_Put(t, &u), CARO_NO_HANDLE);
+        CaroUpstreams_EndUpdate(t);
+    }
+    assert_int_equal(CaroUpstreams_Count(t), CARO_UPSTREAMS_MAX);
+    CaroUpstreams_Destroy(t);
+}
+
 int
 main(void)
 {
@@ -199,6 +215,7 @@
         cmocka_unit_test(test_a_cut_domain_is_left),
         cmocka_unit_test(test_subsets_are_fixed_and_cover),
         cmocka_unit_test(test_silence_follows_the_upstream),
+        cmocka_unit_test(test_new_upstreams_displace_those_that_left),
         cmocka_unit_test(test_old_load_reports_fade),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -33,6 +33,7 @@
     int n_nodes;
     const char *model;
     const char *service; /* NULL: no orders. */
+    const char *direct;  /* Address to use without asking; NULL: ask. */
     int accounts;        /* Named a0, a1, ... */
     double rate;         /* Generations a second. */
     double order_rate;   /* Orders a second. */
@@ -98,9 +99,13 @@
  */
 int Bench_RunAudit(const char *orders_file, char **addresses, int n);
 
+/* Relays bytes until SIGTERM, then prints its processor time. */
+int Bench_RunRelay(const char *listen, const char *to);
+
 /* Measurements of the decisions alone, on a virtual clock. */
 int Bench_RunDecisions(int argc, char **argv);
 int Bench_RunMembership(int argc, char **argv);
+int Bench_RunCapacity(void);
 int Bench_RunRollouts(int argc, char **argv);
 
 #endif
--- a/Tools/bench/caller.c
+++ b/Tools/bench/caller.c
@@ -328,6 +328,13 @@
         return;
     }
     const LoadOptions *o = c->load->options;
+    if (o->direct != NULL) {
+        CARO_COPY(c->addresses[0], o->direct);
+        c->n_addresses = 1;
+        c->at_address = 0;
+        stream(c);
+        return;
+    }
     unsigned long i = gsl_rng_uniform_int(c->load->rng, (unsigned)o->n_nodes);
     char path[96];
     (void)snprintf(path, sizeof(path), "/v1/addresses?account=%s", c->account);
--- a/Tools/bench/rollouts.c
+++ b/Tools/bench/rollouts.c
@@ -146,8 +146,12 @@
     for (int i = 0; i < VMS; i++) {
         CaroRollout_Reset(nodes[i]);
     }
-    for (double t = gsl_ran_exponential(rng, 1.0 / rate); t < LENGTH_S;
-         t += gsl_ran_exponential(rng, 1.0 / rate)) {
+    double t = 0.0;
+    while (true) {
+        t += gsl_ran_exponential(rng, 1.0 / rate);
+        if (t >= LENGTH_S) {
+            break;
+        }
         if (flag_at >= 0.0 && t > flag_at + 2 * SPREAD_S &&
             test == TEST_SEQUENTIAL) {
             /* The rest of the move is on the old version. */
