--- a/Modules/node_orders.c
+++ b/Modules/node_orders.c
@@ -290,7 +290,9 @@
     CARO_COPY(o->key, f->key);
     split_path(f->path, o->service, sizeof(o->service), o->path,
                sizeof(o->path));
-    memcpy(o->body, f->body.body_val, f->body.body_len);
+    if (f->body.body_len > 0) {
+        memcpy(o->body, f->body.body_val, f->body.body_len);
+    }
     o->body_size = f->body.body_len;
     o->backup = CARO_NO_HANDLE;
     n->n_orders_running++;
--- a/Objects/orders.c
+++ b/Objects/orders.c
@@ -118,7 +118,9 @@
     if (copy == NULL) {
         return CARO_ERR_NOMEM;
     }
-    memcpy(copy, body, size);
+    if (size > 0) { /* An empty body may come as a null pointer. */
+        memcpy(copy, body, size);
+    }
     copy[size] = '\0';
     free(r->body);
     r->body = copy;
--- a/Test/proc_drain.sh
+++ b/Test/proc_drain.sh
@@ -5,15 +5,6 @@
 . Tools/fleet.sh
 trap fleet_stop EXIT
 
-nodes() {
-    local i
-    for i in $(seq 1 "$fleet_nodes"); do
-        printf -- '--node %s ' "$(fleet_http "$i")"
-    done
-}
-
-field() { sed -n "s/.*\"$1\": \([0-9]*\),*/\1/p" "$fleet_dir/load.json" | head -1; }
-
 wait_gone() { # NAME
     local pid
     pid=$(fleet_pid "$1")
@@ -25,7 +16,7 @@
 DRAIN_MS=1000 ENGINE_FLAGS="--step-us 15000" fleet_start 3 4 4
 export DRAIN_MS=1000
 # shellcheck disable=SC2046
-"$bin/carobench" load $(nodes) --rate 12 --seconds 12 --tokens 200 \
+"$bin/carobench" load $(fleet_node_flags) --rate 12 --seconds 12 --tokens 200 \
     --json "$fleet_dir/load.json" >"$fleet_dir/load.txt" &
 load=$!
 sleep 1
@@ -43,7 +34,7 @@
 wait "$load" || status=$?
 cat "$fleet_dir/load.txt"
 [ "$status" -eq 0 ] || { echo "FAILED: tokens"; exit 1; }
-[ "$(field cut)" = 0 ] || { echo "FAILED: an answer was cut"; exit 1; }
-[ "$(field lost)" = 0 ] || { echo "FAILED: a generation was lost"; exit 1; }
-[ "$(field whole)" -gt 50 ] || { echo "FAILED: few answers"; exit 1; }
+[ "$(fleet_field cut)" = 0 ] || { echo "FAILED: an answer was cut"; exit 1; }
+[ "$(fleet_field lost)" = 0 ] || { echo "FAILED: a generation was lost"; exit 1; }
+[ "$(fleet_field whole)" -gt 50 ] || { echo "FAILED: few answers"; exit 1; }
 echo "every node was replaced"
--- a/Test/proc_faults.sh
+++ b/Test/proc_faults.sh
@@ -9,7 +9,7 @@
 under_fault() {
     local title=$1 wait=$2 status=0
     shift 2
-    "$bin/carobench" load $(nodes) --rate 40 --seconds 4 --tokens 150 \
+    "$bin/carobench" load $(fleet_node_flags) --rate 40 --seconds 4 --tokens 150 \
         --prompt-groups 64 \
         --json "$fleet_dir/load.json" >"$fleet_dir/load.txt" &
     local load=$!
@@ -21,34 +21,29 @@
     check "$title" "$status"
 }
 
-nodes() {
-    local i
-    for i in $(seq 1 "$fleet_nodes"); do
-        printf -- '--node %s ' "$(fleet_http "$i")"
-    done
-}
-
-field() { sed -n "s/.*\"$1\": \([0-9]*\),*/\1/p" "$fleet_dir/load.json" | head -1; }
-
 check() {
-    if [ "$2" -ne 0 ] || [ "$(field lost)" != 0 ] ||
-        [ "$(field whole)" -lt 10 ]; then
+    if [ "$2" -ne 0 ] || [ "$(fleet_field lost)" != 0 ] ||
+        [ "$(fleet_field whole)" -lt 10 ]; then
         echo "FAILED: $1"
         tail -5 "$fleet_dir"/n*.log
         exit 1
     fi
 }
 
-freeze_for() { # NAME SECONDS
-    fleet_kill "$1" STOP
-    sleep "$2"
-    fleet_kill "$1" CONT
-}
-
 kill_engine() { fleet_kill e1 KILL; }
-freeze_engine() { freeze_for e2 2; }
+freeze_engine() { fleet_freeze e2 2; }
 kill_node() { fleet_kill n1 KILL; }
-freeze_node() { freeze_for n2 3; }
+freeze_node() { fleet_freeze n2 3; }
+freeze_domain() { # All that stands in d2: engines 1, 4 and nodes 1, 4.
+    local name
+    for name in e1 e4 n1 n4; do
+        fleet_kill "$name" STOP
+    done
+    sleep 4
+    for name in e1 e4 n1 n4; do
+        fleet_kill "$name" CONT
+    done
+}
 kill_both() { fleet_kill e3 KILL; fleet_kill n3 KILL; }
 
 ENGINE_FLAGS="--step-us 10000" fleet_start 3 6 6
@@ -58,5 +53,6 @@
 under_fault "node killed" 1.5 kill_node
 fleet_start_node 1
 under_fault "node frozen, then back" 1.5 freeze_node
+under_fault "a domain frozen, then back" 1.5 freeze_domain
 under_fault "engine and node together" 1.5 kill_both
 echo "all losses passed"
--- a/Test/proc_orders.sh
+++ b/Test/proc_orders.sh
@@ -5,19 +5,12 @@
 . Tools/fleet.sh
 trap fleet_stop EXIT
 
-nodes() {
-    local i
-    for i in $(seq 1 "$fleet_nodes"); do
-        printf -- '--node %s ' "$(fleet_http "$i")"
-    done
-}
-
 # Runs orders while "$2..." brings a fault about; then compares.
 under_fault() {
     local title=$1
     shift
     # shellcheck disable=SC2046
-    "$bin/carobench" load $(nodes) --rate 0.001 --seconds 3 --service desk \
+    "$bin/carobench" load $(fleet_node_flags) --rate 0.001 --seconds 3 --service desk \
         --order-rate 60 --orders-file "$fleet_dir/orders.txt" \
         >"$fleet_dir/load.txt" &
     local load=$!
@@ -32,15 +25,9 @@
     }
 }
 
-freeze_for() { # NAME SECONDS
-    fleet_kill "$1" STOP
-    sleep "$2"
-    fleet_kill "$1" CONT
-}
-
 kill_node() { fleet_kill n1 KILL; }
-freeze_node() { freeze_for n2 2; }
-freeze_service() { freeze_for o1 1; }
+freeze_node() { fleet_freeze n2 2; }
+freeze_service() { fleet_freeze o1 1; }
 lose_answers() { fleet_fault "$(fleet_orders 1)" "lose=0.3"; }
 freeze_two() {
     fleet_kill n3 STOP
--- a/Test/proc_rollout.sh
+++ b/Test/proc_rollout.sh
@@ -5,13 +5,6 @@
 . Tools/fleet.sh
 trap fleet_stop EXIT
 
-nodes() {
-    local i
-    for i in $(seq 1 "$fleet_nodes"); do
-        printf -- '--node %s ' "$(fleet_http "$i")"
-    done
-}
-
 caro() { "$bin/caro" --at "$(fleet_http 2)" "$@"; }
 
 # Waits until "caro dep" says the state.
@@ -35,7 +28,7 @@
     fleet_fault "$(fleet_engine $i)" "fail=0.7"
 done
 # shellcheck disable=SC2046
-"$bin/carobench" load $(nodes) --rate 60 --seconds 30 --tokens 30 \
+"$bin/carobench" load $(fleet_node_flags) --rate 60 --seconds 30 --tokens 30 \
     --json "$fleet_dir/load.json" >"$fleet_dir/load.txt" &
 load=$!
 caro mv chat v2 by +40s
--- a/Test/run.sh
+++ b/Test/run.sh
@@ -1,40 +1,63 @@
 #!/usr/bin/env bash
-# Runs the unit tests and the tests with processes, each under its name,
-# passes over just what KNOWN-RED.txt lists (lines "red: NAME"), prints
-# those, and ends with the count.
+# Runs the unit tests, the deterministic measurements and the tests with
+# processes, each under its name; passes over just what KNOWN-RED.txt lists
+# (lines "red: NAME"), prints those, and ends with the count.
 set -u
 cd "$(dirname "$0")/.."
 passed=0
 failed=0
 red=0
-output=$(mktemp)
-trap 'rm -f "$output"' EXIT
+outputs=$(mktemp -d)
+trap 'rm -rf "$outputs"' EXIT
 
 is_known_red() {
     grep -q "^red: $1\$" KNOWN-RED.txt 2>/dev/null
 }
 
-run_test() {
-    local name=$1
-    shift
-    if "$@" >"$output" 2>&1; then
+# Counts a test by its status and shows what a failed one printed.
+count_test() { # NAME STATUS
+    if [ "$2" -eq 0 ]; then
         passed=$((passed + 1))
-        echo "ok       $name"
-    elif is_known_red "$name"; then
+        echo "ok       $1"
+    elif is_known_red "$1"; then
         red=$((red + 1))
-        echo "KNOWN    $name"
+        echo "KNOWN    $1"
     else
         failed=$((failed + 1))
-        echo "FAILED   $name"
-        tail -40 "$output"
+        echo "FAILED   $1"
+        tail -40 "$outputs/$1"
     fi
 }
 
+run_test() { # NAME COMMAND...
+    local name=$1 status=0
+    shift
+    "$@" >"$outputs/$name" 2>&1 || status=$?
+    count_test "$name" "$status"
+}
+
 for test in "$BIN"/Test/test_*; do
     case $test in *.o | *.d) continue ;; esac
     run_test "$(basename "$test")" "$test"
 done
-for test in Test/fuzz_run.sh Test/model_*.sh Test/bench_*.sh Test/proc_*.sh; do
+
+# The measurements take no real time into account and run side by side.
+side_by_side=$(ls Test/fuzz_run.sh Test/model_*.sh Test/bench_*.sh)
+pids=()
+names=()
+for test in $side_by_side; do
+    name=$(basename "$test" .sh)
+    bash "$test" >"$outputs/$name" 2>&1 &
+    pids+=($!)
+    names+=("$name")
+done
+for i in "${!pids[@]}"; do
+    status=0
+    wait "${pids[$i]}" || status=$?
+    count_test "${names[$i]}" "$status"
+done
+
+for test in Test/proc_*.sh; do
     run_test "$(basename "$test" .sh)" bash "$test"
 done
 if [ -s KNOWN-RED.txt ]; then
--- a/Test/test_orders.c
+++ b/Test/test_orders.c
@@ -42,6 +42,20 @@
     CaroOrders_Destroy(t);
 }
 
+/* A fence travels without a body, as a null pointer. */
+static void
+test_an_outcome_without_body(void **state)
+{
+    (void)state;
+    CaroOrders *t = CaroOrders_Create(10);
+    CaroOrderRecord *r = CaroOrders_Intent(t, "k", 1, 0);
+    assert_int_equal(
+        CaroOrders_SetOutcome(r, CARO_RECORD_FENCED, 0, NULL, 0, 1), 0);
+    assert_int_equal(r->state, CARO_RECORD_FENCED);
+    assert_int_equal(r->body_size, 0);
+    CaroOrders_Destroy(t);
+}
+
 static void
 test_the_table_is_bounded_and_forgets(void **state)
 {
@@ -102,6 +116,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_a_fence_is_for_ever),
         cmocka_unit_test(test_a_recorded_intent_is_never_fenced),
+        cmocka_unit_test(test_an_outcome_without_body),
         cmocka_unit_test(test_the_table_is_bounded_and_forgets),
         cmocka_unit_test(test_tickets),
         cmocka_unit_test(test_one_key_for_two_requests_shows),
--- a/Tools/fleet.sh
+++ b/Tools/fleet.sh
@@ -163,6 +163,25 @@
     fleet_wait_ready
 }
 
+# The flags that name every node to carobench.
+fleet_node_flags() {
+    local i
+    for i in $(seq 1 "$fleet_nodes"); do
+        printf -- '--node %s ' "$(fleet_http "$i")"
+    done
+}
+
+fleet_freeze() { # NAME SECONDS
+    fleet_kill "$1" STOP
+    sleep "$2"
+    fleet_kill "$1" CONT
+}
+
+# A number out of the result of a load.
+fleet_field() {
+    sed -n "s/.*\"$1\": \([0-9]*\),*/\1/p" "$fleet_dir/load.json" | head -1
+}
+
 # Ends everything that was started, by pid, and removes its folder.
 fleet_stop() {
     local name
