--- a/Controllers/router.c
+++ b/Controllers/router.c
@@ -110,6 +110,31 @@
     }
 }
 
+/* Verdicts on domains, each looked up once in a choice. */
+typedef struct {
+    const char *names[CARO_DOMAINS_MAX];
+    bool verdicts[CARO_DOMAINS_MAX];
+    int n;
+} Suspicions;
+
+static bool
+is_suspected(const CaroUpstreams *t, const char *domain, CaroTime now,
+             Suspicions *known)
+{
+    for (int i = 0; i < known->n; i++) {
+        if (strcmp(known->names[i], domain) == 0) {
+            return known->verdicts[i];
+        }
+    }
+    bool verdict = CaroUpstreams_IsDomainSuspected(t, domain, now);
+    if (known->n < CARO_DOMAINS_MAX) {
+        known->names[known->n] = domain;
+        known->verdicts[known->n] = verdict;
+        known->n++;
+    }
+    return verdict;
+}
+
 /* Drops the unusable; drops suspected domains unless nothing is left. */
 static void
 filter_usable(const CaroUpstreams *t, const CaroRouteQuery *q, CaroTime now,
@@ -117,13 +142,14 @@
 {
     Candidates good = {.n = 0};
     Candidates rest = {.n = 0};
+    Suspicions known = {.n = 0};
     for (int i = 0; i < c->n; i++) {
         CaroHandle h = c->handles[i];
         if (is_avoided(q, h) || !CaroUpstreams_IsUsable(t, h, now)) {
             continue;
         }
         const CaroUpstream *u = CaroUpstreams_Get((CaroUpstreams *)t, h);
-        if (CaroUpstreams_IsDomainSuspected(t, u->domain, now)) {
+        if (is_suspected(t, u->domain, now, &known)) {
             rest.handles[rest.n++] = h;
         }
         else {
--- a/Makefile
+++ b/Makefile
@@ -84,6 +84,16 @@
 bench-decisions: all
 	$(BUILD)/carobench decisions all
 
+bench-rollout: all
+	$(BUILD)/carobench rollouts day
+	$(BUILD)/carobench rollouts compare
+
+bench-resume: all
+	bash Test/proc_faults.sh
+
+bench-orders: all
+	bash Test/proc_orders.sh
+
 bench-membership: all
 	$(BUILD)/carobench membership
 
@@ -113,5 +123,5 @@
 # BIN names the folder of the programs in scripts.
 export BIN = $(BUILD)
 
-.PHONY: fuzz bench-membership model bench-decisions all demo test unit-tests protocol format lint clean
+.PHONY: bench-rollout bench-resume bench-orders fuzz bench-membership model bench-decisions all demo test unit-tests protocol format lint clean
 .SECONDARY:
--- a/Modules/node_caller.c
+++ b/Modules/node_caller.c
@@ -1,9 +1,6 @@
 /*
  * The caller's side of a session: server-sent events out, and connections
  * that come and go.
- *
- * The head of the answer goes out with the first token, so that a request
- * that gets none can still be refused.
  */
 #include "internal/caro_node_state.h"
 
--- a/Programs/caro.c
+++ b/Programs/caro.c
@@ -132,6 +132,7 @@
         arg_print_errors(stderr, end, "caro");
         (void)fprintf(stderr, "usage: caro");
         arg_print_syntax(stderr, table, "\n");
+        arg_freetable(table, sizeof(table) / sizeof(table[0]));
         return 2;
     }
     const char *address = at->count > 0 ? at->sval[0] : getenv("CARO_AT");
@@ -141,6 +142,7 @@
                       address == NULL
                           ? "no node named; give --at or set CARO_AT"
                           : "no token; set CARO_TOKEN");
+        arg_freetable(table, sizeof(table) / sizeof(table[0]));
         return 2;
     }
     char line[LINE_SIZE] = "";
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -52,6 +52,7 @@
         arg_print_errors(stderr, end, "carobench load");
         (void)fprintf(stderr, "usage: carobench load");
         arg_print_syntax(stderr, table, "\n");
+        arg_freetable(table, sizeof(table) / sizeof(table[0]));
         return 2;
     }
     for (int i = 0; i < nodes->count; i++) {
@@ -173,6 +174,7 @@
     void *table[] = {nodes, service, end};
     if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, "carobench order");
+        arg_freetable(table, sizeof(table) / sizeof(table[0]));
         return 2;
     }
     LoadOptions o = {.service = service->sval[0], .accounts = 10};
--- a/Programs/carobloftd.c
+++ b/Programs/carobloftd.c
@@ -6,7 +6,6 @@
 #include <argtable2.h>
 #include <signal.h>
 #include <stdio.h>
-#include <string.h>
 
 /* The loop outlives the node: late call-backs of libevent find it. */
 static struct event_base *base;
@@ -42,33 +41,18 @@
     return 0;
 }
 
-int
-main(int argc, char **argv)
+/* Checks the settings and serves, or only checks. */
+static int
+run_file(const char *file, bool is_check)
 {
-    struct arg_file *run =
-        arg_file0(NULL, "settings", "FILE", "serve with these settings");
-    struct arg_file *check =
-        arg_file0(NULL, "check", "FILE", "only check the settings");
-    struct arg_end *end = arg_end(4);
-    void *table[] = {run, check, end};
     static CaroSettings settings;
     CaroError err;
     char line[400];
-    if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0 ||
-        run->count + check->count != 1) {
-        arg_print_errors(stderr, end, "carobloftd");
-        (void)fprintf(stderr, "usage: carobloftd");
-        arg_print_syntax(stderr, table, "\n");
-        return 2;
-    }
-    bool is_check = check->count > 0;
-    const char *file = is_check ? check->filename[0] : run->filename[0];
     if (CaroSettings_Load(file, &settings, &err) < 0) {
         (void)fprintf(stderr, "carobloftd: %s\n",
                       CaroError_Format(&err, line, sizeof(line)));
         return 2;
     }
-    arg_freetable(table, sizeof(table) / sizeof(table[0]));
     if (is_check) {
         (void)printf("the settings of VM %s are good\n", settings.vm);
         return 0;
@@ -79,3 +63,28 @@
     CaroLog_Stop();
     return rc;
 }
+
+int
+main(int argc, char **argv)
+{
+    struct arg_file *run =
+        arg_file0(NULL, "settings", "FILE", "serve with these settings");
+    struct arg_file *check =
+        arg_file0(NULL, "check", "FILE", "only check the settings");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {run, check, end};
+    int rc = 2;
+    if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0 ||
+        run->count + check->count != 1) {
+        arg_print_errors(stderr, end, "carobloftd");
+        (void)fprintf(stderr, "usage: carobloftd");
+        arg_print_syntax(stderr, table, "\n");
+    }
+    else {
+        bool is_check = check->count > 0;
+        rc = run_file(is_check ? check->filename[0] : run->filename[0],
+                      is_check);
+    }
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return rc;
+}
--- a/Programs/carofake.c
+++ b/Programs/carofake.c
@@ -44,11 +44,13 @@
         arg_int0(NULL, "batch", "N", "engine: sequences at once");
     struct arg_int *cache =
         arg_int0(NULL, "cache", "N", "engine: blocks of its prefix cache");
+    struct arg_int *token =
+        arg_int0(NULL, "token-bytes", "N", "engine: bytes added to a token");
     struct arg_int *work =
         arg_int0(NULL, "work-ms", "N", "orders: time of one order");
     struct arg_end *end = arg_end(8);
-    void *table[] = {kind,    listen, name,  load, step, sequence,
-                     prefill, batch,  cache, work, end};
+    void *table[] = {kind,     token,   listen, name,  load, step,
+                     sequence, prefill, batch,  cache, work, end};
     FakeOptions options = {.name = "fake",
                            .step_us = 5000,
                            .sequence_us = 100,
@@ -63,6 +65,7 @@
         arg_print_errors(stderr, end, "carofake");
         (void)fprintf(stderr, "usage: carofake");
         arg_print_syntax(stderr, table, "\n");
+        arg_freetable(table, sizeof(table) / sizeof(table[0]));
         return 2;
     }
     options.listen = listen->sval[0];
@@ -76,6 +79,7 @@
     options.batch = batch->count > 0 ? batch->ival[0] : options.batch;
     options.cache_blocks =
         cache->count > 0 ? cache->ival[0] : options.cache_blocks;
+    options.token_bytes = token->count > 0 ? token->ival[0] : 0;
     options.work_ms = work->count > 0 ? work->ival[0] : options.work_ms;
     int rc = run_kind(kind->sval[0], &options);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/Tools/fake/engine.c
+++ b/Tools/fake/engine.c
@@ -31,6 +31,7 @@
     BLOCK_BYTES = 128,       /* Of a cached block of the prompt. */
     PREFILL_PER_STEP = 2048, /* Tokens read in one step at most. */
     NONCE_DIGITS = 8,
+    PADDING_MAX = 4096,
     CONTEXTS_MAX = 256 /* Generations whose tokens are cached. */
 };
 
@@ -225,11 +226,15 @@
 static void
 give_token(Sequence *s)
 {
-    char text[160];
+    static char padding[PADDING_MAX + 1];
+    char text[PADDING_MAX + 160];
+    int pad = s->engine->options->token_bytes;
+    memset(padding, 'x', PADDING_MAX);
     (void)snprintf(text, sizeof(text),
                    "data: {\"choices\":[{\"index\":0,\"text\":\""
-                   " %08" PRIx32 ".%" PRIu32 "\"}]}\n\n",
-                   s->nonce, s->next);
+                   " %08" PRIx32 ".%" PRIu32 "%.*s\"}]}\n\n",
+                   s->nonce, s->next, pad < PADDING_MAX ? pad : PADDING_MAX,
+                   padding);
     s->next++;
     s->engine->tokens_total++;
     send_text(s->req, text);
--- a/Tools/fake/fake.h
+++ b/Tools/fake/fake.h
@@ -18,6 +18,7 @@
     int sequence_us;    /* Engine: added for each running sequence. */
     int prefill_us;     /* Engine: added for each uncached token. */
     int batch;          /* Engine: sequences that run at once. */
+    int token_bytes;    /* Engine: bytes added to each token's text. */
     int cache_blocks;   /* Engine: blocks of its prefix cache. */
     int work_ms;        /* Orders: time of one order. */
 } FakeOptions;
