Let operators read and put the configuration, and drain upstreams

Cause: operators had no command to create a deployment or to let an upstream leave; an undo of a move that was done left the new version in force; an expired ticket was answered like a lost outcome. Change: caro get, put (refused when another change came between, or with the path of what is wrong), drain of an upstream, undo back to the version before, 410 for a key whose ticket has ended. Shown: Test/proc_store.sh (put done, old revision not done, bad kind not done, e2 leaving on 3 of 3 nodes), proc_rollout.sh (v1 in force again), proc_http.sh (one key booked once and answered twice, 422, 410).

--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -244,6 +244,7 @@
 void CaroNode_RunReport(CaroNode *n, struct evhttp_request *req,
                         const CaroCommand *c, CaroTime now);
 void CaroNode_OnCommand(CaroNode *n, struct evhttp_request *req, CaroTime now);
+void CaroNode_OnConfig(CaroNode *n, struct evhttp_request *req);
 void CaroNode_OnDump(CaroNode *n, struct evhttp_request *req, CaroTime now);
 void CaroNode_OnCounters(CaroNode *n, struct evhttp_request *req);
 bool CaroNode_CheckOperator(CaroNode *n, struct evhttp_request *req,
--- a/Modules/node_http.c
+++ b/Modules/node_http.c
@@ -143,6 +143,9 @@
             CaroNode_OnCommand(n, req, now);
         }
     }
+    else if (strcmp(path, "/v1/config") == 0) {
+        CaroNode_OnConfig(n, req);
+    }
     else if (strcmp(path, "/v1/state") == 0) {
         CaroNode_OnDump(n, req, now);
     }
--- a/Modules/node_operator.c
+++ b/Modules/node_operator.c
@@ -67,7 +67,7 @@
 
 static Pending *
 new_pending(CaroNode *n, struct evhttp_request *req, const char *operator_name,
-            const CaroCommand *command, const char *what)
+            const char *subject, const char *what)
 {
     Pending *p = calloc(1, sizeof(*p));
     if (p == NULL) {
@@ -77,7 +77,7 @@
     p->node = n;
     p->req = req;
     CARO_COPY(p->what, what);
-    CARO_COPY(p->subject, command->subject);
+    CARO_COPY(p->subject, subject);
     CARO_COPY(p->operator_name, operator_name);
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_operator_left, p);
@@ -122,6 +122,16 @@
     end_pending(p, code == CARO_ERR_TIMEOUT ? "unknown" : "not done", detail);
 }
 
+/* A copy of the configuration in force, to be changed; or NULL. */
+static json_t *
+load_config(const CaroNode *n)
+{
+    if (n->config == NULL) {
+        return NULL;
+    }
+    return json_loadb(n->config->text, n->config->text_size, 0, NULL);
+}
+
 static void
 set_move(json_t *deployment, const CaroCommand *command, int64_t now_ms)
 {
@@ -138,6 +148,12 @@
 {
     char reason[64];
     json_t *rollout = json_object_get(deployment, "rollout");
+    const char *state = json_string_value(json_object_get(rollout, "state"));
+    if (state != NULL && strcmp(state, "done") == 0) {
+        /* A move that was done is taken back to where it came from. */
+        json_object_set(deployment, "version",
+                        json_object_get(rollout, "from"));
+    }
     (void)snprintf(reason, sizeof(reason), "undone by %s", by);
     json_object_set_new(rollout, "state", json_string("undone"));
     json_object_set_new(rollout, "reason", json_string(reason));
@@ -149,10 +165,7 @@
 {
     char what[64];
     int64_t now_ms = CaroClock_WallMs();
-    json_t *root =
-        n->config == NULL
-            ? NULL
-            : json_loadb(n->config->text, n->config->text_size, 0, NULL);
+    json_t *root = load_config(n);
     json_t *d = CaroConfig_FindJson(root, c->subject);
     if (d == NULL) {
         CaroHttp_Text(req, HTTP_OK, "not done: no such deployment; try dep\n");
@@ -173,7 +186,7 @@
         set_undone(d, by);
         (void)snprintf(what, sizeof(what), "undo %.20s", c->subject);
     }
-    Pending *p = new_pending(n, req, by, c, what);
+    Pending *p = new_pending(n, req, by, c->subject, what);
     if (p != NULL) {
         CaroNode_ChangeConfig(n, root, by, on_config_changed, p);
     }
@@ -191,6 +204,44 @@
     end_pending(context, "unknown", "the VM did not answer within 1 s");
 }
 
+static json_t *
+find_upstream(const json_t *root, const char *name)
+{
+    size_t i;
+    json_t *u;
+    json_array_foreach(json_object_get(root, "upstreams"), i, u)
+    {
+        const char *s = json_string_value(json_object_get(u, "name"));
+        if (s != NULL && strcmp(s, name) == 0) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+/* An upstream leaves: no new work, what runs there ends. */
+static void
+drain_upstream(CaroNode *n, struct evhttp_request *req, const CaroCommand *c,
+               const char *by)
+{
+    char what[64];
+    json_t *root = load_config(n);
+    json_t *u = find_upstream(root, c->subject);
+    if (u == NULL) {
+        CaroHttp_Text(req, HTTP_OK,
+                      "not done: no such VM or upstream;\n  try vm or up\n");
+        json_decref(root);
+        return;
+    }
+    json_object_set_new(u, "leaving", json_true());
+    (void)snprintf(what, sizeof(what), "drain %.31s", c->subject);
+    Pending *p = new_pending(n, req, by, c->subject, what);
+    if (p != NULL) {
+        CaroNode_ChangeConfig(n, root, by, on_config_changed, p);
+    }
+    json_decref(root);
+}
+
 static void
 run_drain(CaroNode *n, struct evhttp_request *req, const CaroCommand *c,
           const char *by)
@@ -198,11 +249,11 @@
     char what[64];
     CaroHandle vm = CaroMembership_Find(n->membership, c->subject);
     if (vm == CARO_NO_HANDLE) {
-        CaroHttp_Text(req, HTTP_OK, "not done: no such VM; try vm\n");
+        drain_upstream(n, req, c, by);
         return;
     }
     (void)snprintf(what, sizeof(what), "drain %.31s", c->subject);
-    Pending *p = new_pending(n, req, by, c, what);
+    Pending *p = new_pending(n, req, by, c->subject, what);
     if (p == NULL) {
         return;
     }
@@ -254,3 +305,63 @@
         break;
     }
 }
+
+/* "GET /v1/config": the configuration in force and its revision. */
+static void
+send_config(CaroNode *n, struct evhttp_request *req)
+{
+    json_t *root = load_config(n);
+    json_t *value =
+        json_pack("{s:I, s:o*}", "revision",
+                  (json_int_t)CaroNode_ConfigRevision(n), "config", root);
+    CaroHttp_Json(req, HTTP_OK, value);
+    json_decref(value);
+}
+
+/*
+ * "POST /v1/config": a whole configuration, either alone or as GET gave it,
+ * in which case it must have been made from the revision in force.
+ */
+static void
+put_config(CaroNode *n, struct evhttp_request *req, const char *by)
+{
+    size_t size;
+    json_error_t at;
+    const char *body = CaroHttp_Body(req, &size);
+    json_t *root = json_loadb(body, size, JSON_REJECT_DUPLICATES, &at);
+    json_t *config = json_object_get(root, "config");
+    json_int_t revision =
+        json_integer_value(json_object_get(root, "revision"));
+    if (root == NULL) {
+        CaroHttp_Problem(req, 400, CARO_RUN_NO, "bad configuration",
+                         "line %d column %d: %s", at.line, at.column, at.text);
+        return;
+    }
+    if (config != NULL && revision != (json_int_t)CaroNode_ConfigRevision(n)) {
+        CaroHttp_Text(req, HTTP_OK,
+                      "not done: put config\n"
+                      "  made from another revision; get again\n");
+        json_decref(root);
+        return;
+    }
+    Pending *p = new_pending(n, req, by, "config", "put config");
+    if (p != NULL) {
+        CaroNode_ChangeConfig(n, config != NULL ? config : root, by,
+                              on_config_changed, p);
+    }
+    json_decref(root);
+}
+
+void
+CaroNode_OnConfig(CaroNode *n, struct evhttp_request *req)
+{
+    char by[CARO_NAME_SIZE];
+    if (!CaroNode_CheckOperator(n, req, by)) {
+        return;
+    }
+    if (evhttp_request_get_command(req) == EVHTTP_REQ_GET) {
+        send_config(n, req);
+        return;
+    }
+    put_config(n, req, by);
+}
--- a/Modules/node_order_http.c
+++ b/Modules/node_order_http.c
@@ -20,6 +20,7 @@
     struct evhttp_request *req; /* NULL when the caller left. */
     char key[CARO_KEY_SIZE];
     uint64_t digest;
+    uint64_t expires_ms; /* End of the key's ticket. */
     char service[CARO_NAME_SIZE];
     char path[256];
     CaroHandle upstream;
@@ -96,6 +97,14 @@
                          "no order service or no backup answered; ask "
                          "/v1/addresses for a new ticket");
     }
+    else if ((uint64_t)CaroClock_WallMs() >= c->expires_ms) {
+        CaroHttp_Problem(req, 410, CARO_RUN_UNKNOWN,
+                         "the ticket of the key has ended",
+                         "header Idempotency-Key %.80s: records are kept "
+                         "for a ticket's time only; ask /v1/addresses for a "
+                         "new ticket",
+                         c->key);
+    }
     else {
         CaroHttp_Problem(req, 504, CARO_RUN_UNKNOWN,
                          "the outcome of the order is not known",
@@ -196,6 +205,7 @@
     f.body.body_val = (char *)body;
     f.body.body_len = (u_int)size;
     CARO_COPY(c->key, key);
+    c->expires_ms = ticket.expires_ms;
     c->digest = CaroOrders_Digest(account, f.path, body, size);
     CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS, 1);
     CaroNode_RunOrder(n, &f, on_order_done, c, now);
--- a/Parser/config.c
+++ b/Parser/config.c
@@ -312,7 +312,7 @@
 CaroConfig_Parse(const char *text, size_t size, uint64_t revision,
                  CaroError *err)
 {
-    CaroReader r = {.origin = "config", .step = "config", .err = err};
+    CaroReader r = {.origin = "", .step = "config", .err = err};
     json_error_t at;
     json_t *root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &at);
     if (root == NULL) {
--- a/Programs/caro.c
+++ b/Programs/caro.c
@@ -98,6 +98,49 @@
     return is_found;
 }
 
+/* Prints the configuration in force, to be edited and put back. */
+static int
+run_get(struct event_base *base, const char *address, const char *bearer)
+{
+    Answer a = call(base, address, "/v1/config", EVHTTP_REQ_GET, NULL, bearer);
+    json_t *root = a.code == 0 ? json_loads(a.body, 0, NULL) : NULL;
+    int rc = 0;
+    if (a.status == HTTP_OK && root != NULL) {
+        (void)json_dumpf(root, stdout, JSON_INDENT(2));
+        (void)putchar('\n');
+    }
+    else {
+        rc = print_answer(&a, address);
+    }
+    json_decref(root);
+    free(a.body);
+    return rc;
+}
+
+/* Puts a configuration from a file. */
+static int
+run_put(struct event_base *base, const char *address, const char *file,
+        const char *bearer)
+{
+    json_error_t at;
+    json_t *root = file == NULL
+                       ? NULL
+                       : json_load_file(file, JSON_REJECT_DUPLICATES, &at);
+    if (root == NULL) {
+        (void)fprintf(stderr, "caro: put needs a file of JSON%s%s\n",
+                      file == NULL ? "" : ": ", file == NULL ? "" : at.text);
+        return 2;
+    }
+    char *text = json_dumps(root, JSON_COMPACT);
+    Answer a =
+        call(base, address, "/v1/config", EVHTTP_REQ_POST, text, bearer);
+    int rc = print_answer(&a, address);
+    free(a.body);
+    free(text);
+    json_decref(root);
+    return rc;
+}
+
 static int
 run_dump(struct event_base *base, const char *address, const char *vm,
          const char *bearer)
@@ -124,8 +167,9 @@
 {
     struct arg_str *at =
         arg_str0(NULL, "at", "IP:PORT", "any node; or set CARO_AT");
-    struct arg_str *words = arg_strn(NULL, NULL, "WORD", 1, 8,
-                                     "a command; try help, or dump [VM]");
+    struct arg_str *words =
+        arg_strn(NULL, NULL, "WORD", 1, 8,
+                 "a command; try help, dump [VM], get, put FILE");
     struct arg_end *end = arg_end(4);
     void *table[] = {at, words, end};
     if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0) {
@@ -160,6 +204,13 @@
         rc = run_dump(base, address, words->count > 1 ? words->sval[1] : NULL,
                       bearer);
     }
+    else if (strcmp(words->sval[0], "get") == 0) {
+        rc = run_get(base, address, bearer);
+    }
+    else if (strcmp(words->sval[0], "put") == 0) {
+        rc = run_put(base, address, words->count > 1 ? words->sval[1] : NULL,
+                     bearer);
+    }
     else {
         rc = run_command(base, address, line, bearer);
     }
--- a/Test/proc_http.sh
+++ b/Test/proc_http.sh
@@ -4,7 +4,7 @@
 set -eu
 . Tools/fleet.sh
 trap fleet_stop EXIT
-fleet_start 2 2 1
+TICKET_TTL_MS=1000 fleet_start 2 2 1
 at=$(fleet_http 1)
 failed=0
 
@@ -47,6 +47,17 @@
     Idempotency-Key my-key
 expect 428 'signature' POST '/v1/orders/desk/book?account=a0' '{}' \
     Idempotency-Key n1.1.n2.2.ffffffffff.0123456789abcdef01234567.x
+ticket=$(fleet_get "$at" "/v1/addresses?account=a0" |
+    sed 's/.*"ticket":"\([^"]*\)".*/\1/')
+expect 201 'booked' POST '/v1/orders/desk/book?account=a0' '{}' \
+    Idempotency-Key "$ticket.one"
+expect 201 '"number":1' POST '/v1/orders/desk/book?account=a0' '{}' \
+    Idempotency-Key "$ticket.one"
+expect 422 'used for another request' POST \
+    '/v1/orders/desk/book?account=a0' '{"x":1}' Idempotency-Key "$ticket.one"
+sleep 1.2
+expect 410 'has ended' POST '/v1/orders/desk/book?account=a0' '{}' \
+    Idempotency-Key "$ticket.two"
 expect 403 'unknown account' POST '/v1/orders/desk/book?account=zz' '{}'
 expect 404 'unknown order service' POST '/v1/orders/chat/book?account=a0' '{}'
 expect 200 'stock' GET '/v1/orders/desk/stock?account=a0' ''
--- a/Test/proc_rollout.sh
+++ b/Test/proc_rollout.sh
@@ -41,6 +41,9 @@
 caro mv chat v2 by +12s
 wait_state "v2 .*done"
 caro dep
+# A move that was done can be taken back as well.
+caro undo chat
+wait_state "v1 .*UNDONE"
 status=0
 wait "$load" || status=$?
 cat "$fleet_dir/load.txt"
--- a/Test/proc_store.sh
+++ b/Test/proc_store.sh
@@ -72,6 +72,26 @@
 grep -q '^not done' "$fleet_dir/c.txt" || fail "v9 was taken"
 [ "$(revision 1)" = "$before" ] || fail "a refused change changed something"
 
+echo "== get, edit, put"
+caro 1 get >"$fleet_dir/edit.json"
+sed -i 's/"name": "a9"/"name": "added"/' "$fleet_dir/edit.json"
+caro 1 put "$fleet_dir/edit.json" | tee "$fleet_dir/e.txt"
+grep -q '^done' "$fleet_dir/e.txt" || fail "put was not done"
+caro 2 put "$fleet_dir/edit.json" | tee "$fleet_dir/e.txt"
+grep -q '^not done' "$fleet_dir/e.txt" || fail "an old revision was put"
+sed 's/"kind": "model"/"kind": "cat"/' "$fleet_dir/config.json" |
+    sed 's/"kind":"model"/"kind":"cat"/' >"$fleet_dir/bad.json"
+caro 1 put "$fleet_dir/bad.json" | tee "$fleet_dir/e.txt"
+grep -q '^not done' "$fleet_dir/e.txt" || fail "a bad configuration was put"
+before=$(revision 1)
+
+echo "== an upstream leaves"
+caro 1 drain e2
+for i in 1 2 3; do
+    wait_says "$i" up "e2 .*leaving"
+done
+before=$(revision 1)
+
 echo "== an outage, and a node started in it"
 fleet_fault "$(fleet_store)" "down=1"
 fleet_kill n3 KILL
--- a/Tools/fleet.sh
+++ b/Tools/fleet.sh
@@ -94,7 +94,8 @@
         printf '"platform":{"store":"%s"},' "$(fleet_store)"
         printf '"operators":[{"name":"anna","token_sha256":"%s"}],' \
             "$token_hash"
-        printf '"timing":{"drain_ms":%d},"vms":[' "${DRAIN_MS:-4000}"
+        printf '"timing":{"drain_ms":%d,"ticket_ttl_ms":%d},"vms":[' \
+            "${DRAIN_MS:-4000}" "${TICKET_TTL_MS:-600000}"
         i=1
         while [ "$i" -le "$fleet_nodes" ] && [ "$i" -le 20 ]; do
             [ "$i" -gt 1 ] && printf ','
