Gather decisions from the VMs for why; make the pace of moves a setting

Cause: the VM that took a version back is seldom the one that is asked, and why told only of its own memory; both deployments had the careful pace.

--- a/Include/caro_settings.h
+++ b/Include/caro_settings.h
@@ -67,6 +67,7 @@
     int64_t patience_ms;        /* Longest expected wait in a queue. */
     int64_t upstream_subset;    /* Upstreams of one model a VM uses. */
     int64_t queue_max;          /* Requests waiting for admission. */
+    bool moves_quick;           /* Pace of moves: quick, or careful. */
 } CaroSettings;
 
 /*
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -218,6 +218,7 @@
                         const caro_order_forward *args, CaroTime now);
 
 /* node_moves.c: moves of traffic between versions. */
+const CaroRolloutPace *CaroNode_Pace(const CaroNode *n);
 void CaroNode_ApplyMoves(CaroNode *n);
 void CaroNode_TickMoves(CaroNode *n, CaroTime now);
 void CaroNode_PickVersion(CaroSession *s, int64_t now_ms);
@@ -239,8 +240,12 @@
 /* node_http.c: routes of callers and operators. */
 void CaroNode_OnHttp(struct evhttp_request *req, void *context);
 
-/* node_reports.c, node_dump.c and node_operator.c: for operators. */
+/* node_why.c, node_reports.c, node_dump.c, node_operator.c: operators. */
 const char *CaroNode_StateWord(caro_member_state state);
+void CaroNode_AskWhy(CaroNode *n, struct evhttp_request *req,
+                     const char *subject);
+void CaroNode_OnWhy(CaroNode *n, CaroRpcRequest *request,
+                    const caro_why_args *args);
 void CaroNode_RunReport(CaroNode *n, struct evhttp_request *req,
                         const CaroCommand *c, CaroTime now);
 void CaroNode_OnCommand(CaroNode *n, struct evhttp_request *req, CaroTime now);
--- a/Modules/node_moves.c
+++ b/Modules/node_moves.c
@@ -27,6 +27,12 @@
 
 enum { GAPS_JUDGED = 32 /* Gaps of a generation that are one sample. */ };
 
+const CaroRolloutPace *
+CaroNode_Pace(const CaroNode *n)
+{
+    return n->settings.moves_quick ? &CARO_PACE_QUICK : &CARO_PACE_CAREFUL;
+}
+
 static uint64_t
 move_id(const CaroDeployment *d)
 {
@@ -136,7 +142,7 @@
     if (m == NULL) {
         return;
     }
-    double share = CaroRollout_Share(&m->plan, &CARO_PACE_CAREFUL, now_ms);
+    double share = CaroRollout_Share(&m->plan, CaroNode_Pace(n), now_ms);
     double own = CaroRollout_NodeShare(
         share, rank_for(n, m), CaroMembership_CountUsable(n->membership));
     double drawn = (double)(CaroRandom_Next(&n->rng) >> 11) * 0x1.0p-53;
--- a/Modules/node_operator.c
+++ b/Modules/node_operator.c
@@ -300,6 +300,9 @@
     case CARO_CMD_DRAIN:
         run_drain(n, req, &command, by);
         break;
+    case CARO_CMD_WHY:
+        CaroNode_AskWhy(n, req, command.subject);
+        break;
     default:
         CaroNode_RunReport(n, req, &command, now);
         break;
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -329,6 +329,9 @@
         CaroNode_Drain(n);
         answer_heartbeat(n, request, ((caro_heartbeat *)args)->sender);
         break;
+    case CARO_WHY:
+        CaroNode_OnWhy(n, request, args);
+        break;
     default:
         CaroRpc_Ignore(request);
         break;
--- a/Modules/node_reports.c
+++ b/Modules/node_reports.c
@@ -9,7 +9,6 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 const char *
 CaroNode_StateWord(caro_member_state state)
@@ -119,7 +118,7 @@
         if (p->state == CARO_ROLLOUT_MOVING && move != NULL) {
             char text[96];
             double share =
-                CaroRollout_Share(p, &CARO_PACE_CAREFUL, CaroClock_WallMs());
+                CaroRollout_Share(p, CaroNode_Pace(n), CaroClock_WallMs());
             bool is_bad = CaroRollout_IsBad(move->rollout);
             CaroReport_Line(r, "  share %.1f%%%s", is_bad ? 0.0 : 100 * share,
                             is_bad ? ", taken back" : "");
@@ -133,35 +132,6 @@
     }
 }
 
-static void
-report_why(CaroNode *n, CaroReport *r, const char *subject)
-{
-    enum { SHOWN = 6 };
-    const CaroDecision *d;
-    int shown = 0;
-    for (int i = 0; (d = CaroDecisions_Get(n->decisions, i)) != NULL; i++) {
-        bool is_match = subject[0] == '\0' ||
-                        strcmp(d->subject, subject) == 0 ||
-                        strcmp(d->part, subject) == 0;
-        if (!is_match || shown == SHOWN) {
-            continue;
-        }
-        time_t seconds = (time_t)(d->wall_ms / 1000);
-        struct tm parts;
-        char text[16];
-        (void)gmtime_r(&seconds, &parts);
-        (void)strftime(text, sizeof(text), "%H:%M:%S", &parts);
-        CaroReport_Line(r, "%s %s", text, d->subject);
-        CaroReport_Line(r, "  %s", d->action);
-        CaroReport_Line(r, "  %.38s", d->cause);
-        shown++;
-    }
-    if (shown == 0) {
-        CaroReport_Line(r, "no decision is kept about %.14s",
-                        subject[0] == '\0' ? "anything" : subject);
-    }
-}
-
 static void
 report_top(CaroNode *n, CaroReport *r)
 {
@@ -235,9 +205,6 @@
     case CARO_CMD_DEPLOYMENTS:
         report_deployments(n, &r);
         break;
-    case CARO_CMD_WHY:
-        report_why(n, &r, c->subject);
-        break;
     case CARO_CMD_TOP:
         report_top(n, &r);
         break;
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -25,6 +25,7 @@
     [CARO_DECIDE] = PROCEDURE(caro_order_decide, caro_order_outcome),
     [CARO_CONFIG] = PROCEDURE(caro_heartbeat, caro_config),
     [CARO_DRAIN] = PROCEDURE(caro_heartbeat, caro_heartbeat),
+    [CARO_WHY] = PROCEDURE(caro_why_args, caro_why_reply),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Parser/settings.c
+++ b/Parser/settings.c
@@ -28,6 +28,7 @@
     {"operators", CARO_FIELD_OBJECT, 0, false, 0, 0, 0},
     {"limits", CARO_FIELD_OBJECT, 0, false, 0, 0, 0},
     {"timing", CARO_FIELD_OBJECT, 0, false, 0, 0, 0},
+    {"moves", CARO_FIELD_OBJECT, 0, false, 0, 0, 0},
     CARO_END_OF_FIELDS,
 };
 
@@ -67,6 +68,11 @@
     CARO_END_OF_FIELDS,
 };
 
+static const CaroField move_fields[] = {
+    {"quick", CARO_FIELD_BOOL, AT(CaroSettings, moves_quick), false, 0, 0, 0},
+    CARO_END_OF_FIELDS,
+};
+
 static const CaroField seed_fields[] = {
     {"vm", CARO_FIELD_NAME, AT(CaroSeed, name), true, 0, 0, 0},
     {"http", CARO_FIELD_ADDRESS, AT(CaroSeed, http), true, 0, 0, 0},
@@ -131,6 +137,7 @@
     json_t *empty = json_object();
     json_t *limits = json_object_get(root, "limits");
     json_t *timing = json_object_get(root, "timing");
+    json_t *moves = json_object_get(root, "moves");
     int rc = CaroFields_ReadObject(r, "$", top_fields, root, s);
     if (rc < 0) {
         goto error;
@@ -150,6 +157,11 @@
     if (rc < 0) {
         goto error;
     }
+    rc = CaroFields_ReadObject(r, "$.moves", move_fields,
+                               moves == NULL ? empty : moves, s);
+    if (rc < 0) {
+        goto error;
+    }
     rc = CaroFields_ReadArray(r, "$.vms", seed_fields,
                               json_object_get(root, "vms"), s->seeds,
                               sizeof(CaroSeed), CARO_SEEDS_MAX);
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -206,6 +206,30 @@
 	} text;
 };
 typedef struct caro_config caro_config;
+#define CARO_WHY_MAX 8
+
+struct caro_why_args {
+	char *subject;
+};
+typedef struct caro_why_args caro_why_args;
+
+struct caro_decision {
+	quad_t wall_ms;
+	char *part;
+	char *subject;
+	char *action;
+	char *cause;
+};
+typedef struct caro_decision caro_decision;
+
+struct caro_why_reply {
+	char *vm;
+	struct {
+		u_int decisions_len;
+		caro_decision *decisions_val;
+	} decisions;
+};
+typedef struct caro_why_reply caro_why_reply;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -244,6 +268,9 @@
 #define CARO_DRAIN 11
 extern  caro_heartbeat * caro_drain_1(caro_heartbeat *, CLIENT *);
 extern  caro_heartbeat * caro_drain_1_svc(caro_heartbeat *, struct svc_req *);
+#define CARO_WHY 12
+extern  caro_why_reply * caro_why_1(caro_why_args *, CLIENT *);
+extern  caro_why_reply * caro_why_1_svc(caro_why_args *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -280,6 +307,9 @@
 #define CARO_DRAIN 11
 extern  caro_heartbeat * caro_drain_1();
 extern  caro_heartbeat * caro_drain_1_svc();
+#define CARO_WHY 12
+extern  caro_why_reply * caro_why_1();
+extern  caro_why_reply * caro_why_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -304,6 +334,9 @@
 extern  bool_t xdr_caro_order_forward (XDR *, caro_order_forward*);
 extern  bool_t xdr_caro_order_decide (XDR *, caro_order_decide*);
 extern  bool_t xdr_caro_config (XDR *, caro_config*);
+extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
+extern  bool_t xdr_caro_decision (XDR *, caro_decision*);
+extern  bool_t xdr_caro_why_reply (XDR *, caro_why_reply*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -324,6 +357,9 @@
 extern bool_t xdr_caro_order_forward ();
 extern bool_t xdr_caro_order_decide ();
 extern bool_t xdr_caro_config ();
+extern bool_t xdr_caro_why_args ();
+extern bool_t xdr_caro_decision ();
+extern bool_t xdr_caro_why_reply ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -148,6 +148,26 @@
     opaque text<CARO_CONFIG_MAX>;
 };
 
+const CARO_WHY_MAX = 8;
+
+struct caro_why_args {
+    string subject<CARO_NAME_MAX>;
+};
+
+/* One decision of a controller; see caro_decisions.h. */
+struct caro_decision {
+    hyper wall_ms;
+    string part<15>;
+    string subject<39>;
+    string action<39>;
+    string cause<95>;
+};
+
+struct caro_why_reply {
+    string vm<CARO_NAME_MAX>;
+    caro_decision decisions<CARO_WHY_MAX>;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -161,5 +181,6 @@
         caro_order_outcome CARO_DECIDE(caro_order_decide) = 9;
         caro_config CARO_CONFIG(caro_heartbeat) = 10;
         caro_heartbeat CARO_DRAIN(caro_heartbeat) = 11;
+        caro_why_reply CARO_WHY(caro_why_args) = 12;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -340,3 +340,44 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_why_args (XDR *xdrs, caro_why_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->subject, CARO_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_decision (XDR *xdrs, caro_decision *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_quad_t (xdrs, &objp->wall_ms))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->part, 15))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->subject, 39))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->action, 39))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->cause, 95))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_why_reply (XDR *xdrs, caro_why_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->vm, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->decisions.decisions_val, (u_int *) &objp->decisions.decisions_len, CARO_WHY_MAX,
+		sizeof (caro_decision), (xdrproc_t) xdr_caro_decision))
+		 return FALSE;
+	return TRUE;
+}
--- a/Test/proc_rollout.sh
+++ b/Test/proc_rollout.sh
@@ -34,7 +34,12 @@
 caro mv chat v2 by +40s
 wait_state UNDONE
 caro dep
-caro why chat
+# Any node tells why, whichever decided it.
+"$bin/caro" --at "$(fleet_http 3)" why chat | tee "$fleet_dir/why.txt"
+grep -q 'taken back' "$fleet_dir/why.txt" || {
+    echo "FAILED: why does not tell"
+    exit 1
+}
 for i in 4 5 6; do
     fleet_fault "$(fleet_engine $i)" "fail=0"
 done
--- a/Test/test_settings.c
+++ b/Test/test_settings.c
@@ -41,6 +41,11 @@
     assert_string_equal(settings.vm, "n1");
     assert_true(settings.platform_embedded);
     assert_int_equal(settings.heartbeat_ms, 400);
+    assert_false(settings.moves_quick);
+    assert_int_equal(parse(HEAD ",\"platform\":{\"embedded\":true},"
+                                "\"moves\":{\"quick\":true}}"),
+                     0);
+    assert_true(settings.moves_quick);
 }
 
 static void
@@ -61,6 +66,9 @@
     check_refused(HEAD ",\"platform\":{\"embedded\":true},"
                        "\"timing\":{\"heartbeat_ms\":\"x\"}}",
                   "$.timing.heartbeat_ms", "a string");
+    check_refused(HEAD ",\"platform\":{\"embedded\":true},"
+                       "\"moves\":{\"quick\":3}}",
+                  "$.moves.quick", "an integer");
     check_refused("{\"vm\":\"Big One\"}", "$.vm", "Big One");
     check_refused("[1", "line 1", "");
     check_refused(HEAD ",\"platform\":{\"store\":\"host:1\"}}",
