One way to ask for addresses in the load tool

Cause: the callers of generations and of orders asked and read addresses each in their own words (two runs of six lines and more).

--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -10,7 +10,7 @@
 #include <gsl/gsl_rng.h>
 #include <stdio.h>
 
-enum { BENCH_NODES_MAX = 64, BENCH_ACCOUNTS_MAX = 64 };
+enum { BENCH_NODES_MAX = 64, BENCH_ADDRESSES_MAX = 8 };
 
 /* Samples of one measure, in milliseconds. */
 typedef struct {
@@ -86,6 +86,24 @@
 /* Books one order; returns an exit status. */
 int Bench_RunOneOrder(const LoadOptions *options);
 
+/* The answer to "which address", and how far a caller went through it. */
+typedef struct {
+    char list[BENCH_ADDRESSES_MAX][CARO_ADDRESS_SIZE];
+    int n;
+    int at;
+    char ticket[CARO_KEY_SIZE];
+} Addresses;
+
+/* Asks a node drawn by lot. */
+void Addresses_Ask(Load *load, const char *account, CaroHttpDone done,
+                   void *context);
+
+/* Takes an answer in; n stays 0 when it is none. */
+void Addresses_Read(Addresses *a, const char *body, size_t size);
+
+/* The address to use now, borrowed; n must not be 0. */
+const char *Addresses_At(const Addresses *a);
+
 /* One generation or order starts; the load's arrivals call these. */
 void Caller_Start(Load *load);
 void OrderCaller_Start(Load *load);
--- a/Tools/bench/caller.c
+++ b/Tools/bench/caller.c
@@ -18,19 +18,15 @@
 #include <string.h>
 
 enum {
-    ADDRESSES_MAX = 8,
     TRIES_MAX = 60,
     RETRY_MS = 100,
-    CONNECT_MS = 1000,
     QUIET_MS = 3000, /* A caller waits so long for the next token. */
     TOKENS_LEAST = 4
 };
 
 typedef struct {
     Load *load;
-    char addresses[ADDRESSES_MAX][CARO_ADDRESS_SIZE];
-    int n_addresses;
-    int at_address;
+    Addresses addresses;
     char account[CARO_NAME_SIZE];
     char *body;
     uint32_t tokens_max;
@@ -117,7 +113,7 @@
         end_caller(c);
         return;
     }
-    c->at_address++;
+    c->addresses.at++;
     c->load->result.reconnects++;
     struct timeval wait = {.tv_usec = wait_ms * 1000};
     event_add(c->retry, &wait);
@@ -255,30 +251,12 @@
     come_back(c, 0);
 }
 
-static void
-take_addresses(Caller *c, const char *body, size_t size)
-{
-    json_t *root = json_loadb(body, size, 0, NULL);
-    size_t i;
-    json_t *item;
-    c->n_addresses = 0;
-    c->at_address = 0;
-    json_array_foreach(json_object_get(root, "addresses"), i, item)
-    {
-        if (c->n_addresses < ADDRESSES_MAX && json_is_string(item)) {
-            CARO_COPY(c->addresses[c->n_addresses], json_string_value(item));
-            c->n_addresses++;
-        }
-    }
-    json_decref(root);
-}
-
 static void
 stream(Caller *c)
 {
     char host[CARO_ADDRESS_SIZE];
     uint16_t port;
-    const char *address = c->addresses[c->at_address % c->n_addresses];
+    const char *address = Addresses_At(&c->addresses);
     struct evhttp_request *req = evhttp_request_new(on_done, c);
     (void)CaroHttp_SplitAddress(address, host, &port);
     c->connection =
@@ -310,9 +288,9 @@
     (void)headers;
     Caller *c = context;
     if (code == 0 && status == HTTP_OK) {
-        take_addresses(c, body, size);
+        Addresses_Read(&c->addresses, body, size);
     }
-    if (c->n_addresses == 0) {
+    if (c->addresses.n == 0) {
         come_back(c, RETRY_MS);
         return;
     }
@@ -323,26 +301,19 @@
 static void
 connect_caller(Caller *c)
 {
-    if (c->at_address < c->n_addresses) {
+    if (c->addresses.at < c->addresses.n) {
         stream(c);
         return;
     }
     const LoadOptions *o = c->load->options;
     if (o->direct != NULL) {
-        CARO_COPY(c->addresses[0], o->direct);
-        c->n_addresses = 1;
-        c->at_address = 0;
+        CARO_COPY(c->addresses.list[0], o->direct);
+        c->addresses.n = 1;
+        c->addresses.at = 0;
         stream(c);
         return;
     }
-    unsigned long i = gsl_rng_uniform_int(c->load->rng, (unsigned)o->n_nodes);
-    char path[96];
-    (void)snprintf(path, sizeof(path), "/v1/addresses?account=%s", c->account);
-    CaroHttpCall call = {.address = o->nodes[i],
-                         .path = path,
-                         .method = EVHTTP_REQ_GET,
-                         .timeout = CONNECT_MS * CARO_MS};
-    CaroHttp_Call(c->load->base, &call, on_addresses, c);
+    Addresses_Ask(c->load, c->account, on_addresses, c);
 }
 
 static char *
--- a/Tools/bench/order_caller.c
+++ b/Tools/bench/order_caller.c
@@ -13,16 +13,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { ADDRESSES_MAX = 8, TRIES_MAX = 12, RETRY_MS = 150 };
+enum {
+    TRIES_MAX = 12,
+    RETRY_MS = 150,
+    TICKET_MAX = CARO_KEY_SIZE - 10 /* Leaves room for the suffix. */
+};
 
 #define ORDER_TIMEOUT (4 * CARO_SECOND)
-#define ASK_TIMEOUT (1 * CARO_SECOND)
 
 typedef struct {
     Load *load;
-    char addresses[ADDRESSES_MAX][CARO_ADDRESS_SIZE];
-    int n_addresses;
-    int at_address;
+    Addresses addresses;
     char key[CARO_KEY_SIZE];
     char path[128];
     char account[CARO_NAME_SIZE];
@@ -52,7 +53,7 @@
 again(OrderCaller *c)
 {
     c->tries++;
-    c->at_address++;
+    c->addresses.at++;
     if (c->tries > TRIES_MAX) {
         end_order(c, &c->load->result.orders_unknown, "unknown");
         return;
@@ -93,8 +94,7 @@
 send_order(OrderCaller *c)
 {
     static const char body[] = "{\"item\":\"citronella\",\"count\":4}";
-    CaroHttpCall call = {.address =
-                             c->addresses[c->at_address % c->n_addresses],
+    CaroHttpCall call = {.address = Addresses_At(&c->addresses),
                          .path = c->path,
                          .method = EVHTTP_REQ_POST,
                          .body = body,
@@ -111,7 +111,7 @@
     (void)fd;
     (void)what;
     OrderCaller *c = arg;
-    if (c->n_addresses > 0) {
+    if (c->addresses.n > 0) {
         send_order(c);
     }
     else {
@@ -126,44 +126,23 @@
     (void)is_sent;
     (void)headers;
     OrderCaller *c = context;
-    json_t *root = NULL;
     if (code == 0 && status == HTTP_OK) {
-        root = json_loadb(body, size, 0, NULL);
+        Addresses_Read(&c->addresses, body, size);
     }
-    const char *ticket = json_string_value(json_object_get(root, "ticket"));
-    size_t i;
-    json_t *item;
-    json_array_foreach(json_object_get(root, "addresses"), i, item)
-    {
-        if (c->n_addresses < ADDRESSES_MAX && json_is_string(item)) {
-            CARO_COPY(c->addresses[c->n_addresses], json_string_value(item));
-            c->n_addresses++;
-        }
-    }
-    if (ticket == NULL || c->n_addresses == 0) {
-        c->n_addresses = 0;
-        json_decref(root);
+    if (c->addresses.n == 0 || c->addresses.ticket[0] == '\0') {
+        c->addresses.n = 0;
         again(c);
         return;
     }
-    (void)snprintf(c->key, sizeof(c->key), "%s.%08lx", ticket,
-                   gsl_rng_get(c->load->rng));
-    json_decref(root);
+    (void)snprintf(c->key, sizeof(c->key), "%.*s.%08lx", TICKET_MAX,
+                   c->addresses.ticket, gsl_rng_get(c->load->rng));
     send_order(c);
 }
 
 static void
 ask(OrderCaller *c)
 {
-    const LoadOptions *o = c->load->options;
-    unsigned long i = gsl_rng_uniform_int(c->load->rng, (unsigned)o->n_nodes);
-    char path[96];
-    (void)snprintf(path, sizeof(path), "/v1/addresses?account=%s", c->account);
-    CaroHttpCall call = {.address = o->nodes[i],
-                         .path = path,
-                         .method = EVHTTP_REQ_GET,
-                         .timeout = ASK_TIMEOUT};
-    CaroHttp_Call(c->load->base, &call, on_ticket, c);
+    Addresses_Ask(c->load, c->account, on_ticket, c);
 }
 
 void
