Choices among members apart; one search in JSON lists, one count of bounds

Cause: membership.c had grown to 673 lines and did two jobs; a search for an upstream stood beside that for a deployment, and three measurements counted broken bounds each by itself.

--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -23,9 +23,6 @@
 #include <string.h>
 #include <uthash.h>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 enum {
     EVENTS_MAX = 4096,
     URGENT_FANOUT = 4,
@@ -608,66 +605,3 @@
     return CaroMembership_IsUsable(m, vm) &&
            now >= m->members[vm].doubted_until;
 }
-
-int
-CaroMembership_CountUsable(const CaroMembership *m)
-{
-    int n = 0;
-    for (CaroHandle h = 0; h < m->n; h++) {
-        n += CaroMembership_IsUsable(m, h);
-    }
-    return n;
-}
-
-/* Another domain of the same region is best, then another region. */
-static int
-backup_class(const CaroVm *self, const CaroVm *vm)
-{
-    bool is_same_domain = strcmp(self->domain, vm->domain) == 0;
-    bool is_same_region = strcmp(self->region, vm->region) == 0;
-    if (!is_same_domain && is_same_region) {
-        return 3;
-    }
-    return is_same_domain ? 1 : 2;
-}
-
-CaroHandle
-CaroMembership_ChooseBackup(const CaroMembership *m, uint64_t id, CaroTime now)
-{
-    const CaroVm *self = &m->members[CARO_SELF].vm;
-    CaroHandle best = CARO_NO_HANDLE;
-    int best_class = 0;
-    uint64_t best_rank = 0;
-    for (CaroHandle h = 1; h < m->n; h++) {
-        const CaroVm *vm = &m->members[h].vm;
-        if (!CaroMembership_IsTrusted(m, h, now)) {
-            continue;
-        }
-        int class = backup_class(self, vm);
-        uint64_t rank = XXH64(vm->name, strlen(vm->name), id);
-        if (class > best_class || (class == best_class && rank > best_rank)) {
-            best = h;
-            best_class = class;
-            best_rank = rank;
-        }
-    }
-    return best;
-}
-
-bool
-CaroMembership_IsChosen(const CaroMembership *m, const char *role, int most)
-{
-    const CaroVm *self = &m->members[CARO_SELF].vm;
-    uint64_t seed = XXH64(role, strlen(role), 0);
-    uint64_t own = XXH64(self->name, strlen(self->name), seed);
-    int better = 0;
-    for (CaroHandle h = 1; h < m->n; h++) {
-        const CaroVm *vm = &m->members[h].vm;
-        if (CaroMembership_IsUsable(m, h) &&
-            strcmp(vm->region, self->region) == 0 &&
-            XXH64(vm->name, strlen(vm->name), seed) > own) {
-            better++;
-        }
-    }
-    return better < most;
-}
--- a/Include/internal/caro_config.h
+++ b/Include/internal/caro_config.h
@@ -75,7 +75,9 @@
                                             const char *name);
 const CaroAccount *CaroConfig_Account(const CaroConfig *c, const char *name);
 
-/* The JSON object of a deployment, borrowed, or NULL. */
-json_t *CaroConfig_FindJson(const json_t *root, const char *deployment);
+/* The object of that name in a list ("deployments", "upstreams"), borrowed,
+   or NULL. */
+json_t *CaroConfig_FindJson(const json_t *root, const char *list,
+                            const char *name);
 
 #endif
--- a/Modules/node_moves.c
+++ b/Modules/node_moves.c
@@ -308,7 +308,7 @@
 write_end(CaroNode *n, CaroMove *m, bool is_done)
 {
     json_t *root = json_loadb(n->config->text, n->config->text_size, 0, NULL);
-    json_t *d = CaroConfig_FindJson(root, m->deployment);
+    json_t *d = CaroConfig_FindJson(root, "deployments", m->deployment);
     json_t *rollout = json_object_get(d, "rollout");
     if (rollout != NULL) {
         char reason[96] = "";
--- a/Modules/node_operator.c
+++ b/Modules/node_operator.c
@@ -166,7 +166,7 @@
     char what[64];
     int64_t now_ms = CaroClock_WallMs();
     json_t *root = load_config(n);
-    json_t *d = CaroConfig_FindJson(root, c->subject);
+    json_t *d = CaroConfig_FindJson(root, "deployments", c->subject);
     if (d == NULL) {
         CaroHttp_Text(req, HTTP_OK, "not done: no such deployment; try dep\n");
         json_decref(root);
@@ -204,21 +204,6 @@
     end_pending(context, "unknown", "the VM did not answer within 1 s");
 }
 
-static json_t *
-find_upstream(const json_t *root, const char *name)
-{
-    size_t i;
-    json_t *u;
-    json_array_foreach(json_object_get(root, "upstreams"), i, u)
-    {
-        const char *s = json_string_value(json_object_get(u, "name"));
-        if (s != NULL && strcmp(s, name) == 0) {
-            return u;
-        }
-    }
-    return NULL;
-}
-
 /* An upstream leaves: no new work, what runs there ends. */
 static void
 drain_upstream(CaroNode *n, struct evhttp_request *req, const CaroCommand *c,
@@ -226,7 +211,7 @@
 {
     char what[64];
     json_t *root = load_config(n);
-    json_t *u = find_upstream(root, c->subject);
+    json_t *u = CaroConfig_FindJson(root, "upstreams", c->subject);
     if (u == NULL) {
         CaroHttp_Text(req, HTTP_OK,
                       "not done: no such VM or upstream;\n  try vm or up\n");
--- a/Parser/config.c
+++ b/Parser/config.c
@@ -390,14 +390,14 @@
 }
 
 json_t *
-CaroConfig_FindJson(const json_t *root, const char *deployment)
+CaroConfig_FindJson(const json_t *root, const char *list, const char *name)
 {
     size_t i;
     json_t *d;
-    json_array_foreach(json_object_get(root, "deployments"), i, d)
+    json_array_foreach(json_object_get(root, list), i, d)
     {
         const char *s = json_string_value(json_object_get(d, "name"));
-        if (s != NULL && strcmp(s, deployment) == 0) {
+        if (s != NULL && strcmp(s, name) == 0) {
             return d;
         }
     }
--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -120,6 +120,12 @@
 /* Relays bytes until SIGTERM, then prints its processor time. */
 int Bench_RunRelay(const char *listen, const char *to);
 
+/* Counts and prints a bound that does not hold. */
+void Bench_Check(bool is_good, const char *what);
+
+/* Prints how many did not; returns an exit status. */
+int Bench_Verdict(void);
+
 /* Measurements of the decisions alone, on a virtual clock. */
 int Bench_RunDecisions(int argc, char **argv);
 int Bench_RunMembership(int argc, char **argv);
--- a/Tools/bench/decisions.c
+++ b/Tools/bench/decisions.c
@@ -16,17 +16,6 @@
 #define OVERLOAD_LEAST 0.9
 #define RECOVERY_MOST_S 10.0
 
-static int broken;
-
-static void
-check(bool is_good, const char *what)
-{
-    if (!is_good) {
-        (void)printf("BROKEN: %s\n", what);
-        broken++;
-    }
-}
-
 static DriveOptions
 deployment(bool is_krovograd)
 {
@@ -97,8 +86,8 @@
                      "max %7.1f ms\n",
                      Fault_Name((FaultKind)i), r->losses[i], s->n,
                      Samples_Quantile(s, 0.5), p99, most);
-        check(p99 <= bound_of((FaultKind)i), Fault_Name((FaultKind)i));
-        check(most <= RESUME_MOST_MS, "resume above 5 s");
+        Bench_Check(p99 <= bound_of((FaultKind)i), Fault_Name((FaultKind)i));
+        Bench_Check(most <= RESUME_MOST_MS, "resume above 5 s");
     }
     double extra = r->tokens_extra / r->tokens_computed;
     (void)printf("  tokens computed %.0f, extra %.2f%%\n", r->tokens_computed,
@@ -106,11 +95,11 @@
     (void)printf("  first token p95 %.1f ms, between tokens p95 %.1f ms\n",
                  Samples_Quantile(&r->first_ms, 0.95),
                  Samples_Quantile(&r->gap_ms, 0.95));
-    check(r->wrong == 0, "a token was missing, repeated or mixed");
-    check(r->failed == 0, "a generation failed");
+    Bench_Check(r->wrong == 0, "a token was missing, repeated or mixed");
+    Bench_Check(r->failed == 0, "a generation failed");
     /* The bound speaks of one loss of a machine a minute. */
     bool is_bound = o->fault_every == 60 * CARO_SECOND;
-    check(extra <= EXTRA_TOKENS_MOST || !is_bound, "extra tokens");
+    Bench_Check(extra <= EXTRA_TOKENS_MOST || !is_bound, "extra tokens");
 }
 
 static void
@@ -184,9 +173,9 @@
                  "after, first token p95 %.0f ms\n",
                  full.goodput[1], r.goodput[1], 100.0 * kept, r.refused,
                  r.started, r.recovery_s, Samples_Quantile(&r.first_ms, 0.95));
-    check(kept >= OVERLOAD_LEAST, "answered work under overload");
-    check(r.refused > 0, "a load of twice the capacity was not refused");
-    check(r.recovery_s <= RECOVERY_MOST_S, "recovery after overload");
+    Bench_Check(kept >= OVERLOAD_LEAST, "answered work under overload");
+    Bench_Check(r.refused > 0, "a load of twice the capacity was not refused");
+    Bench_Check(r.recovery_s <= RECOVERY_MOST_S, "recovery after overload");
     free_result(&full);
     free_result(&r);
 }
@@ -196,7 +185,6 @@
 {
     const char *part = argc > 1 ? argv[1] : "all";
     bool is_all = strcmp(part, "all") == 0;
-    broken = 0;
     if (is_all || strcmp(part, "faults") == 0) {
         run_faults();
     }
@@ -206,6 +194,5 @@
     if (is_all || strcmp(part, "overload") == 0) {
         run_overload();
     }
-    (void)printf("bounds broken: %d\n", broken);
-    return broken == 0 ? 0 : 1;
+    return Bench_Verdict();
 }
--- a/Tools/bench/membership.c
+++ b/Tools/bench/membership.c
@@ -66,17 +66,6 @@
     uint64_t messages;
 } Fleet;
 
-static int broken;
-
-static void
-check(bool is_good, const char *what)
-{
-    if (!is_good) {
-        (void)printf("BROKEN: %s\n", what);
-        broken++;
-    }
-}
-
 static int
 region_of(int vm)
 {
@@ -394,8 +383,8 @@
     (void)printf("  steady        %6.0f bytes/s a VM, false suspicions %ld, "
                  "false deaths %ld\n",
                  bytes, f->suspicions, f->deaths);
-    check(bytes <= BYTES_MOST, "bytes of membership");
-    check(f->deaths == 0, "a VM that was up was declared dead");
+    Bench_Check(bytes <= BYTES_MOST, "bytes of membership");
+    Bench_Check(f->deaths == 0, "a VM that was up was declared dead");
 }
 
 static void
@@ -414,7 +403,7 @@
     }
     double ms = (double)(f->now - start) / MS;
     (void)printf("  configuration in force on all after %.0f ms\n", ms);
-    check(ms <= CONFIG_MOST_MS, "a configuration in force everywhere");
+    Bench_Check(ms <= CONFIG_MOST_MS, "a configuration in force everywhere");
 }
 
 static void
@@ -423,7 +412,7 @@
     f->is_down[1] = true;
     double one = run_until_settled(f, false, 20 * CARO_SECOND);
     (void)printf("  one dead      unlisted everywhere after %5.0f ms\n", one);
-    check(one <= UNLISTED_MOST_MS, "a dead VM in answers");
+    Bench_Check(one <= UNLISTED_MOST_MS, "a dead VM in answers");
     run_for(f, 10 * CARO_SECOND);
     f->deaths = 0;
     for (int i = 0; i < f->n; i += 3) {
@@ -435,14 +424,14 @@
     (void)printf("  a third dead  unlisted everywhere after %5.0f ms, false "
                  "deaths %ld, %.0f bytes/s a VM\n",
                  third, f->deaths, mean_bytes(f, storm));
-    check(f->deaths == 0, "a VM that was up was declared dead");
+    Bench_Check(f->deaths == 0, "a VM that was up was declared dead");
     for (int i = 0; i < f->n; i++) {
         f->is_down[i] = false;
     }
     /* They return as after a long pause, with their old views. */
     double back = run_until_settled(f, true, 120 * CARO_SECOND);
     (void)printf("  all return    listed everywhere after   %5.0f ms\n", back);
-    check(back < 60000.0, "returned VMs are listed");
+    Bench_Check(back < 60000.0, "returned VMs are listed");
 }
 
 static void
@@ -458,7 +447,7 @@
     }
     double ms = (double)(f->now - start) / MS;
     (void)printf("  one leaves    unlisted everywhere after %5.0f ms\n", ms);
-    check(ms <= UNLISTED_MOST_MS, "a leaving VM in answers");
+    Bench_Check(ms <= UNLISTED_MOST_MS, "a leaving VM in answers");
 }
 
 static void
@@ -469,7 +458,7 @@
     run_for(f, 30 * CARO_SECOND);
     (void)printf("  one-way cuts  in 1 of 50 pairs: false deaths %ld\n",
                  f->deaths);
-    check(f->deaths == 0, "one-way cuts killed a VM");
+    Bench_Check(f->deaths == 0, "one-way cuts killed a VM");
     f->has_one_way_cuts = false;
     run_for(f, 10 * CARO_SECOND);
     f->are_regions_cut = true;
@@ -490,8 +479,8 @@
     (void)printf("  regions cut   60 s: %.2f%% of the own region stay listed; "
                  "healed after %.0f ms\n",
                  100.0 * own / all, healed);
-    check(own == all, "a region cut removed VMs of the own region");
-    check(healed < 60000.0, "the fleet heals after a region cut");
+    Bench_Check(own == all, "a region cut removed VMs of the own region");
+    Bench_Check(healed < 60000.0, "the fleet heals after a region cut");
 }
 
 int
@@ -499,7 +488,6 @@
 {
     static const int sizes[] = {13, 20, 100, 200, 410};
     int only = argc > 1 ? (int)strtol(argv[1], NULL, 10) : 0;
-    broken = 0;
     for (int i = 0; i < 5; i++) {
         if (only != 0 && sizes[i] != only) {
             continue;
@@ -518,6 +506,5 @@
         measure_cuts(f);
         free_fleet(f);
     }
-    (void)printf("bounds broken: %d\n", broken);
-    return broken == 0 ? 0 : 1;
+    return Bench_Verdict();
 }
--- a/Tools/bench/rollouts.c
+++ b/Tools/bench/rollouts.c
@@ -209,17 +209,6 @@
     return flag_at;
 }
 
-static int broken;
-
-static void
-check(bool is_good, const char *what, const char *kind)
-{
-    if (!is_good) {
-        (void)printf("BROKEN: %s (%s)\n", what, kind);
-        broken++;
-    }
-}
-
 static void
 run_kind(Kind kind, TestKind test, const CaroRolloutPace *pace,
          CaroRollout **nodes, bool is_checked)
@@ -247,15 +236,13 @@
                      Samples_Quantile(&out.seconds, 0.99));
     }
     if (is_checked && is_good_kind(kind)) {
-        check(back <= 0.1, "false rollbacks above 0.1%", kind_names[kind]);
+        Bench_Check(back <= 0.1, "false rollbacks above 0.1%");
     }
     if (is_checked && !is_good_kind(kind)) {
-        check(back >= 100.0, "a bad version was not taken back",
-              kind_names[kind]);
-        check(met < 1.0, "1% of requests or more met a bad version",
-              kind_names[kind]);
+        Bench_Check(back >= 100.0, "a bad version was not taken back");
+        Bench_Check(met < 1.0, "1% of requests or more met a bad version");
     }
-    check(out.after == 0.0, "traffic after the flag", kind_names[kind]);
+    Bench_Check(out.after == 0.0, "traffic after the flag");
     Samples_Free(&out.seconds);
 }
 
@@ -274,7 +261,6 @@
 {
     const char *part = argc > 1 ? argv[1] : "day";
     CaroRollout *nodes[VMS];
-    broken = 0;
     for (int i = 0; i < VMS; i++) {
         nodes[i] = CaroRollout_Create();
     }
@@ -296,6 +282,5 @@
     for (int i = 0; i < VMS; i++) {
         CaroRollout_Destroy(nodes[i]);
     }
-    (void)printf("bounds broken: %d\n", broken);
-    return broken == 0 ? 0 : 1;
+    return Bench_Verdict();
 }
--- a/Tools/bench/samples.c
+++ b/Tools/bench/samples.c
@@ -1,8 +1,9 @@
-/* Samples and their quantiles. */
+/* Samples and their quantiles, and the count of broken bounds. */
 #include "bench.h"
 
 #include <gsl/gsl_sort.h>
 #include <gsl/gsl_statistics_double.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 void
@@ -47,3 +48,21 @@
         Samples_Quantile(s, 0.5), "p95", Samples_Quantile(s, 0.95), "p99",
         Samples_Quantile(s, 0.99), "max", Samples_Quantile(s, 1.0));
 }
+
+static int broken;
+
+void
+Bench_Check(bool is_good, const char *what)
+{
+    if (!is_good) {
+        (void)printf("BROKEN: %s\n", what);
+        broken++;
+    }
+}
+
+int
+Bench_Verdict(void)
+{
+    (void)printf("bounds broken: %d\n", broken);
+    return broken == 0 ? 0 : 1;
+}
