--- a/Test/test_generation.c
+++ b/Test/test_generation.c
@@ -145,6 +145,23 @@
     CaroGeneration_Destroy(g);
 }
 
+/* A standby is an attempt too and counts towards the bound. */
+static void
+test_standby_attempts_are_bounded(void **state)
+{
+    (void)state;
+    CaroGeneration *g = create(0, 10);
+    for (CaroHandle h = 0; h < limits.attempts_max - 1; h++) {
+        uint32_t a = start(g, h, true, h);
+        CaroGeneration_OnClosed(g, a, false, h);
+    }
+    uint32_t last = start(g, 9, true, 10);
+    assert_true(CaroGeneration_OnToken(g, last, 0, 20, 20));
+    assert_int_equal(CaroGeneration_Decide(g, true, 600 * MS, 600 * MS).kind,
+                     CARO_ACT_NONE);
+    CaroGeneration_Destroy(g);
+}
+
 static void
 test_a_whole_journal_needs_no_attempt(void **state)
 {
@@ -221,6 +238,7 @@
         cmocka_unit_test(test_without_budget_the_ceiling_replaces),
         cmocka_unit_test(test_own_pause_is_no_silence),
         cmocka_unit_test(test_attempts_are_bounded),
+        cmocka_unit_test(test_standby_attempts_are_bounded),
         cmocka_unit_test(test_a_whole_journal_needs_no_attempt),
         cmocka_unit_test(test_random_events_never_break_the_order),
     };
--- /dev/null
+++ b/Test/test_limits.c
@@ -0,0 +1,68 @@
+/* Tests of the limit of generations of a VM. */
+#include "test.h"
+
+#include "internal/caro_limits.h"
+
+#include <stdio.h>
+
+static CaroUpstreams *
+create(int running)
+{
+    CaroUpstreams *t = CaroUpstreams_Create();
+    for (int i = 0; i < 4; i++) {
+        CaroUpstream u = {.kind = CARO_UPSTREAM_MODEL};
+        (void)snprintf(u.name, sizeof(u.name), "e%d", i);
+        CARO_COPY(u.deployment, "chat");
+        CaroHandle h = CaroUpstreams_Put(t, &u);
+        CaroUpstreams_Report(t, h, running, 0, 32, 0);
+    }
+    return t;
+}
+
+/* Four engines of 32 and two VMs: 64 each, and some more. */
+static void
+test_a_share_of_the_capacity(void **state)
+{
+    (void)state;
+    CaroUpstreams *t = create(32);
+    int limit = CaroLimits_Of(t, "chat", 10, 2, 0);
+    assert_true(limit >= 64 && limit <= 70);
+    CaroUpstreams_Destroy(t);
+}
+
+/* Full engines: the limit must not follow what runs, whatever it is. */
+static void
+test_the_limit_does_not_run_away(void **state)
+{
+    (void)state;
+    CaroUpstreams *t = create(32);
+    int running = 60;
+    for (int tick = 0; tick < 1000; tick++) {
+        int limit = CaroLimits_Of(t, "chat", running, 2, 0);
+        running = limit > running ? running + 1 : running;
+    }
+    assert_true(running <= 70);
+    CaroUpstreams_Destroy(t);
+}
+
+static void
+test_free_engines_are_used_by_a_busy_vm(void **state)
+{
+    (void)state;
+    CaroUpstreams *t = create(20);
+    assert_true(CaroLimits_Of(t, "chat", 80, 2, 0) > 80);
+    /* An old report proves nothing free. */
+    assert_int_equal(CaroLimits_Of(t, "chat", 80, 2, 60 * CARO_SECOND), 80);
+    CaroUpstreams_Destroy(t);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_a_share_of_the_capacity),
+        cmocka_unit_test(test_the_limit_does_not_run_away),
+        cmocka_unit_test(test_free_engines_are_used_by_a_busy_vm),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
