Show whole addresses in the report of VMs

Cause: tried as a new operator, vm cut each address at column 40, so that the port was lost; help lacked get, put and dump. Change: the domain leaves that line (dump has it); help names all commands.

--- a/Modules/node_reports.c
+++ b/Modules/node_reports.c
@@ -71,9 +71,8 @@
         for (CaroHandle h = 0; h < CaroMembership_Count(n->membership); h++) {
             const CaroVm *vm = CaroMembership_Get(n->membership, h);
             if (vm->state == order[i]) {
-                CaroReport_Line(r, "%-10.10s %-7s %-8.8s %s", vm->name,
-                                CaroNode_StateWord(vm->state), vm->domain,
-                                vm->http);
+                CaroReport_Line(r, "%-10.10s %-7s %s", vm->name,
+                                CaroNode_StateWord(vm->state), vm->http);
             }
         }
     }
@@ -182,8 +181,10 @@
     CaroReport_Line(r, "mv DEP V by T  move traffic to version V");
     CaroReport_Line(r, "undo DEP       take a move back");
     CaroReport_Line(r, "why [NAME]     decisions, newest first");
-    CaroReport_Line(r, "drain VM       planned stop of a VM");
+    CaroReport_Line(r, "drain NAME     stop of a VM or upstream");
     CaroReport_Line(r, "top            accounts with most work");
+    CaroReport_Line(r, "get, put FILE  the configuration");
+    CaroReport_Line(r, "dump [VM]      the state of a process");
 }
 
 void
