Remove state that nothing reads

Ruled out: merging the load tool's flag tables and the two address parsers of relay and RPC, which are alike in shape only. Change: the fields are gone; the messages between nodes lose 4 bytes an entry. Conclusion: no behaviour changed.

--- a/Controllers/generation.c
+++ b/Controllers/generation.c
@@ -48,8 +48,6 @@
     bool is_whole;
     CaroTime deadline;
     CaroTime retry_at;
-    CaroTime last_token; /* Time of the last accepted token. */
-    bool is_stalled;     /* A loss is being repaired. */
     CaroHandle avoid[CARO_AVOID_MAX];
     int n_avoid;
     bool is_loss_silent; /* The newest loss was a silence. */
@@ -120,6 +118,7 @@
 CaroGeneration_Create(const CaroGenerationLimits *limits, uint32_t count,
                       uint32_t tokens_max, CaroTime deadline, CaroTime now)
 {
+    (void)now;
     CaroGeneration *g = calloc(1, sizeof(*g));
     if (g == NULL) {
         return NULL;
@@ -130,7 +129,6 @@
     g->is_whole = count >= tokens_max;
     g->deadline = deadline;
     g->next_attempt = 1;
-    g->last_token = now;
     return g;
 }
 
@@ -158,12 +156,6 @@
     s->first_after = first_after;
     g->next_attempt++;
     g->stats.attempts++;
-    if (attempt > 1) {
-        g->stats.resumes++;
-    }
-    if (count_live(g) > 1) {
-        g->stats.standbys++;
-    }
 }
 
 void
@@ -188,10 +180,10 @@
 CaroGeneration_OnToken(CaroGeneration *g, uint32_t attempt, uint32_t index,
                        CaroTime now, CaroTime awake)
 {
+    (void)now;
     Slot *s = find_slot(g, attempt);
     if (s == NULL || s->state != SLOT_LIVE || index != g->count ||
         g->count >= g->tokens_max) {
-        g->stats.tokens_dropped++;
         return false;
     }
     s->last_gap = s->has_token ? awake - s->quiet_since : -1;
@@ -199,11 +191,6 @@
     s->is_suspected = false;
     s->quiet_since = awake;
     outrun_others(g, s);
-    if (g->is_stalled && now - g->last_token > g->stats.stall_longest) {
-        g->stats.stall_longest = now - g->last_token;
-    }
-    g->is_stalled = false;
-    g->last_token = now;
     g->count++;
     return true;
 }
@@ -229,7 +216,6 @@
     }
     remember_failure(g, s->upstream);
     g->is_loss_silent = false;
-    g->is_stalled = true;
     g->retry_at = 0;
 }
 
@@ -264,7 +250,6 @@
         s->state = SLOT_LOST;
         remember_failure(g, s->upstream);
         g->is_loss_silent = true;
-        g->is_stalled = true;
         g->retry_at = 0;
     }
 }
@@ -337,7 +322,6 @@
     }
     const Slot *silent = find_silent(g, awake);
     if (live == 1 && has_attempts && has_standby_budget && silent != NULL) {
-        g->is_stalled = true;
         g->is_loss_silent = true;
         return start_action(g, silent);
     }
--- a/Include/internal/caro_generation.h
+++ b/Include/internal/caro_generation.h
@@ -56,10 +56,6 @@
 /* Measurements of one generation, for reports. */
 typedef struct {
     uint32_t attempts;
-    uint32_t resumes;        /* Attempts after a loss. */
-    uint32_t standbys;       /* Attempts beside a silent one. */
-    uint32_t tokens_dropped; /* Tokens of attempts that were outrun. */
-    CaroTime stall_longest;  /* Longest wait that a loss caused. */
 } CaroGenerationStats;
 
 /*
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -118,11 +118,10 @@
     bool is_admitted;
     CaroAdmission *admission; /* Borrowed. */
     double cost;
-    uint32_t sent;    /* Tokens the caller was sent. */
-    uint32_t shipped; /* Tokens handed to the backup's connection. */
-    uint32_t acked;   /* Tokens the backup holds. */
-    bool is_opened;   /* The backup was sent the request. */
-    bool is_end_shipped;
+    uint32_t sent;     /* Tokens the caller was sent. */
+    uint32_t shipped;  /* Tokens handed to the backup's connection. */
+    uint32_t acked;    /* Tokens the backup holds. */
+    bool is_opened;    /* The backup was sent the request. */
     CaroHandle backup; /* CARO_NO_HANDLE: unprotected. */
     bool is_dirty;
     CaroSession *next_dirty;
--- a/Modules/node_journal.c
+++ b/Modules/node_journal.c
@@ -140,7 +140,6 @@
     }
     s->shipped = count;
     e->finished = s->is_ended;
-    s->is_end_shipped = s->is_ended;
 }
 
 /* Ships up to SHIP_MAX dirty sessions of one backup. */
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -100,7 +100,6 @@
 		u_int *ends_val;
 	} ends;
 	bool_t finished;
-	bool_t released;
 };
 typedef struct caro_journal_entry caro_journal_entry;
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -74,7 +74,6 @@
     opaque bytes<CARO_TOKEN_BYTES_MAX>;
     unsigned int ends<CARO_TOKENS_MAX>;
     bool finished;
-    bool released;
 };
 
 struct caro_journal_batch {
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -181,8 +181,6 @@
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->finished))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->released))
-		 return FALSE;
 	return TRUE;
 }
 
