--- /dev/null
+++ b/Controllers/attempt.c
@@ -0,0 +1,61 @@
+/* What follows when an attempt at an upstream ends. */
+#include "internal/caro_attempt.h"
+
+/* Attempts of any kind; a bound on work, above every route's own. */
+#define TRIES_MAX 8
+/* With less time left an upstream could not answer: a connection and an
+   answer across domains take some milliseconds each. */
+#define USEFUL_MIN (20 * CARO_MS)
+
+bool
+CaroAttempt_IsRepeatable(const CaroAttempt *a)
+{
+    switch (a->kind) {
+    case CARO_ROUTE_IDEMPOTENT:
+        return !a->has_begun;
+    case CARO_ROUTE_STREAM:
+        return a->is_resumable;
+    default:
+        return false;
+    }
+}
+
+/* The status that is true of a request that is given up. */
+static CaroStep
+give_up(const CaroAttempt *a)
+{
+    if (a->has_begun) {
+        return CARO_STEP_BREAK;
+    }
+    return a->may_have_run ? CARO_STEP_FAIL : CARO_STEP_REFUSE;
+}
+
+CaroStep
+CaroAttempt_End(CaroAttempt *a, CaroOutcome outcome, bool has_budget,
+                CaroTime now)
+{
+    bool is_useful = now + USEFUL_MIN < a->deadline && a->tries < TRIES_MAX;
+    switch (outcome) {
+    case CARO_OUTCOME_EXPIRED:
+        return a->has_begun ? CARO_STEP_BREAK : CARO_STEP_EXPIRE;
+    case CARO_OUTCOME_UNSENT:
+    case CARO_OUTCOME_NOT_RUN:
+        return is_useful && has_budget ? CARO_STEP_RETRY : give_up(a);
+    case CARO_OUTCOME_NO_TARGET:
+        /* A stream that has begun waits: its caller would lose more. */
+        return is_useful && a->has_begun && a->is_resumable ? CARO_STEP_WAIT
+                                                            : give_up(a);
+    case CARO_OUTCOME_LOST:
+    case CARO_OUTCOME_SILENT:
+    case CARO_OUTCOME_FAILED:
+        a->may_have_run = true;
+        a->runs++;
+        if (is_useful && has_budget && CaroAttempt_IsRepeatable(a) &&
+            a->runs < a->attempts_max) {
+            return CARO_STEP_RETRY;
+        }
+        return outcome == CARO_OUTCOME_FAILED && !a->has_begun ? CARO_STEP_PASS
+                                                               : give_up(a);
+    }
+    return give_up(a);
+}
--- /dev/null
+++ b/Controllers/entry.c
@@ -0,0 +1,52 @@
+/* Whether a request is served, and if not, the answer. */
+#include "internal/caro_entry.h"
+
+/* A VM that starts has its configuration within this. */
+#define START_RETRY_S 0.5
+/* Another VM can serve at once; the caller only has to ask for one. */
+#define ELSEWHERE_RETRY_S 0.05
+/* A stream that begins later in the grace would be cut by its end: a
+   generation of these sites takes five to six seconds of eight. */
+#define STREAM_PART 0.2
+
+static CaroEntryVerdict
+refuse(int status, double retry_after_s, const char *reason)
+{
+    return (CaroEntryVerdict){
+        .status = status, .reason = reason, .retry_after_s = retry_after_s};
+}
+
+CaroEntryVerdict
+CaroEntry_Judge(const CaroEntryQuery *q)
+{
+    CaroEntryVerdict verdict = {.status = 0, .reason = "served"};
+    if (q->routes == NULL || !q->is_listed) {
+        return refuse(503, START_RETRY_S, "no configuration yet");
+    }
+    if (q->host.size == 0 || q->path.size == 0 || q->path.at[0] != '/') {
+        return refuse(400, 0.0, "no host or no path");
+    }
+    verdict.route = CaroRoutes_Find(q->routes, q->host.at, q->host.size,
+                                    q->path.at, q->path.size);
+    if (verdict.route == NULL) {
+        return q->is_proven ? refuse(404, 0.0, "no route leads there")
+                            : refuse(503, ELSEWHERE_RETRY_S,
+                                     "the configuration is not proven");
+    }
+    if (!verdict.route->is_public && CaroRoutes_HasAccounts(q->routes)) {
+        if (!q->is_proven) {
+            return refuse(503, ELSEWHERE_RETRY_S,
+                          "the configuration is not proven");
+        }
+        verdict.account =
+            CaroRoutes_FindAccount(q->routes, q->key.at, q->key.size);
+        if (verdict.account == NULL) {
+            return refuse(401, 0.0, "the key is unknown");
+        }
+    }
+    if (q->is_stopping && verdict.route->kind == CARO_ROUTE_STREAM &&
+        (double)q->stopping_for > STREAM_PART * (double)q->grace) {
+        return refuse(503, ELSEWHERE_RETRY_S, "this VM stops");
+    }
+    return verdict;
+}
--- /dev/null
+++ b/Controllers/placing.c
@@ -0,0 +1,121 @@
+/* The upstream for a request, and for a copy of it. */
+#include "internal/caro_placing.h"
+
+#include <string.h>
+
+/* A report says little once the requests it counted have ended. */
+#define REPORT_LIFE (2 * CARO_SECOND)
+/* Requests that a crossing between domains weighs: its bytes cost about a
+   hundredth of what a stream pays, and a queued neighbour far more. */
+#define CROSSING_STREAM 0.8
+#define CROSSING_PLAIN 2.0
+/* A domain that just lost an upstream is likely to lose the next. */
+#define LOST_DOMAIN 3.0
+/* Memory that a copy takes, against a running request. */
+#define COPY_WEIGHT 0.25
+/* Below the weight of one request: it only decides among equals. */
+#define RANDOM_PART 0.9
+
+static bool
+is_tried(const CaroPlacingQuery *q, CaroHandle h)
+{
+    for (int i = 0; i < q->n_tried; i++) {
+        if (q->tried[i] == h) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Requests at the upstream, as far as this VM can tell. */
+static double
+load_of(const CaroTarget *target, CaroTime now)
+{
+    double load = target->in_flight;
+    if (target->reported_at != 0 && now - target->reported_at < REPORT_LIFE) {
+        double age = (double)(now - target->reported_at) / (double)REPORT_LIFE;
+        double told = (target->running + target->waiting) * (1.0 - age);
+        load = told > load ? told : load;
+    }
+    return load + COPY_WEIGHT * target->copies;
+}
+
+static double
+weigh(const CaroTarget *target, const CaroPlacingQuery *q, gsl_rng *rng,
+      CaroTime now)
+{
+    double weight = load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
+    if (strcmp(target->entry.domain, q->domain) != 0) {
+        weight += q->is_stream ? CROSSING_STREAM : CROSSING_PLAIN;
+    }
+    if (q->left_domain != NULL &&
+        strcmp(target->entry.domain, q->left_domain) == 0) {
+        weight += LOST_DOMAIN;
+    }
+    return weight;
+}
+
+static bool
+is_candidate(const CaroTarget *target, const CaroPlacingQuery *q)
+{
+    return target->is_used && target->is_present &&
+           !target->entry.is_leaving &&
+           strcmp(target->entry.service, q->service) == 0 &&
+           (q->version == NULL ||
+            strcmp(target->entry.version, q->version) == 0);
+}
+
+CaroHandle
+CaroPlacing_Choose(const CaroTargets *t, const CaroPlacingQuery *q,
+                   gsl_rng *rng, CaroTime now)
+{
+    CaroHandle best = CARO_NO_HANDLE;
+    CaroHandle avoided = CARO_NO_HANDLE;
+    double best_weight = 0.0;
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        const CaroTarget *target = CaroTargets_Peek(t, h);
+        if (!is_candidate(target, q) || is_tried(q, h)) {
+            continue;
+        }
+        if (!CaroTarget_IsUsable(target, now)) {
+            /* With all avoided, the one whose failure is the oldest. */
+            if (avoided == CARO_NO_HANDLE ||
+                target->avoided_until <
+                    CaroTargets_Peek(t, avoided)->avoided_until) {
+                avoided = h;
+            }
+            continue;
+        }
+        double weight = weigh(target, q, rng, now);
+        if (best == CARO_NO_HANDLE || weight < best_weight) {
+            best = h;
+            best_weight = weight;
+        }
+    }
+    return best != CARO_NO_HANDLE ? best : avoided;
+}
+
+CaroHandle
+CaroPlacing_ChooseCopy(const CaroTargets *t, CaroHandle runs_at, gsl_rng *rng,
+                       CaroTime now)
+{
+    const CaroTargetEntry *from = &CaroTargets_Peek(t, runs_at)->entry;
+    CaroHandle best = CARO_NO_HANDLE;
+    double best_weight = 0.0;
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        const CaroTarget *target = CaroTargets_Peek(t, h);
+        if (h == runs_at || !CaroTarget_IsUsable(target, now) ||
+            strcmp(target->entry.service, from->service) != 0 ||
+            strcmp(target->entry.version, from->version) != 0 ||
+            strcmp(target->entry.domain, from->domain) == 0) {
+            continue;
+        }
+        double weight =
+            load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
+        if (best == CARO_NO_HANDLE || weight < best_weight) {
+            best = h;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
--- a/Include/internal/caro_clock.h
+++ b/Include/internal/caro_clock.h
@@ -13,6 +13,9 @@
 /* Monotonic time. */
 CaroTime CaroClock_Now(void);
 
+/* The same, but it also counts the time that the VM was suspended. */
+CaroTime CaroClock_Boot(void);
+
 /* Milliseconds since 1970. */
 int64_t CaroClock_WallMs(void);
 
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -40,7 +40,17 @@
     X(STORE_FAILURES, "store_failures")                                       \
     X(CONFIG_APPLIED, "config_applied")                                       \
     X(LOAD_POLLS, "load_polls")                                               \
-    X(PAUSES, "pauses_of_this_process")
+    X(PAUSES, "pauses_of_this_process")                                       \
+    X(RELAYS, "relays")                                                       \
+    X(RELAYS_DONE, "relays_done")                                             \
+    X(RELAYS_FAILED, "relays_failed")                                         \
+    X(RELAYS_CUT, "relays_cut")                                               \
+    X(RELAY_REPEATS, "relay_repeats")                                         \
+    X(CALLERS_LEFT, "callers_left")                                           \
+    X(UNAUTHORIZED, "refused_unauthorized")                                   \
+    X(NO_ROUTE, "refused_no_route")                                           \
+    X(MALFORMED, "refused_malformed")                                         \
+    X(PROOFS_OF_PEERS, "proofs_of_peers")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- /dev/null
+++ b/Include/internal/caro_entry.h
@@ -0,0 +1,39 @@
+/*
+ * NAME
+ *     caro_entry - whether a request is served, and if not, the answer
+ *
+ * Answers requests that cannot be served: they are refused at once.  A
+ * VM that may not know the newest configuration says that it cannot serve,
+ * never that a key or a route is unknown.
+ */
+#ifndef CARO_ENTRY_H
+#define CARO_ENTRY_H
+
+#include "internal/caro_http_reader.h"
+#include "internal/caro_routes.h"
+
+/* What is known when a request has been read. */
+typedef struct {
+    const CaroRoutes *routes; /* NULL before the first configuration. */
+    bool is_listed;           /* The upstreams have been listed. */
+    bool is_proven;           /* The configuration is proven the newest. */
+    bool is_stopping;
+    CaroTime stopping_for; /* Since the stop was asked. */
+    CaroTime grace;        /* Between a stop and the kill. */
+    CaroText host;
+    CaroText path; /* Without the query. */
+    CaroText key;  /* at is NULL when the request has none. */
+} CaroEntryQuery;
+
+typedef struct {
+    int status; /* 0: it is served. */
+    const char *reason;
+    double retry_after_s; /* 0 for none. */
+    const CaroRoute *route;
+    const CaroAccount *account; /* NULL on a public route. */
+} CaroEntryVerdict;
+
+/* The verdict borrows from q->routes. */
+CaroEntryVerdict CaroEntry_Judge(const CaroEntryQuery *q);
+
+#endif
--- a/Include/internal/caro_fields.h
+++ b/Include/internal/caro_fields.h
@@ -16,6 +16,7 @@
     CARO_FIELD_TEXT,    /* char[256]. */
     CARO_FIELD_HEX64,   /* char[65], 64 hexadecimal digits. */
     CARO_FIELD_NUMBER,  /* int64_t between low and high. */
+    CARO_FIELD_REAL,    /* double between low and high. */
     CARO_FIELD_BOOL,    /* bool. */
     CARO_FIELD_OBJECT   /* Read by a table of its own; nothing stored. */
 } CaroFieldKind;
@@ -61,4 +62,8 @@
                          const CaroField *fields, const json_t *array,
                          void *out, size_t size, int most);
 
+/* The bytes of a file of at most 1 MiB; the caller frees them.  Returns
+   NULL with *err filled. */
+char *CaroFields_ReadFile(const char *file, size_t *size, CaroError *err);
+
 #endif
--- /dev/null
+++ b/Include/internal/caro_lapse.h
@@ -0,0 +1,20 @@
+/*
+ * NAME
+ *     caro_lapse - when an upstream whose entry lapsed is taken as gone
+ *
+ * Answers outages of the store, in which entries lapse though their
+ * upstreams live: these are back soon after the store is.
+ */
+#ifndef CARO_LAPSE_H
+#define CARO_LAPSE_H
+
+#include "internal/caro_types.h"
+
+/*
+ * The time from which an entry that is missing now counts as gone.
+ * is_away: the store does not answer; regained_at: when it last answered
+ * again after an outage, 0 never.
+ */
+CaroTime CaroLapse_GoneAt(bool is_away, CaroTime regained_at, CaroTime now);
+
+#endif
--- /dev/null
+++ b/Include/internal/caro_relay.h
@@ -0,0 +1,58 @@
+/*
+ * NAME
+ *     caro_relay - callers' requests, forwarded to upstreams
+ *
+ * A relay is one request from the time it was read until its answer has
+ * ended.  What it needs of the VM stands in CaroRelayParts; the parts are
+ * the assembler's.
+ */
+#ifndef CARO_RELAY_H
+#define CARO_RELAY_H
+
+#include "internal/caro_channel_pool.h"
+#include "internal/caro_counters.h"
+#include "internal/caro_front.h"
+#include "internal/caro_placing.h"
+#include "internal/caro_retry_budget.h"
+#include "internal/caro_routes.h"
+
+typedef struct CaroRelays CaroRelays;
+
+typedef struct {
+    struct event_base *base;
+    CaroTargets *targets;
+    CaroChannelPool *pool;
+    CaroRetryBudget *budget;
+    CaroCounters *counters;
+    gsl_rng *rng;
+    const char *domain; /* Of this VM. */
+} CaroRelayParts;
+
+/* The parts are borrowed. */
+CaroRelays *CaroRelays_Create(const CaroRelayParts *parts);
+void CaroRelays_Destroy(CaroRelays *all);
+
+/* VMs of the deployment, which share the retry budget. */
+void CaroRelays_SetVms(CaroRelays *all, int vms);
+
+/*
+ * Takes a call that may be served: its route and its account (NULL on a
+ * public route) are copied.
+ */
+void CaroRelays_Take(CaroRelays *all, CaroCall *call, const CaroRoute *route,
+                     const CaroAccount *account, CaroTime now);
+
+/* The caller left, or takes bytes again. */
+void CaroRelays_CallerLeft(CaroRelays *all, CaroCall *call, CaroTime now);
+void CaroRelays_CallerDrained(CaroRelays *all, CaroCall *call, CaroTime now);
+
+/* Cuts streams behind a whole event; their callers go on elsewhere. */
+void CaroRelays_CutStreams(CaroRelays *all, CaroTime now);
+
+/* Requests that are being served. */
+int CaroRelays_Count(const CaroRelays *all);
+
+/* Answers a call here, without an upstream. */
+void CaroRelay_Refuse(CaroCall *call, int status, double retry_after_s);
+
+#endif
--- /dev/null
+++ b/Include/internal/caro_targets.h
@@ -0,0 +1,76 @@
+/*
+ * NAME
+ *     caro_targets - the upstreams that registered themselves
+ *
+ * Entries come from the platform's registry and carry what this VM sees
+ * of them: requests in flight, reported load, failures.  A handle stays
+ * valid while the VM has a request or a copy at the upstream.
+ */
+#ifndef CARO_TARGETS_H
+#define CARO_TARGETS_H
+
+#include "internal/caro_types.h"
+
+enum { CARO_TARGETS_MAX = 1024, CARO_TARGET_ID_SIZE = 64 };
+
+/* What an upstream says of itself in the registry. */
+typedef struct {
+    char id[CARO_TARGET_ID_SIZE]; /* Of one start of the upstream. */
+    char address[CARO_ADDRESS_SIZE];
+    char domain[CARO_NAME_SIZE];
+    char service[CARO_NAME_SIZE];
+    char version[CARO_NAME_SIZE];
+    int64_t slots;   /* Requests it runs at once. */
+    int64_t born_ms; /* Wall clock of its start; 0 when not told. */
+    bool is_leaving; /* Takes no new requests. */
+} CaroTargetEntry;
+
+typedef struct {
+    CaroTargetEntry entry;
+    bool is_used;         /* The slot holds an upstream. */
+    bool is_present;      /* It is in the registry. */
+    bool is_missing;      /* Lapsed around an outage of the registry. */
+    int in_flight;        /* Requests of this VM. */
+    int copies;           /* Copies of this VM's streams it keeps. */
+    int running;          /* Last report. */
+    int waiting;          /* Last report. */
+    CaroTime reported_at; /* When the last report came. */
+    int failures;         /* Failures in a row. */
+    CaroTime avoided_until;
+    CaroTime silent_at; /* When it was last found silent; 0 never. */
+} CaroTarget;
+
+typedef struct CaroTargets CaroTargets;
+
+CaroTargets *CaroTargets_Create(void);
+void CaroTargets_Destroy(CaroTargets *t);
+
+/*
+ * Adds the upstream or updates the one of its id.  An upstream that
+ * started anew under its id gets a new handle.  Returns CARO_NO_HANDLE
+ * when the table is full.
+ */
+CaroHandle CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry);
+
+CaroHandle CaroTargets_Find(const CaroTargets *t, const char *id);
+
+/* The upstream left the registry; its slot is free once nothing runs. */
+void CaroTargets_Remove(CaroTargets *t, CaroHandle h);
+
+CaroTarget *CaroTargets_Get(CaroTargets *t, CaroHandle h);
+const CaroTarget *CaroTargets_Peek(const CaroTargets *t, CaroHandle h);
+
+/* One above the highest handle in use. */
+CaroHandle CaroTargets_Count(const CaroTargets *t);
+
+/* Lets a slot go whose upstream was removed and where nothing runs. */
+void CaroTargets_Release(CaroTargets *t, CaroHandle h);
+
+/* The upstream answered, or failed to; "now" dates the avoidance. */
+void CaroTargets_Succeeded(CaroTargets *t, CaroHandle h);
+void CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTime now);
+
+/* May take a new request now. */
+bool CaroTarget_IsUsable(const CaroTarget *target, CaroTime now);
+
+#endif
--- a/Makefile
+++ b/Makefile
@@ -20,10 +20,10 @@
 CFLAGS = -std=c11 -O2 -g -D_GNU_SOURCE -Wall -Wextra -Werror $(SANFLAGS) \
          -fno-omit-frame-pointer
 CPPFLAGS = -IInclude -IProtocol -ITools/fake $(PKG_CFLAGS)
-LDLIBS = $(PKG_LIBS) -lm
+LDLIBS = $(PKG_LIBS) -lhttp_parser -lm
 
 LIB_SRC := $(wildcard Objects/*.c Controllers/*.c Parser/*.c Modules/*.c \
-             Filters/*.c)
+             Filters/*.c platform/*.c)
 GEN_SRC := Protocol/caro_peer_xdr.c
 FAKE_SRC := $(wildcard Tools/fake/*.c)
 BENCH_SRC := $(wildcard Tools/bench/*.c)
@@ -118,7 +118,7 @@
 	    $(CPPFLAGS) 2>/dev/null' lint
 
 clean:
-	rm -rf build build-san build-fuzz
+	rm -rf build build-san build-fuzz target
 
 # BIN names the folder of the programs in scripts.
 export BIN = $(BUILD)
--- a/Modules/clock.c
+++ b/Modules/clock.c
@@ -18,6 +18,12 @@
     return read_clock(CLOCK_MONOTONIC);
 }
 
+CaroTime
+CaroClock_Boot(void)
+{
+    return read_clock(CLOCK_BOOTTIME);
+}
+
 int64_t
 CaroClock_WallMs(void)
 {
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -26,6 +26,7 @@
     h->moves.moves_len = (u_int)CaroNode_FillMoves(n, moves);
     h->sender = n->settings.vm;
     h->config_revision = CaroNode_ConfigRevision(n);
+    h->proof_age = -1; /* This interface serves no revocable keys. */
     h->updates.updates_val = updates;
     h->updates.updates_len =
         (u_int)CaroMembership_Gossip(n->membership, to, updates);
--- /dev/null
+++ b/Modules/relay.c
@@ -0,0 +1,870 @@
+/*
+ * Callers' requests, forwarded to upstreams.
+ *
+ * An attempt ends in one of the outcomes of caro_attempt.h, which says
+ * what follows.  A plain answer is held until it is whole, so that a
+ * failure on the way can still be repeated; a long one is passed on as it
+ * comes.  Of an event stream only whole events are passed on, and another
+ * upstream continues behind the last of them.
+ */
+#include "internal/caro_relay.h"
+
+#include "internal/caro_attempt.h"
+#include "internal/caro_clock.h"
+#include "internal/caro_event_stream.h"
+#include "internal/caro_log.h"
+#include "internal/caro_platform.h"
+#include "internal/caro_relay_head.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A plain answer above this is passed on before it is whole. */
+#define HELD_MOST 65536
+/* Above this a caller is slow, and its upstream is not read. */
+#define PENDING_MOST 262144
+/* A look for an upstream, while a stream that has begun has none. */
+#define LOOK_AGAIN (40 * CARO_MS)
+/* An answer must leave before the caller's patience ends. */
+#define ANSWER_MARGIN (25 * CARO_MS)
+/* Of a route's longest pause on time: what is left of it has to suffice
+   for another upstream to go on. */
+#define SILENCE_PART 0.45
+/* The same for the first event of a run that goes on from a copy: a
+   connection, the rest of the prompt and five tokens. */
+#define GO_ON_PART 0.9
+/* Of a route that names no longest pause. */
+#define SILENCE_DEFAULT (1 * CARO_SECOND)
+/* Of the objective: a second upstream can still meet it. */
+#define FIRST_EVENT_PART 0.5
+/* An idempotent request that is late by its objective is asked for again;
+   it would earn little at the first upstream. */
+#define PLAIN_PART 1.2
+/* Suggested to callers that found no upstream; engines that crash are back
+   in about a second. */
+#define RETRY_AFTER_S 0.3
+
+typedef struct CaroRelay CaroRelay;
+
+struct CaroRelay {
+    CaroRelays *all;
+    CaroRelay *next;
+    CaroRelay *prev;
+    CaroCall *call;
+    CaroRoute route;
+    char service[CARO_NAME_SIZE];
+    char account[CARO_NAME_SIZE];     /* Empty on a public route. */
+    char id[CARO_KEY_SIZE];           /* Of the caller's attempt. */
+    char left_domain[CARO_NAME_SIZE]; /* Where an upstream was lost. */
+    CaroTime started;
+    CaroTime caller_deadline;
+    CaroAttempt attempt;
+    CaroPlacingQuery query;
+    struct event *timer;
+
+    CaroHandle target; /* Of the present attempt, or no handle. */
+    CaroChannel *channel;
+    CaroTime attempt_started;
+    CaroTime last_event; /* Or the start of the attempt. */
+    bool has_events;     /* The present attempt gave one. */
+    bool is_paused;      /* The caller is slow. */
+    bool is_skipping;    /* An answer that belongs to another request. */
+    bool is_soiled;      /* The channel gave such an answer. */
+    bool is_refusal;     /* The upstream says that it did not run. */
+    bool is_event_stream;
+    bool is_going_on; /* The attempt goes on from a copy. */
+
+    CaroHandle copy_at;  /* Keeps a copy of the present run. */
+    CaroHandle go_on_at; /* The next attempt goes on from a copy. */
+    int64_t last_id;     /* Of the last event passed on, or as told. */
+    bool has_last_id;
+    int status;
+    struct evbuffer *headers; /* Of the upstream's answer. */
+    struct evbuffer *body;    /* Held part of the answer. */
+    CaroEventStream *events;
+};
+
+struct CaroRelays {
+    CaroRelayParts parts;
+    CaroRelay *first;
+    int n;
+    int vms;
+};
+
+static const CaroChannelEvents channel_events;
+static void begin_attempt(CaroRelay *r, CaroTime now);
+static void end_attempt(CaroRelay *r, CaroOutcome outcome, const char *reason,
+                        CaroTime now);
+
+CaroRelays *
+CaroRelays_Create(const CaroRelayParts *parts)
+{
+    CaroRelays *all = calloc(1, sizeof(*all));
+    if (all != NULL) {
+        all->parts = *parts;
+        all->vms = 1;
+    }
+    return all;
+}
+
+/* Gives back what the present attempt holds; its channel is closed, so
+   that the upstream stops. */
+static void
+leave_target(CaroRelay *r)
+{
+    CaroTargets *targets = r->all->parts.targets;
+    CaroChannel_Destroy(r->channel);
+    r->channel = NULL;
+    if (r->target != CARO_NO_HANDLE) {
+        CaroTargets_Get(targets, r->target)->in_flight--;
+        CaroTargets_Release(targets, r->target);
+        r->target = CARO_NO_HANDLE;
+    }
+}
+
+static void
+leave_copy(CaroRelay *r, CaroHandle *copy)
+{
+    CaroTargets *targets = r->all->parts.targets;
+    if (*copy != CARO_NO_HANDLE) {
+        CaroTargets_Get(targets, *copy)->copies--;
+        CaroTargets_Release(targets, *copy);
+        *copy = CARO_NO_HANDLE;
+    }
+}
+
+static void
+destroy_relay(CaroRelay *r)
+{
+    leave_target(r);
+    leave_copy(r, &r->copy_at);
+    leave_copy(r, &r->go_on_at);
+    if (r->prev != NULL) {
+        r->prev->next = r->next;
+    }
+    else {
+        r->all->first = r->next;
+    }
+    if (r->next != NULL) {
+        r->next->prev = r->prev;
+    }
+    r->all->n--;
+    if (r->timer != NULL) {
+        event_free(r->timer);
+    }
+    if (r->headers != NULL) {
+        evbuffer_free(r->headers);
+    }
+    if (r->body != NULL) {
+        evbuffer_free(r->body);
+    }
+    CaroEventStream_Destroy(r->events);
+    free(r);
+}
+
+void
+CaroRelays_Destroy(CaroRelays *all)
+{
+    if (all == NULL) {
+        return;
+    }
+    while (all->first != NULL) {
+        destroy_relay(all->first);
+    }
+    free(all);
+}
+
+void
+CaroRelays_SetVms(CaroRelays *all, int vms)
+{
+    all->vms = vms;
+}
+
+static void
+count(CaroRelay *r, CaroCounter id)
+{
+    CaroCounters_Add(r->all->parts.counters, id, 1);
+}
+
+/* The one line that tells how a request ended. */
+static void
+log_end(const CaroRelay *r, int status, const char *reason, CaroTime now)
+{
+    CaroLog_Info("relay",
+                 "A request ended. id=%s route=%s account=%s status=%d "
+                 "ms=%lld tries=%d runs=%lld last_event=%lld reason=\"%s\"",
+                 r->id, r->route.name, r->account, status,
+                 (long long)((now - r->started) / CARO_MS), r->attempt.tries,
+                 (long long)r->attempt.runs, (long long)r->last_id, reason);
+}
+
+void
+CaroRelay_Refuse(CaroCall *call, int status, double retry_after_s)
+{
+    struct evbuffer *headers = evbuffer_new();
+    if (headers != NULL && retry_after_s > 0.0) {
+        evbuffer_add_printf(headers, "%s: %.2f\r\n",
+                            CaroPlatform_HeaderName(CARO_HEADER_RETRY_AFTER),
+                            retry_after_s);
+    }
+    CaroCall_Answer(call, status, headers, NULL);
+    if (headers != NULL) {
+        evbuffer_free(headers);
+    }
+}
+
+static void
+answer_here(CaroRelay *r, int status, const char *reason, CaroTime now)
+{
+    CaroCall *call = r->call;
+    count(r, status == 503 ? CARO_COUNT_REFUSED : CARO_COUNT_RELAYS_FAILED);
+    log_end(r, status, reason, now);
+    destroy_relay(r);
+    CaroRelay_Refuse(call, status, status == 503 ? RETRY_AFTER_S : 0.0);
+}
+
+static void
+set_timer(CaroRelay *r, CaroTime at, CaroTime now)
+{
+    CaroTime wait = at > now ? at - now : 0;
+    struct timeval t = {.tv_sec = wait / CARO_SECOND,
+                        .tv_usec = wait % CARO_SECOND};
+    (void)event_add(r->timer, &t);
+}
+
+/* How long the present attempt may go without its next event. */
+static CaroTime
+patience_of(const CaroRelay *r)
+{
+    switch (r->route.kind) {
+    case CARO_ROUTE_STREAM:
+        if (r->has_events) {
+            return r->route.gap > 0
+                       ? (CaroTime)(SILENCE_PART * (double)r->route.gap)
+                       : SILENCE_DEFAULT;
+        }
+        if (r->is_going_on) {
+            return (CaroTime)(GO_ON_PART * (double)r->route.gap);
+        }
+        /* A second wait for a first event would only add to the load. */
+        return r->attempt.runs == 0 || r->has_last_id
+                   ? (CaroTime)(FIRST_EVENT_PART * (double)r->route.objective)
+                   : r->route.timeout;
+    case CARO_ROUTE_IDEMPOTENT:
+        return r->attempt.runs == 0
+                   ? (CaroTime)(PLAIN_PART * (double)r->route.objective)
+                   : r->route.timeout;
+    default:
+        return r->route.timeout;
+    }
+}
+
+/* When the present attempt counts as silent. */
+static CaroTime
+silent_at(const CaroRelay *r)
+{
+    bool is_repeatable = CaroAttempt_IsRepeatable(&r->attempt);
+    return !is_repeatable || r->is_paused || r->target == CARO_NO_HANDLE
+               ? r->attempt.deadline
+               : r->last_event + patience_of(r);
+}
+
+static void
+schedule(CaroRelay *r, CaroTime now)
+{
+    CaroTime at = silent_at(r);
+    set_timer(r, at < r->attempt.deadline ? at : r->attempt.deadline, now);
+}
+
+static void
+on_timer(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    CaroRelay *r = arg;
+    CaroTime now = CaroClock_Now();
+    if (now >= r->attempt.deadline) {
+        end_attempt(r, CARO_OUTCOME_EXPIRED, "its time is over", now);
+    }
+    else if (r->target == CARO_NO_HANDLE) {
+        begin_attempt(r, now);
+    }
+    else if (now >= silent_at(r)) {
+        CaroTargets_Get(r->all->parts.targets, r->target)->silent_at = now;
+        end_attempt(r, CARO_OUTCOME_SILENT, "the upstream is silent", now);
+    }
+    else {
+        schedule(r, now);
+    }
+}
+
+/* Passes whole events on; false when the stream cannot be what it says. */
+static bool
+pass_events(CaroRelay *r, CaroTime now)
+{
+    CaroEvent event;
+    while (CaroEventStream_Next(r->events, &event)) {
+        if (event.id >= 0 && r->has_last_id && event.id <= r->last_id) {
+            return false; /* A resumed run begins behind what we have. */
+        }
+        if (event.id >= 0) {
+            r->last_id = event.id;
+            r->has_last_id = true;
+        }
+        r->has_events = true;
+        r->last_event = now;
+        CaroCall_Send(r->call, event.bytes.at, event.bytes.size);
+    }
+    if (!r->is_paused && CaroCall_Pending(r->call) > PENDING_MOST) {
+        r->is_paused = true;
+        CaroChannel_Pause(r->channel, true);
+    }
+    return true;
+}
+
+/* An answer that the caller may have: signed, plain, of this request. */
+static const char *
+check_success(const CaroHttpHead *head, const char *id)
+{
+    const char *signature = CaroPlatform_HeaderName(CARO_HEADER_SIGNATURE);
+    const char *request_id = CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID);
+    if (CaroHttpHead_Find(head, signature).at == NULL) {
+        return "a success without a signature";
+    }
+    if (!CaroText_Equals(CaroHttpHead_Find(head, request_id), id)) {
+        return "a success without the request's id";
+    }
+    if (CaroHttpHead_Find(head, "content-encoding").at != NULL) {
+        return "a success with an encoded body";
+    }
+    return NULL;
+}
+
+static void
+note_load(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
+{
+    CaroTargetLoad load;
+    CaroText value = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LOAD));
+    if (value.at != NULL && CaroPlatform_ReadLoad(value, &load) == 0) {
+        CaroTarget *target = CaroTargets_Get(r->all->parts.targets, r->target);
+        target->running = (int)load.running;
+        target->waiting = (int)load.waiting;
+        target->reported_at = now;
+    }
+}
+
+static void
+begin_stream(CaroRelay *r, CaroTime now)
+{
+    r->is_event_stream = true;
+    r->last_event = now;
+    if (!r->attempt.has_begun) {
+        r->attempt.has_begun = true;
+        CaroCall_Begin(r->call, r->status, r->headers);
+    }
+}
+
+static void
+on_head(void *context, const CaroHttpHead *head)
+{
+    CaroRelay *r = context;
+    CaroTime now = CaroClock_Now();
+    CaroText id = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
+    if (id.at != NULL && !CaroText_Equals(id, r->id)) {
+        r->is_skipping = true;
+        r->is_soiled = true;
+        return;
+    }
+    note_load(r, head, now);
+    r->status = head->status;
+    r->is_refusal =
+        CaroHttpHead_Find(head, CaroPlatform_HeaderName(CARO_HEADER_NOT_RUN))
+                .at != NULL ||
+        head->status == 421;
+    evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
+    CaroRelayHead_CopyAnswer(r->headers, head);
+    if (r->is_refusal || head->status < 200 || head->status > 299) {
+        return;
+    }
+    const char *fault = check_success(head, r->id);
+    if (fault != NULL) {
+        end_attempt(r, CARO_OUTCOME_LOST, fault, now);
+    }
+    else if (r->route.kind == CARO_ROUTE_STREAM) {
+        begin_stream(r, now);
+        schedule(r, now);
+    }
+}
+
+static void
+on_body(void *context, CaroText bytes)
+{
+    CaroRelay *r = context;
+    CaroTime now = CaroClock_Now();
+    if (r->is_skipping) {
+        return;
+    }
+    if (r->is_event_stream) {
+        if (CaroEventStream_Feed(r->events, bytes) < 0 ||
+            !pass_events(r, now)) {
+            end_attempt(r, CARO_OUTCOME_LOST, "events out of order", now);
+        }
+        return;
+    }
+    if (r->attempt.has_begun) {
+        CaroCall_Send(r->call, bytes.at, bytes.size);
+    }
+    else {
+        (void)evbuffer_add(r->body, bytes.at, bytes.size);
+        if (evbuffer_get_length(r->body) <= HELD_MOST || r->is_refusal ||
+            r->status >= 300) {
+            return;
+        }
+        r->attempt.has_begun = true;
+        CaroCall_Begin(r->call, r->status, r->headers);
+        size_t size = evbuffer_get_length(r->body);
+        CaroCall_Send(r->call, (const char *)evbuffer_pullup(r->body, -1),
+                      size);
+        evbuffer_drain(r->body, size);
+    }
+    if (!r->is_paused && CaroCall_Pending(r->call) > PENDING_MOST) {
+        r->is_paused = true;
+        CaroChannel_Pause(r->channel, true);
+    }
+}
+
+/* Returns the channel of an answer that ended well. */
+static void
+keep_channel(CaroRelay *r, CaroTime now)
+{
+    if (!r->is_soiled) {
+        CaroChannelPool_Return(r->all->parts.pool, r->target, r->channel, now);
+        r->channel = NULL;
+    }
+}
+
+/* The upstream's answer is whole: the caller gets it. */
+static void
+finish_relay(CaroRelay *r, const char *reason, CaroTime now)
+{
+    CaroCall *call = r->call;
+    bool has_begun = r->attempt.has_begun;
+    struct evbuffer *headers = r->headers;
+    struct evbuffer *body = r->body;
+    int status = r->status;
+    r->headers = NULL;
+    r->body = NULL;
+    count(r, CARO_COUNT_RELAYS_DONE);
+    log_end(r, status, reason, now);
+    destroy_relay(r);
+    if (has_begun) {
+        CaroCall_End(call);
+    }
+    else {
+        CaroCall_Answer(call, status, headers, body);
+    }
+    evbuffer_free(headers);
+    evbuffer_free(body);
+}
+
+/* A status that promises "not run" from an upstream that did not say so. */
+static bool
+is_false_promise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static void
+on_end(void *context)
+{
+    CaroRelay *r = context;
+    CaroTime now = CaroClock_Now();
+    CaroTargets *targets = r->all->parts.targets;
+    if (r->is_skipping) {
+        /* Ours comes behind it. */
+        struct evbuffer *nothing = evbuffer_new();
+        r->is_skipping = false;
+        if (nothing == NULL) {
+            end_attempt(r, CARO_OUTCOME_LOST, "no memory", now);
+            return;
+        }
+        CaroChannel_Start(r->channel, nothing, false, &channel_events, r);
+        evbuffer_free(nothing);
+        return;
+    }
+    if (r->is_event_stream && CaroEventStream_Rest(r->events) > 0) {
+        end_attempt(r, CARO_OUTCOME_LOST, "the stream ended in an event", now);
+        return;
+    }
+    keep_channel(r, now);
+    if (r->is_refusal) {
+        end_attempt(r, CARO_OUTCOME_NOT_RUN, "the upstream refused", now);
+        return;
+    }
+    if (r->status >= 500 || is_false_promise(r->status)) {
+        end_attempt(r, CARO_OUTCOME_FAILED, "the upstream failed", now);
+        return;
+    }
+    CaroTargets_Succeeded(targets, r->target);
+    finish_relay(r, "answered", now);
+}
+
+static void
+on_failure(void *context, int code, const char *reason)
+{
+    CaroRelay *r = context;
+    bool is_sent = CaroChannel_IsSent(r->channel);
+    (void)code;
+    end_attempt(r, is_sent ? CARO_OUTCOME_LOST : CARO_OUTCOME_UNSENT, reason,
+                CaroClock_Now());
+}
+
+static const CaroChannelEvents channel_events = {.on_head = on_head,
+                                                 .on_body = on_body,
+                                                 .on_end = on_end,
+                                                 .on_failure = on_failure};
+
+/* The target counts as failing, unless the failure is the request's. */
+static void
+blame_target(CaroRelay *r, CaroOutcome outcome, CaroTime now)
+{
+    if (r->is_going_on && outcome == CARO_OUTCOME_NOT_RUN) {
+        return; /* It has no copy, which is no fault. */
+    }
+    switch (outcome) {
+    case CARO_OUTCOME_UNSENT:
+    case CARO_OUTCOME_LOST:
+    case CARO_OUTCOME_SILENT:
+    case CARO_OUTCOME_NOT_RUN:
+        CaroTargets_Failed(r->all->parts.targets, r->target, now);
+        break;
+    default:
+        break;
+    }
+}
+
+/* Prepares the next attempt: not where the last one failed, and from the
+   copy of the run if there is one. */
+static void
+turn_away(CaroRelay *r, CaroOutcome outcome)
+{
+    CaroPlacingQuery *q = &r->query;
+    const CaroTarget *target =
+        CaroTargets_Peek(r->all->parts.targets, r->target);
+    bool has_run =
+        outcome == CARO_OUTCOME_LOST || outcome == CARO_OUTCOME_SILENT;
+    if (q->n_tried == CARO_TRIED_MAX) {
+        q->n_tried--;
+    }
+    if (!r->is_going_on || outcome != CARO_OUTCOME_NOT_RUN) {
+        q->tried[q->n_tried++] = r->target;
+    }
+    if (outcome != CARO_OUTCOME_NOT_RUN && outcome != CARO_OUTCOME_FAILED) {
+        CARO_COPY(r->left_domain, target->entry.domain);
+        q->left_domain = r->left_domain;
+    }
+    leave_copy(r, &r->go_on_at);
+    if (has_run && r->has_events && r->copy_at != CARO_NO_HANDLE) {
+        r->go_on_at = r->copy_at;
+        r->copy_at = CARO_NO_HANDLE;
+    }
+    leave_copy(r, &r->copy_at);
+}
+
+static void
+cut_relay(CaroRelay *r, const char *reason, CaroTime now)
+{
+    CaroCall *call = r->call;
+    count(r, CARO_COUNT_RELAYS_CUT);
+    log_end(r, 0, reason, now);
+    destroy_relay(r);
+    CaroCall_Break(call);
+}
+
+static void
+end_attempt(CaroRelay *r, CaroOutcome outcome, const char *reason,
+            CaroTime now)
+{
+    CaroRelays *all = r->all;
+    if (r->target != CARO_NO_HANDLE) {
+        blame_target(r, outcome, now);
+        CaroLog_Info(
+            "relay",
+            "An attempt ended. id=%s upstream=%s outcome=%d "
+            "ms=%lld silent_ms=%lld reason=\"%s\"",
+            r->id, CaroTargets_Peek(all->parts.targets, r->target)->entry.id,
+            outcome, (long long)((now - r->attempt_started) / CARO_MS),
+            (long long)((now - r->last_event) / CARO_MS), reason);
+        turn_away(r, outcome);
+    }
+    leave_target(r);
+    bool has_budget =
+        CaroRetryBudget_IsOpen(all->parts.budget, r->service, all->vms, now);
+    switch (CaroAttempt_End(&r->attempt, outcome, has_budget, now)) {
+    case CARO_STEP_RETRY:
+        count(r, CARO_COUNT_RELAY_REPEATS);
+        begin_attempt(r, now);
+        break;
+    case CARO_STEP_WAIT:
+        r->query.n_tried = 0; /* Any upstream is better than none. */
+        set_timer(r, now + LOOK_AGAIN, now);
+        break;
+    case CARO_STEP_PASS:
+        if (is_false_promise(r->status)) {
+            answer_here(r, 502, reason, now);
+        }
+        else {
+            finish_relay(r, reason, now);
+        }
+        break;
+    case CARO_STEP_REFUSE:
+        answer_here(r, 503, reason, now);
+        break;
+    case CARO_STEP_FAIL:
+        answer_here(r, 502, reason, now);
+        break;
+    case CARO_STEP_EXPIRE:
+        answer_here(r, 504, reason, now);
+        break;
+    case CARO_STEP_BREAK:
+        cut_relay(r, reason, now);
+        break;
+    }
+}
+
+/* The upstream of the next attempt: the one with the copy, or any. */
+static CaroHandle
+choose_target(CaroRelay *r, CaroTime now)
+{
+    CaroTargets *targets = r->all->parts.targets;
+    r->is_going_on = false;
+    if (r->go_on_at != CARO_NO_HANDLE) {
+        const CaroTarget *holder = CaroTargets_Peek(targets, r->go_on_at);
+        if (CaroTarget_IsUsable(holder, now)) {
+            r->is_going_on = true;
+            return r->go_on_at;
+        }
+    }
+    return CaroPlacing_Choose(targets, &r->query, r->all->parts.rng, now);
+}
+
+/* A copy of a stream's memory, for its next upstream to go on from. */
+static void
+choose_copy(CaroRelay *r, CaroTime now)
+{
+    CaroTargets *targets = r->all->parts.targets;
+    if (r->route.kind != CARO_ROUTE_STREAM || !r->route.is_resumable) {
+        return;
+    }
+    r->copy_at =
+        CaroPlacing_ChooseCopy(targets, r->target, r->all->parts.rng, now);
+    if (r->copy_at != CARO_NO_HANDLE) {
+        CaroTargets_Get(targets, r->copy_at)->copies++;
+    }
+}
+
+static void
+send_request(CaroRelay *r, CaroTime now)
+{
+    const CaroTargets *targets = r->all->parts.targets;
+    const CaroTargetEntry *to = &CaroTargets_Peek(targets, r->target)->entry;
+    CaroRequestHead head = {
+        .call = r->call,
+        .target_id = to->id,
+        .account = r->account,
+        .time_left = r->attempt.deadline - now,
+        .is_resumed = r->attempt.has_begun,
+        .copy_to = r->copy_at == CARO_NO_HANDLE
+                       ? NULL
+                       : CaroTargets_Peek(targets, r->copy_at)->entry.address,
+        .copy_from = r->is_going_on ? to->address : NULL,
+        .request_id = r->id,
+        .last_event = r->has_last_id ? r->last_id : -1};
+    struct evbuffer *out = evbuffer_new();
+    if (out == NULL || CaroRelayHead_WriteRequest(out, &head) < 0) {
+        if (out != NULL) {
+            evbuffer_free(out);
+        }
+        end_attempt(r, CARO_OUTCOME_UNSENT, "no memory for a request", now);
+        return;
+    }
+    bool is_head = CaroText_Equals(CaroCall_Head(r->call)->method, "HEAD");
+    CaroChannel_Start(r->channel, out, is_head, &channel_events, r);
+    evbuffer_free(out);
+    schedule(r, now);
+}
+
+static void
+begin_attempt(CaroRelay *r, CaroTime now)
+{
+    CaroRelays *all = r->all;
+    r->is_event_stream = false;
+    r->is_refusal = false;
+    r->is_soiled = false;
+    r->has_events = false;
+    r->is_paused = false;
+    evbuffer_drain(r->body, evbuffer_get_length(r->body));
+    CaroEventStream_Reset(r->events);
+    r->target = choose_target(r, now);
+    if (r->target == CARO_NO_HANDLE) {
+        end_attempt(r, CARO_OUTCOME_NO_TARGET, "no upstream to send it to",
+                    now);
+        return;
+    }
+    CaroTarget *target = CaroTargets_Get(all->parts.targets, r->target);
+    target->in_flight++;
+    r->attempt_started = now;
+    r->last_event = now;
+    if (r->attempt.tries++ > 0) {
+        CaroRetryBudget_Repeat(all->parts.budget, r->service, now);
+    }
+    r->channel =
+        CaroChannelPool_Take(all->parts.pool, r->target, target->entry.address,
+                             !CaroAttempt_IsRepeatable(&r->attempt), now);
+    if (r->channel == NULL) {
+        end_attempt(r, CARO_OUTCOME_UNSENT, "no channel can be opened", now);
+        return;
+    }
+    choose_copy(r, now);
+    send_request(r, now);
+}
+
+/* Time that the caller and the route allow. */
+static void
+set_deadline(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
+{
+    int64_t ms;
+    CaroText value = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_TIME_LEFT));
+    CaroTime route = now + r->route.timeout;
+    r->caller_deadline = CaroText_ToNumber(value, &ms)
+                             ? now + ms * CARO_MS - ANSWER_MARGIN
+                             : route;
+    r->attempt.deadline =
+        r->caller_deadline < route ? r->caller_deadline : route;
+}
+
+static CaroRelay *
+create_relay(CaroRelays *all, CaroCall *call, const CaroRoute *route)
+{
+    CaroRelay *r = calloc(1, sizeof(*r));
+    if (r == NULL) {
+        return NULL;
+    }
+    r->all = all;
+    r->call = call;
+    r->route = *route;
+    r->target = CARO_NO_HANDLE;
+    r->copy_at = CARO_NO_HANDLE;
+    r->go_on_at = CARO_NO_HANDLE;
+    r->last_id = -1;
+    r->timer = event_new(all->parts.base, -1, 0, on_timer, r);
+    r->headers = evbuffer_new();
+    r->body = evbuffer_new();
+    r->events = CaroEventStream_Create();
+    r->next = all->first;
+    if (all->first != NULL) {
+        all->first->prev = r;
+    }
+    all->first = r;
+    all->n++;
+    if (r->timer == NULL || r->headers == NULL || r->body == NULL ||
+        r->events == NULL) {
+        destroy_relay(r);
+        return NULL;
+    }
+    return r;
+}
+
+void
+CaroRelays_Take(CaroRelays *all, CaroCall *call, const CaroRoute *route,
+                const CaroAccount *account, CaroTime now)
+{
+    const CaroHttpHead *head = CaroCall_Head(call);
+    const char *service =
+        CaroRoute_ChooseService(route, gsl_rng_uniform(all->parts.rng));
+    CaroText id = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
+    CaroRelay *r = create_relay(all, call, route);
+    if (r == NULL || service == NULL) {
+        if (r != NULL) {
+            destroy_relay(r);
+        }
+        CaroRelay_Refuse(call, 503, RETRY_AFTER_S);
+        return;
+    }
+    CaroCall_SetOwner(call, r);
+    CARO_COPY(r->service, service);
+    CARO_COPY(r->account, account == NULL ? "" : account->name);
+    if (id.size == 0 || !CaroText_Copy(id, r->id, sizeof(r->id))) {
+        answer_here(r, 400, "the request's id is missing or too long", now);
+        return;
+    }
+    CaroText last = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_LAST_EVENT));
+    r->has_last_id = CaroText_ToNumber(last, &r->last_id);
+    r->started = now;
+    r->attempt = (CaroAttempt){.kind = route->kind,
+                               .is_resumable = route->is_resumable,
+                               .attempts_max = route->attempts_max};
+    r->query =
+        (CaroPlacingQuery){.service = r->service,
+                           .domain = all->parts.domain,
+                           .is_stream = route->kind == CARO_ROUTE_STREAM};
+    set_deadline(r, head, now);
+    CaroRetryBudget_Request(all->parts.budget, r->service, now);
+    count(r, CARO_COUNT_RELAYS);
+    begin_attempt(r, now);
+}
+
+void
+CaroRelays_CallerLeft(CaroRelays *all, CaroCall *call, CaroTime now)
+{
+    CaroRelay *r = CaroCall_Owner(call);
+    (void)all;
+    if (r == NULL) {
+        return;
+    }
+    count(r, CARO_COUNT_CALLERS_LEFT);
+    log_end(r, 0, "the caller left", now);
+    destroy_relay(r);
+}
+
+void
+CaroRelays_CallerDrained(CaroRelays *all, CaroCall *call, CaroTime now)
+{
+    CaroRelay *r = CaroCall_Owner(call);
+    (void)all;
+    if (r != NULL && r->is_paused && r->channel != NULL) {
+        r->is_paused = false;
+        r->last_event = now;
+        CaroChannel_Pause(r->channel, false);
+        schedule(r, now);
+    }
+}
+
+void
+CaroRelays_CutStreams(CaroRelays *all, CaroTime now)
+{
+    CaroRelay *next;
+    for (CaroRelay *r = all->first; r != NULL; r = next) {
+        next = r->next;
+        if (r->route.kind == CARO_ROUTE_STREAM && r->route.is_resumable) {
+            if (r->attempt.has_begun) {
+                cut_relay(r, "this VM stops", now);
+            }
+            else {
+                answer_here(r, 502, "this VM stops", now);
+            }
+        }
+    }
+}
+
+int
+CaroRelays_Count(const CaroRelays *all)
+{
+    return all->n;
+}
--- /dev/null
+++ b/Modules/relay_head.c
@@ -0,0 +1,182 @@
+/*
+ * Heads of forwarded requests and answers.
+ *
+ * Headers that concern one connection stay on it, and those that are the
+ * gateway's to set are never taken from a caller.
+ */
+#include "internal/caro_relay_head.h"
+
+#include "internal/caro_platform.h"
+
+#include <string.h>
+
+static bool
+is_of_connection(CaroText name)
+{
+    static const char *const names[] = {
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "content-length",
+        "te",
+        "trailer",
+        "upgrade",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "expect",
+    };
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (CaroText_EqualsFolded(name, names[i])) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Named in the message's own Connection header (RFC 9110, 7.6.1). */
+static bool
+is_named_by_connection(const CaroHttpHead *head, CaroText name)
+{
+    CaroText list = CaroHttpHead_Find(head, "connection");
+    size_t from = 0;
+    while (from < list.size) {
+        size_t to = from;
+        while (to < list.size && list.at[to] != ',') {
+            to++;
+        }
+        size_t first = from;
+        size_t last = to;
+        while (first < last && list.at[first] == ' ') {
+            first++;
+        }
+        while (last > first && list.at[last - 1] == ' ') {
+            last--;
+        }
+        CaroText word = {list.at + first, last - first};
+        if (word.size == name.size && word.size > 0 &&
+            strncasecmp(word.at, name.at, name.size) == 0) {
+            return true;
+        }
+        from = to + 1;
+    }
+    return false;
+}
+
+/* Set by the gateway, or for it alone. */
+static bool
+is_ours(CaroHeaderId id)
+{
+    switch (id) {
+    case CARO_HEADER_TIME_LEFT:
+    case CARO_HEADER_LAST_EVENT:
+    case CARO_HEADER_ACCOUNT:
+    case CARO_HEADER_API_KEY:
+    case CARO_HEADER_WANTED_TARGET:
+    case CARO_HEADER_PRIORITY:
+    case CARO_HEADER_COPY_TO:
+    case CARO_HEADER_COPY_FROM:
+    case CARO_HEADER_FETCH_FROM:
+    case CARO_HEADER_KEEP_CACHED:
+    case CARO_HEADER_RESERVATION:
+        return true;
+    default:
+        return false;
+    }
+}
+
+static void
+add_line(struct evbuffer *out, CaroText name, CaroText value)
+{
+    (void)evbuffer_add(out, name.at, name.size);
+    (void)evbuffer_add(out, ": ", 2);
+    (void)evbuffer_add(out, value.at, value.size);
+    (void)evbuffer_add(out, "\r\n", 2);
+}
+
+static void
+copy_request_lines(struct evbuffer *out, const CaroHttpHead *head)
+{
+    for (int i = 0; i < head->n_headers; i++) {
+        const CaroHttpHeader *h = &head->headers[i];
+        CaroHeaderId id = CaroPlatform_HeaderId(h->name);
+        /* A caller cannot strip a header that has a meaning here. */
+        bool is_stripped =
+            id == CARO_HEADER_OTHER && is_named_by_connection(head, h->name);
+        if (!is_of_connection(h->name) && !is_ours(id) && !is_stripped) {
+            add_line(out, h->name, h->value);
+        }
+    }
+}
+
+static void
+add_own(struct evbuffer *out, CaroHeaderId id, const char *value)
+{
+    evbuffer_add_printf(out, "%s: %s\r\n", CaroPlatform_HeaderName(id), value);
+}
+
+static void
+add_own_number(struct evbuffer *out, CaroHeaderId id, int64_t value)
+{
+    evbuffer_add_printf(out, "%s: %lld\r\n", CaroPlatform_HeaderName(id),
+                        (long long)value);
+}
+
+int
+CaroRelayHead_WriteRequest(struct evbuffer *out, const CaroRequestHead *h)
+{
+    /* A stream that has begun is let in before new work. */
+    enum { PRIORITY_RESUMED = 1 };
+    const CaroHttpHead *head = CaroCall_Head(h->call);
+    struct evbuffer *body = CaroCall_Body(h->call);
+    size_t size = evbuffer_get_length(body);
+    (void)evbuffer_add(out, head->method.at, head->method.size);
+    (void)evbuffer_add(out, " ", 1);
+    (void)evbuffer_add(out, head->target.at, head->target.size);
+    (void)evbuffer_add(out, " HTTP/1.1\r\n", 11);
+    copy_request_lines(out, head);
+    add_own_number(out, CARO_HEADER_TIME_LEFT, h->time_left / CARO_MS);
+    add_own(out, CARO_HEADER_WANTED_TARGET, h->target_id);
+    if (h->account[0] != '\0') {
+        add_own(out, CARO_HEADER_ACCOUNT, h->account);
+    }
+    if (h->is_resumed) {
+        add_own_number(out, CARO_HEADER_PRIORITY, PRIORITY_RESUMED);
+    }
+    if (h->last_event >= 0) {
+        add_own_number(out, CARO_HEADER_LAST_EVENT, h->last_event);
+    }
+    if (h->copy_to != NULL) {
+        add_own(out, CARO_HEADER_COPY_TO, h->copy_to);
+    }
+    if (h->copy_from != NULL) {
+        char name[CARO_ADDRESS_SIZE + CARO_KEY_SIZE + 2];
+        CaroPlatform_WriteCopyName(name, sizeof(name), h->copy_from,
+                                   h->request_id);
+        add_own(out, CARO_HEADER_COPY_FROM, name);
+    }
+    bool had_body = head->is_chunked || head->length >= 0;
+    if (size > 0 || had_body) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", size);
+    }
+    (void)evbuffer_add(out, "\r\n", 2);
+    /* The body is shared, not copied: a repeat needs it again. */
+    return size == 0                                      ? 0
+           : evbuffer_add_buffer_reference(out, body) < 0 ? CARO_ERR_NOMEM
+                                                          : 0;
+}
+
+void
+CaroRelayHead_CopyAnswer(struct evbuffer *out, const CaroHttpHead *head)
+{
+    for (int i = 0; i < head->n_headers; i++) {
+        const CaroHttpHeader *h = &head->headers[i];
+        CaroHeaderId id = CaroPlatform_HeaderId(h->name);
+        bool is_stripped =
+            id == CARO_HEADER_OTHER && is_named_by_connection(head, h->name);
+        if (!is_of_connection(h->name) && id != CARO_HEADER_TARGET_LOAD &&
+            !is_stripped) {
+            add_line(out, h->name, h->value);
+        }
+    }
+}
--- /dev/null
+++ b/Objects/targets.c
@@ -0,0 +1,153 @@
+/* The upstreams that registered themselves. */
+#include "internal/caro_targets.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* After a failure an upstream is left alone this long, doubled for each
+   further one.  A tenth of a crash of 1.2 s, as the sites have them. */
+#define AVOID_FIRST (120 * CARO_MS)
+#define AVOID_MOST (2 * CARO_SECOND)
+
+struct CaroTargets {
+    CaroTarget all[CARO_TARGETS_MAX];
+    CaroHandle count;
+};
+
+CaroTargets *
+CaroTargets_Create(void)
+{
+    return calloc(1, sizeof(CaroTargets));
+}
+
+void
+CaroTargets_Destroy(CaroTargets *t)
+{
+    free(t);
+}
+
+CaroHandle
+CaroTargets_Find(const CaroTargets *t, const char *id)
+{
+    for (CaroHandle h = 0; h < t->count; h++) {
+        const CaroTarget *target = &t->all[h];
+        if (target->is_used && target->is_present &&
+            strcmp(target->entry.id, id) == 0) {
+            return h;
+        }
+    }
+    return CARO_NO_HANDLE;
+}
+
+static CaroHandle
+find_free(CaroTargets *t)
+{
+    for (CaroHandle h = 0; h < CARO_TARGETS_MAX; h++) {
+        if (!t->all[h].is_used) {
+            if (h >= t->count) {
+                t->count = h + 1;
+            }
+            return h;
+        }
+    }
+    return CARO_NO_HANDLE;
+}
+
+static bool
+is_same_start(const CaroTargetEntry *a, const CaroTargetEntry *b)
+{
+    bool is_reborn =
+        a->born_ms != 0 && b->born_ms != 0 && a->born_ms != b->born_ms;
+    return !is_reborn && strcmp(a->address, b->address) == 0 &&
+           strcmp(a->service, b->service) == 0;
+}
+
+CaroHandle
+CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry)
+{
+    CaroHandle h = CaroTargets_Find(t, entry->id);
+    if (h != CARO_NO_HANDLE && !is_same_start(&t->all[h].entry, entry)) {
+        CaroTargets_Remove(t, h);
+        h = CARO_NO_HANDLE;
+    }
+    if (h == CARO_NO_HANDLE) {
+        h = find_free(t);
+        if (h == CARO_NO_HANDLE) {
+            return h;
+        }
+        memset(&t->all[h], 0, sizeof(t->all[h]));
+        t->all[h].is_used = true;
+    }
+    t->all[h].entry = *entry;
+    t->all[h].is_present = true;
+    t->all[h].is_missing = false;
+    return h;
+}
+
+void
+CaroTargets_Remove(CaroTargets *t, CaroHandle h)
+{
+    CaroTargets_Get(t, h)->is_present = false;
+    CaroTargets_Release(t, h);
+}
+
+void
+CaroTargets_Release(CaroTargets *t, CaroHandle h)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    if (!target->is_present && target->in_flight == 0 && target->copies == 0) {
+        target->is_used = false;
+        while (t->count > 0 && !t->all[t->count - 1].is_used) {
+            t->count--;
+        }
+    }
+}
+
+CaroTarget *
+CaroTargets_Get(CaroTargets *t, CaroHandle h)
+{
+    assert(h >= 0 && h < CARO_TARGETS_MAX);
+    return &t->all[h];
+}
+
+const CaroTarget *
+CaroTargets_Peek(const CaroTargets *t, CaroHandle h)
+{
+    assert(h >= 0 && h < CARO_TARGETS_MAX);
+    return &t->all[h];
+}
+
+CaroHandle
+CaroTargets_Count(const CaroTargets *t)
+{
+    return t->count;
+}
+
+void
+CaroTargets_Succeeded(CaroTargets *t, CaroHandle h)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    target->failures = 0;
+    target->avoided_until = 0;
+}
+
+void
+CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTime now)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    CaroTime wait = AVOID_FIRST;
+    for (int i = 0; i < target->failures && wait < AVOID_MOST; i++) {
+        wait *= 2;
+    }
+    target->failures++;
+    target->avoided_until = now + (wait < AVOID_MOST ? wait : AVOID_MOST);
+}
+
+bool
+CaroTarget_IsUsable(const CaroTarget *target, CaroTime now)
+{
+    return target->is_used && target->is_present &&
+           !target->entry.is_leaving && now >= target->avoided_until;
+}
--- a/Parser/fields.c
+++ b/Parser/fields.c
@@ -133,6 +133,26 @@
     return 0;
 }
 
+static int
+read_real(CaroReader *r, const char *path, const CaroField *f,
+          const json_t *value, double *out)
+{
+    char found[32];
+    char allowed[64];
+    (void)snprintf(allowed, sizeof(allowed), "a number from %lld to %lld",
+                   (long long)f->low, (long long)f->high);
+    if (!json_is_number(value)) {
+        return CaroFields_Fail(r, path, f->key, type_name(value), allowed);
+    }
+    double n = json_number_value(value);
+    if (n < (double)f->low || n > (double)f->high) {
+        (void)snprintf(found, sizeof(found), "%g", n);
+        return CaroFields_Fail(r, path, f->key, found, allowed);
+    }
+    *out = n;
+    return 0;
+}
+
 static int
 read_field(CaroReader *r, const char *path, const CaroField *f,
            const json_t *value, void *out)
@@ -141,6 +161,8 @@
     switch (f->kind) {
     case CARO_FIELD_NUMBER:
         return read_number(r, path, f, value, (int64_t *)at);
+    case CARO_FIELD_REAL:
+        return read_real(r, path, f, value, (double *)at);
     case CARO_FIELD_BOOL:
         if (!json_is_boolean(value)) {
             return CaroFields_Fail(r, path, f->key, type_name(value),
@@ -196,6 +218,9 @@
         if (is_missing && f->kind == CARO_FIELD_NUMBER) {
             *(int64_t *)((char *)out + f->offset) = f->initial;
         }
+        if (is_missing && f->kind == CARO_FIELD_REAL) {
+            *(double *)((char *)out + f->offset) = (double)f->initial;
+        }
     }
     return 0;
 }
@@ -228,3 +253,25 @@
     }
     return n;
 }
+
+char *
+CaroFields_ReadFile(const char *file, size_t *size, CaroError *err)
+{
+    enum { FILE_BYTES_MAX = 1 << 20 };
+    FILE *f = fopen(file, "rb");
+    if (f == NULL) {
+        (void)CaroError_Set(err, CARO_ERR_IO, "settings", file,
+                            "the file cannot be opened");
+        return NULL;
+    }
+    char *text = malloc(FILE_BYTES_MAX);
+    if (text == NULL) {
+        (void)CaroError_Set(err, CARO_ERR_NOMEM, "settings", file,
+                            "no memory to read the file");
+    }
+    else {
+        *size = fread(text, 1, FILE_BYTES_MAX, f);
+    }
+    (void)fclose(f);
+    return text;
+}
--- /dev/null
+++ b/Parser/gateway_settings.c
@@ -0,0 +1,146 @@
+/* The reader of a gateway's settings. */
+#include "caro_gateway_settings.h"
+
+#include "internal/caro_fields.h"
+#include "internal/caro_http.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define AT(field) offsetof(CaroGatewaySettings, field)
+#define TEXT(key, kind, field)                                                \
+    {                                                                         \
+        key, kind, AT(field), true, 0, 0, 0                                   \
+    }
+#define NUMBER(key, field, low, high, initial)                                \
+    {                                                                         \
+        key, CARO_FIELD_NUMBER, AT(field), false, low, high, initial          \
+    }
+#define REAL(key, field, low, high, initial)                                  \
+    {                                                                         \
+        key, CARO_FIELD_REAL, AT(field), false, low, high, initial            \
+    }
+
+static const CaroField top_fields[] = {
+    TEXT("vm", CARO_FIELD_NAME, vm),
+    TEXT("front", CARO_FIELD_ADDRESS, front),
+    TEXT("ready", CARO_FIELD_ADDRESS, ready),
+    TEXT("directory", CARO_FIELD_ADDRESS, directory),
+    TEXT("host", CARO_FIELD_TEXT, host),
+    NUMBER("peer_port", peer_port, 1, 65535, 7340),
+    NUMBER("metrics_port", metrics_port, 0, 65535, 0),
+    TEXT("domain", CARO_FIELD_NAME, domain),
+    TEXT("region", CARO_FIELD_NAME, region),
+    {"seeds", CARO_FIELD_OBJECT, 0, true, 0, 0, 0},
+    {"store", CARO_FIELD_OBJECT, 0, true, 0, 0, 0},
+    {"limits", CARO_FIELD_OBJECT, 0, false, 0, 0, 0},
+    {"bounds", CARO_FIELD_OBJECT, 0, false, 0, 0, 0},
+    CARO_END_OF_FIELDS,
+};
+
+static const CaroField store_fields[] = {
+    TEXT("address", CARO_FIELD_ADDRESS, store),
+    CARO_END_OF_FIELDS,
+};
+
+static const CaroField limit_fields[] = {
+    NUMBER("memory_mb", memory_mb, 32, 1048576, 96),
+    NUMBER("descriptors", descriptors, 256, 1048576, 1024),
+    CARO_END_OF_FIELDS,
+};
+
+static const CaroField bound_fields[] = {
+    NUMBER("proof_ms", proof_ms, 100, 600000, 5000),
+    REAL("grace_s", grace_s, 1, 3600, 8),
+    REAL("address_ttl_s", address_ttl_s, 0, 3600, 2),
+    REAL("retry_ratio", retry_ratio, 0, 10, 0),
+    NUMBER("retry_slack", retry_slack, 0, 1000000, 100),
+    REAL("retry_window_s", retry_window_s, 1, 3600, 10),
+    REAL("move_share", move_share, 0, 1, 0),
+    CARO_END_OF_FIELDS,
+};
+
+static int
+read_seeds(CaroReader *r, const json_t *list, CaroGatewaySettings *s)
+{
+    size_t i;
+    json_t *value;
+    if (!json_is_array(list) ||
+        json_array_size(list) > CARO_GATEWAY_SEEDS_MAX) {
+        return CaroFields_Fail(r, "$", "seeds", "no array or a long one",
+                               "an array of at most 16 addresses");
+    }
+    json_array_foreach(list, i, value)
+    {
+        const char *text = json_string_value(value);
+        char host[CARO_ADDRESS_SIZE];
+        uint16_t port;
+        if (text == NULL || strlen(text) >= CARO_ADDRESS_SIZE ||
+            CaroHttp_SplitAddress(text, host, &port) < 0) {
+            return CaroFields_Fail(r, "$.seeds", "", "something else",
+                                   "texts as 10.0.0.1:8100");
+        }
+        CARO_COPY(s->seeds[s->n_seeds], text);
+        s->n_seeds++;
+    }
+    return 0;
+}
+
+/* Reads one object of the file; an absent one has its initial values. */
+static int
+read_part(CaroReader *r, const json_t *root, const char *key,
+          const CaroField *fields, CaroGatewaySettings *s)
+{
+    char path[32];
+    json_t *part = json_object_get(root, key);
+    json_t *object = part == NULL ? json_object() : json_incref(part);
+    (void)snprintf(path, sizeof(path), "$.%s", key);
+    int rc = CaroFields_ReadObject(r, path, fields, object, s);
+    json_decref(object);
+    return rc;
+}
+
+int
+CaroGatewaySettings_Parse(const char *text, size_t size, const char *origin,
+                          CaroGatewaySettings *s, CaroError *err)
+{
+    memset(s, 0, sizeof(*s));
+    CaroReader r = {.origin = origin, .step = "settings", .err = err};
+    json_error_t at;
+    json_t *root = json_loadb(text, size, JSON_REJECT_DUPLICATES, &at);
+    if (root == NULL) {
+        return CaroError_Set(err, CARO_ERR_INPUT, "settings", origin,
+                             "line %d column %d: %s", at.line, at.column,
+                             at.text);
+    }
+    int rc = CaroFields_ReadObject(&r, "$", top_fields, root, s);
+    if (rc == 0) {
+        rc = read_seeds(&r, json_object_get(root, "seeds"), s);
+    }
+    if (rc == 0) {
+        rc = read_part(&r, root, "store", store_fields, s);
+    }
+    if (rc == 0) {
+        rc = read_part(&r, root, "limits", limit_fields, s);
+    }
+    if (rc == 0) {
+        rc = read_part(&r, root, "bounds", bound_fields, s);
+    }
+    json_decref(root);
+    return rc;
+}
+
+int
+CaroGatewaySettings_Load(const char *file, CaroGatewaySettings *settings,
+                         CaroError *err)
+{
+    size_t size;
+    char *text = CaroFields_ReadFile(file, &size, err);
+    if (text == NULL) {
+        return CARO_ERR_IO;
+    }
+    int rc = CaroGatewaySettings_Parse(text, size, file, settings, err);
+    free(text);
+    return rc;
+}
--- a/Parser/settings.c
+++ b/Parser/settings.c
@@ -206,21 +206,12 @@
 int
 CaroSettings_Load(const char *file, CaroSettings *settings, CaroError *err)
 {
-    FILE *f = fopen(file, "rb");
-    if (f == NULL) {
-        return CaroError_Set(err, CARO_ERR_IO, "settings", file,
-                             "the file cannot be opened");
-    }
-    enum { SETTINGS_BYTES_MAX = 1 << 20 };
-    char *text = malloc(SETTINGS_BYTES_MAX);
+    size_t size;
+    char *text = CaroFields_ReadFile(file, &size, err);
     if (text == NULL) {
-        (void)fclose(f);
-        return CaroError_Set(err, CARO_ERR_NOMEM, "settings", file,
-                             "no memory to read the file");
+        return CARO_ERR_IO;
     }
-    size_t size = fread(text, 1, SETTINGS_BYTES_MAX, f);
     int rc = CaroSettings_Parse(text, size, file, settings, err);
     free(text);
-    (void)fclose(f);
     return rc;
 }
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -57,6 +57,7 @@
 struct caro_heartbeat {
 	char *sender;
 	u_quad_t config_revision;
+	quad_t proof_age;
 	struct {
 		u_int moves_len;
 		caro_move_news *moves_val;
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -50,6 +50,7 @@
 struct caro_heartbeat {
     string sender<CARO_NAME_MAX>;
     unsigned hyper config_revision;
+    hyper proof_age; /* Microseconds; -1 when the revision is not proven. */
     caro_move_news moves<CARO_MOVES_MAX>;
     caro_member_update updates<CARO_UPDATES_MAX>;
 };
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -127,6 +127,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->proof_age))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->moves.moves_val, (u_int *) &objp->moves.moves_len, CARO_MOVES_MAX,
 		sizeof (caro_move_news), (xdrproc_t) xdr_caro_move_news))
 		 return FALSE;
