Place streams by what all VMs have in flight

Ruled out: a shortage of engines, which read for under a third of the time.

Each VM tells the others its streams and unread prompts when they change. An engine is left before its first event when others find it silent, else only after 0.6 of the objective. A VM that stops takes no new streams.

--- a/Controllers/entry.c
+++ b/Controllers/entry.c
@@ -5,10 +5,6 @@
 #define START_RETRY_S 0.5
 /* Another VM can serve at once; the caller only has to ask for one. */
 #define ELSEWHERE_RETRY_S 0.05
-/* A stream that begins later in the grace would be cut by its end: a
-   generation of these sites takes five to six seconds of eight. */
-#define STREAM_PART 0.2
-
 static CaroEntryVerdict
 refuse(int status, double retry_after_s, const char *reason)
 {
@@ -44,8 +40,9 @@
             return refuse(401, 0.0, "the key is unknown");
         }
     }
-    if (q->is_stopping && verdict.route->kind == CARO_ROUTE_STREAM &&
-        (double)q->stopping_for > STREAM_PART * (double)q->grace) {
+    /* A generation takes about as long as the grace between a stop and the
+       kill: one that began now would be cut. */
+    if (q->is_stopping && verdict.route->kind == CARO_ROUTE_STREAM) {
         return refuse(503, ELSEWHERE_RETRY_S, "this VM stops");
     }
     return verdict;
--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -11,6 +11,10 @@
 #define CROSSING_PLAIN 2.0
 /* A domain that just lost an upstream is likely to lose the next. */
 #define LOST_DOMAIN 3.0
+/* A prompt that waits to be read delays the next one by its whole reading,
+   where a stream that runs only shares the steps. */
+#define READING_WEIGHT 2.0
+#define READING_UNIT 8192.0 /* Tokens. */
 /* Memory that a copy takes, against a running request. */
 #define COPY_WEIGHT 0.25
 /* Below the weight of one request: it only decides among equals. */
@@ -31,13 +35,15 @@
 static double
 load_of(const CaroTarget *target, CaroTime now)
 {
-    double load = target->in_flight;
+    double load = target->in_flight + target->others_running;
     if (target->reported_at != 0 && now - target->reported_at < REPORT_LIFE) {
         double age = (double)(now - target->reported_at) / (double)REPORT_LIFE;
         double told = (target->running + target->waiting) * (1.0 - age);
         load = told > load ? told : load;
     }
-    return load + COPY_WEIGHT * target->copies;
+    double reading = target->reading + target->others_reading;
+    return load + READING_WEIGHT * reading / READING_UNIT +
+           COPY_WEIGHT * target->copies;
 }
 
 static double
--- a/Include/internal/caro_entry.h
+++ b/Include/internal/caro_entry.h
@@ -18,8 +18,6 @@
     bool is_listed;           /* The upstreams have been listed. */
     bool is_proven;           /* The configuration is proven the newest. */
     bool is_stopping;
-    CaroTime stopping_for; /* Since the stop was asked. */
-    CaroTime grace;        /* Between a stop and the kill. */
     CaroText host;
     CaroText path; /* Without the query. */
     CaroText key;  /* at is NULL when the request has none. */
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -30,6 +30,8 @@
     /* A peer sent a newer configuration. */
     void (*on_config)(void *context, const char *bytes, size_t size,
                       int64_t revision);
+    /* A peer tells what it has in flight; borrowed. */
+    void (*on_loads)(void *context, const caro_load_news *news);
 } CaroFleetHandlers;
 
 /* "self" is copied; the generator is borrowed. */
@@ -46,6 +48,12 @@
 /* Tells the others that this VM leaves. */
 void CaroFleet_Leave(CaroFleet *f, CaroTime now);
 
+/*
+ * Tells what this VM has in flight: to all others in a small deployment,
+ * to those of its own domain, where it places most, in a large one.
+ */
+void CaroFleet_SpreadLoads(CaroFleet *f, const caro_load_news *news);
+
 /* Borrowed; for the directory and for reports. */
 const CaroMembership *CaroFleet_Membership(const CaroFleet *f);
 
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -46,6 +46,13 @@
 void CaroRelays_CallerLeft(CaroRelays *all, CaroCall *call, CaroTime now);
 void CaroRelays_CallerDrained(CaroRelays *all, CaroCall *call, CaroTime now);
 
+/* An upstream was found silent elsewhere: those who wait there for a first
+   event wait no longer than for any other event. */
+void CaroRelays_Doubt(CaroRelays *all, CaroHandle target, CaroTime now);
+
+/* The streams in flight changed since the last call. */
+bool CaroRelays_TakeChange(CaroRelays *all);
+
 /* Cuts streams behind a whole event; their callers go on elsewhere. */
 void CaroRelays_CutStreams(CaroRelays *all, CaroTime now);
 
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -30,7 +30,12 @@
     bool is_used;         /* The slot holds an upstream. */
     bool is_present;      /* It is in the registry. */
     bool is_missing;      /* Lapsed around an outage of the registry. */
+    uint32_t id_hash;     /* Names it in messages between VMs. */
     int in_flight;        /* Requests of this VM. */
+    int streams;          /* Those that are streams. */
+    int reading;          /* Prompt tokens of streams without an event. */
+    int others_running;   /* Streams of other VMs. */
+    int others_reading;   /* Prompt tokens of those without an event. */
     int copies;           /* Copies of this VM's streams it keeps. */
     int running;          /* Last report. */
     int waiting;          /* Last report. */
@@ -66,6 +71,9 @@
 /* Lets a slot go whose upstream was removed and where nothing runs. */
 void CaroTargets_Release(CaroTargets *t, CaroHandle h);
 
+/* Another start of an upstream has its address: it is gone for good. */
+void CaroTargets_Replaced(CaroTargets *t, CaroHandle h, CaroTime now);
+
 /* The upstream answered, or failed to; "now" dates the avoidance. */
 void CaroTargets_Succeeded(CaroTargets *t, CaroHandle h);
 void CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTime now);
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -15,7 +15,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { ADDRESSES_MAX = 64, LEAVE_FANOUT = 64, ASKED_AT_ONCE = 3 };
+enum {
+    ADDRESSES_MAX = 64,
+    LEAVE_FANOUT = 64,
+    ASKED_AT_ONCE = 3,
+    LOADS_FANOUT = 40 /* A domain of the largest deployment known. */
+};
 /* Probes of one VM follow each other at this period. */
 #define HEARTBEAT (400 * CARO_MS)
 #define PROBE_TIMEOUT (1200 * CARO_MS)
@@ -26,6 +31,8 @@
 /* A VM that heard of no other by then counts as the only one. */
 #define JOIN_MOST (1500 * CARO_MS)
 #define CONFIG_TIMEOUT (1 * CARO_SECOND)
+/* News are not answered; the call is only forgotten after it. */
+#define LOADS_TIMEOUT (20 * CARO_MS)
 
 struct CaroFleet {
     CaroRpc *rpc;
@@ -306,6 +313,10 @@
     case CARO_CONFIG:
         answer_config(f, request);
         break;
+    case CARO_LOADS:
+        f->handlers->on_loads(f->context, args);
+        CaroRpc_Ignore(request);
+        break;
     default:
         CaroRpc_Ignore(request);
         break;
@@ -395,6 +406,27 @@
     send_events(f);
 }
 
+void
+CaroFleet_SpreadLoads(CaroFleet *f, const caro_load_news *news)
+{
+    int count = CaroMembership_Count(f->membership);
+    bool is_large =
+        CaroMembership_CountUsable(f->membership) > LOADS_FANOUT + 1;
+    const char *domain = CaroMembership_Get(f->membership, CARO_SELF)->domain;
+    /* The start turns, so that in a large domain each is told in turn. */
+    int sent = 0;
+    for (int i = 0; i < count && sent < LOADS_FANOUT; i++) {
+        CaroHandle vm = (CaroHandle)((news->number + (u_int)i) % (u_int)count);
+        const CaroVm *v = CaroMembership_Get(f->membership, vm);
+        if (vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm) &&
+            (!is_large || strcmp(v->domain, domain) == 0)) {
+            CaroRpc_Call(f->rpc, v->peer, CARO_RPC_UDP, CARO_LOADS, news,
+                         LOADS_TIMEOUT, NULL, NULL);
+            sent++;
+        }
+    }
+}
+
 const CaroMembership *
 CaroFleet_Membership(const CaroFleet *f)
 {
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -13,6 +13,7 @@
 #include "internal/caro_front.h"
 #include "internal/caro_gateway_http.h"
 #include "internal/caro_http.h"
+#include "internal/caro_load_board.h"
 #include "internal/caro_log.h"
 #include "internal/caro_platform.h"
 #include "internal/caro_registry.h"
@@ -32,6 +33,8 @@
 /* A caller that takes nothing for so long has left. */
 #define WRITE_TIMEOUT (10 * CARO_SECOND)
 #define TICK (50 * CARO_MS)
+/* News of loads that a lost datagram held are told again. */
+#define NEWS_PERIOD (1500 * CARO_MS)
 /* For the answers of the last requests to leave. */
 #define STOP_IDLE (500 * CARO_MS)
 /* Callers keep an address for about this long after the directory has
@@ -49,6 +52,7 @@
     CaroTargets *targets;
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
+    CaroLoadBoard *board;
     CaroRelays *relays;
     CaroFront *front;
     CaroStoreClient *store;
@@ -63,6 +67,9 @@
     CaroProof proof;
     bool was_proven;
 
+    uint64_t boot;
+    uint32_t news_number;
+    CaroTime next_news;
     CaroTime stop_at; /* When the stop was asked; 0 while serving. */
     CaroTime idle_since;
 };
@@ -85,7 +92,7 @@
 /* --- callers --- */
 
 static CaroEntryQuery
-describe_request(const CaroGateway *g, const CaroHttpHead *head, CaroTime now)
+describe_request(const CaroGateway *g, const CaroHttpHead *head)
 {
     CaroText path = head->target;
     const char *query = memchr(path.at, '?', path.size);
@@ -97,8 +104,6 @@
         .is_listed = CaroRegistry_IsListed(g->registry),
         .is_proven = is_proven(g),
         .is_stopping = g->stop_at != 0,
-        .stopping_for = g->stop_at == 0 ? 0 : now - g->stop_at,
-        .grace = (CaroTime)(g->settings.grace_s * (double)CARO_SECOND),
         .host = CaroHttpHead_Find(head, "host"),
         .path = path,
         .key = CaroHttpHead_Find(
@@ -132,7 +137,7 @@
 {
     CaroGateway *g = context;
     CaroTime now = CaroClock_Now();
-    CaroEntryQuery q = describe_request(g, CaroCall_Head(call), now);
+    CaroEntryQuery q = describe_request(g, CaroCall_Head(call));
     CaroEntryVerdict v = CaroEntry_Judge(&q);
     CaroCounters_Add(&g->counters, CARO_COUNT_REQUESTS, 1);
     if (v.status != 0) {
@@ -335,7 +340,42 @@
     (void)apply_config(context, bytes, size, revision, "peer");
 }
 
+static void
+on_loads(void *context, const caro_load_news *news)
+{
+    CaroGateway *g = context;
+    CaroTime now = CaroClock_Now();
+    CaroHandle silent[CARO_LOADS_MAX];
+    int n = CaroLoadBoard_Take(g->board, news, silent, now);
+    for (int i = 0; i < n; i++) {
+        CaroTargets_Failed(g->targets, silent[i], now);
+        CaroRelays_Doubt(g->relays, silent[i], now);
+    }
+}
+
+/* Tells the others what this VM has in flight, when that changed and now
+   and then. */
+static void
+spread_loads(CaroGateway *g, CaroTime now)
+{
+    caro_target_load loads[CARO_LOADS_MAX];
+    bool is_changed = CaroRelays_TakeChange(g->relays);
+    if (!is_changed && now < g->next_news) {
+        return;
+    }
+    caro_load_news news = {.sender = g->settings.vm,
+                           .boot = g->boot,
+                           .number = ++g->news_number};
+    news.loads.loads_val = loads;
+    news.loads.loads_len = (u_int)CaroLoadBoard_Fill(g->targets, loads, now);
+    g->next_news = now + NEWS_PERIOD;
+    if (is_changed || news.loads.loads_len > 0) {
+        CaroFleet_SpreadLoads(g->fleet, &news);
+    }
+}
+
 static const CaroFleetHandlers fleet_handlers = {
+    .on_loads = on_loads,
     .get_proof = get_proof,
     .on_proof = on_peer_proof,
     .get_config = get_config,
@@ -438,6 +478,8 @@
     CaroTime now = CaroClock_Now();
     CaroRegistry_Tick(g->registry, now);
     CaroFleet_Tick(g->fleet, now);
+    CaroLoadBoard_Tick(g->board, now);
+    spread_loads(g, now);
     CaroRelays_SetVms(
         g->relays, CaroMembership_CountUsable(CaroFleet_Membership(g->fleet)));
     bool proven = is_proven(g);
@@ -471,7 +513,7 @@
     /* Starts of one VM are ordered by the wall clock; a VM whose clock was
        set back learns its old incarnation from the others and exceeds it. */
     self->incarnation = (uint64_t)CaroClock_WallMs();
-    self->boot = CaroClock_Random();
+    self->boot = g->boot;
     self->state = CARO_MEMBER_ALIVE;
 }
 
@@ -496,13 +538,15 @@
     const CaroGatewaySettings *s = &g->settings;
     g->rng = gsl_rng_alloc(gsl_rng_taus2);
     g->targets = CaroTargets_Create();
+    g->board =
+        g->targets == NULL ? NULL : CaroLoadBoard_Create(g->targets);
     g->pool = CaroChannelPool_Create(
         g->base, (int)(KEPT_PART * (double)s->descriptors));
     g->budget = CaroRetryBudget_Create(
         s->retry_ratio, (double)s->retry_slack,
         (CaroTime)(s->retry_window_s * (double)CARO_SECOND));
     g->store = CaroStoreClient_Create(g->base, s->store);
-    if (g->rng == NULL || g->targets == NULL || g->pool == NULL ||
+    if (g->rng == NULL || g->board == NULL || g->pool == NULL ||
         g->budget == NULL || g->store == NULL) {
         return CARO_ERR_NOMEM;
     }
@@ -549,6 +593,7 @@
     CaroRoutes_Destroy(empty);
     g->base = base;
     g->settings = *settings;
+    g->boot = CaroClock_Random();
     if (create_tables(g, now) < 0) {
         (void)CaroError_Set(err, CARO_ERR_NOMEM, "tables", settings->vm,
                             "no memory");
@@ -632,6 +677,7 @@
     CaroStoreClient_Destroy(g->store);
     CaroChannelPool_Destroy(g->pool);
     CaroRetryBudget_Destroy(g->budget);
+    CaroLoadBoard_Destroy(g->board);
     CaroTargets_Destroy(g->targets);
     CaroRoutes_Destroy(g->routes);
     free(g->config);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -37,7 +37,7 @@
 /* Of a route that names no longest pause. */
 #define SILENCE_DEFAULT (1 * CARO_SECOND)
 /* Of the objective: a second upstream can still meet it. */
-#define FIRST_EVENT_PART 0.5
+#define FIRST_EVENT_PART 0.6
 /* An idempotent request that is late by its objective is asked for again;
    it would earn little at the first upstream. */
 #define PLAIN_PART 1.2
@@ -73,6 +73,9 @@
     bool is_soiled;      /* The channel gave such an answer. */
     bool is_refusal;     /* The upstream says that it did not run. */
     bool is_event_stream;
+    bool is_doubted;  /* Others found the upstream silent. */
+    int reading;      /* Prompt tokens, until the first event. */
+    int prompt;       /* Prompt tokens of the request. */
     bool is_going_on; /* The attempt goes on from a copy. */
 
     CaroHandle copy_at;  /* Keeps a copy of the present run. */
@@ -90,6 +93,7 @@
     CaroRelay *first;
     int n;
     int vms;
+    bool is_changed; /* See CaroRelays_TakeChange. */
 };
 
 static const CaroChannelEvents channel_events;
@@ -108,6 +112,22 @@
     return all;
 }
 
+static bool
+is_stream(const CaroRelay *r)
+{
+    return r->route.kind == CARO_ROUTE_STREAM;
+}
+
+/* Prompt tokens that the present upstream has to read before an event. */
+static void
+set_reading(CaroRelay *r, int tokens)
+{
+    CaroTarget *target = CaroTargets_Get(r->all->parts.targets, r->target);
+    target->reading += tokens - r->reading;
+    r->all->is_changed |= tokens != r->reading;
+    r->reading = tokens;
+}
+
 /* Gives back what the present attempt holds; its channel is closed, so
    that the upstream stops. */
 static void
@@ -117,7 +137,10 @@
     CaroChannel_Destroy(r->channel);
     r->channel = NULL;
     if (r->target != CARO_NO_HANDLE) {
+        set_reading(r, 0);
         CaroTargets_Get(targets, r->target)->in_flight--;
+        CaroTargets_Get(targets, r->target)->streams -= is_stream(r);
+        r->all->is_changed |= is_stream(r);
         CaroTargets_Release(targets, r->target);
         r->target = CARO_NO_HANDLE;
     }
@@ -244,6 +267,9 @@
                        ? (CaroTime)(SILENCE_PART * (double)r->route.gap)
                        : SILENCE_DEFAULT;
         }
+        if (r->is_doubted) {
+            return (CaroTime)(SILENCE_PART * (double)r->route.gap);
+        }
         if (r->is_going_on) {
             return (CaroTime)(GO_ON_PART * (double)r->route.gap);
         }
@@ -291,7 +317,6 @@
         begin_attempt(r, now);
     }
     else if (now >= silent_at(r)) {
-        CaroTargets_Get(r->all->parts.targets, r->target)->silent_at = now;
         end_attempt(r, CARO_OUTCOME_SILENT, "the upstream is silent", now);
     }
     else {
@@ -314,6 +339,7 @@
         }
         r->has_events = true;
         r->last_event = now;
+        set_reading(r, 0);
         CaroCall_Send(r->call, event.bytes.at, event.bytes.size);
     }
     if (!r->is_paused && CaroCall_Pending(r->call) > PENDING_MOST) {
@@ -534,12 +560,21 @@
     if (r->is_going_on && outcome == CARO_OUTCOME_NOT_RUN) {
         return; /* It has no copy, which is no fault. */
     }
+    CaroTargets *targets = r->all->parts.targets;
+    if (outcome == CARO_OUTCOME_NOT_RUN && r->status == 421) {
+        CaroTargets_Replaced(targets, r->target, now);
+        return;
+    }
+    if (is_stream(r) && outcome == CARO_OUTCOME_SILENT) {
+        CaroTargets_Get(targets, r->target)->silent_at = now;
+        r->all->is_changed = true;
+    }
     switch (outcome) {
     case CARO_OUTCOME_UNSENT:
     case CARO_OUTCOME_LOST:
     case CARO_OUTCOME_SILENT:
     case CARO_OUTCOME_NOT_RUN:
-        CaroTargets_Failed(r->all->parts.targets, r->target, now);
+        CaroTargets_Failed(targets, r->target, now);
         break;
     default:
         break;
@@ -600,7 +635,11 @@
             (long long)((now - r->last_event) / CARO_MS), reason);
         turn_away(r, outcome);
     }
+    CaroHandle left = r->target;
     leave_target(r);
+    if (left != CARO_NO_HANDLE && outcome == CARO_OUTCOME_SILENT) {
+        CaroRelays_Doubt(all, left, now);
+    }
     bool has_budget =
         CaroRetryBudget_IsOpen(all->parts.budget, r->service, all->vms, now);
     switch (CaroAttempt_End(&r->attempt, outcome, has_budget, now)) {
@@ -716,6 +755,10 @@
     }
     CaroTarget *target = CaroTargets_Get(all->parts.targets, r->target);
     target->in_flight++;
+    target->streams += is_stream(r);
+    all->is_changed |= is_stream(r);
+    set_reading(r, r->is_going_on ? 0 : r->prompt);
+    r->is_doubted = false;
     r->attempt_started = now;
     r->last_event = now;
     if (r->attempt.tries++ > 0) {
@@ -747,6 +790,17 @@
         r->caller_deadline < route ? r->caller_deadline : route;
 }
 
+static void
+set_prompt(CaroRelay *r, const CaroHttpHead *head)
+{
+    int64_t tokens;
+    CaroText value =
+        CaroHttpHead_Find(head, CaroPlatform_HeaderName(CARO_HEADER_TOKENS));
+    if (is_stream(r) && CaroPlatform_ReadPromptTokens(value, &tokens) == 0) {
+        r->prompt = (int)tokens;
+    }
+}
+
 static CaroRelay *
 create_relay(CaroRelays *all, CaroCall *call, const CaroRoute *route)
 {
@@ -815,6 +869,7 @@
                            .domain = all->parts.domain,
                            .is_stream = route->kind == CARO_ROUTE_STREAM};
     set_deadline(r, head, now);
+    set_prompt(r, head);
     CaroRetryBudget_Request(all->parts.budget, r->service, now);
     count(r, CARO_COUNT_RELAYS);
     begin_attempt(r, now);
@@ -846,6 +901,25 @@
     }
 }
 
+void
+CaroRelays_Doubt(CaroRelays *all, CaroHandle target, CaroTime now)
+{
+    for (CaroRelay *r = all->first; r != NULL; r = r->next) {
+        if (r->target == target && is_stream(r) && !r->is_doubted) {
+            r->is_doubted = true;
+            schedule(r, now);
+        }
+    }
+}
+
+bool
+CaroRelays_TakeChange(CaroRelays *all)
+{
+    bool is_changed = all->is_changed;
+    all->is_changed = false;
+    return is_changed;
+}
+
 void
 CaroRelays_CutStreams(CaroRelays *all, CaroTime now)
 {
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -26,6 +26,7 @@
     [CARO_CONFIG] = PROCEDURE(caro_heartbeat, caro_config),
     [CARO_DRAIN] = PROCEDURE(caro_heartbeat, caro_heartbeat),
     [CARO_WHY] = PROCEDURE(caro_why_args, caro_why_reply),
+    [CARO_LOADS] = PROCEDURE(caro_load_news, caro_load_news),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- /dev/null
+++ b/Objects/load_board.c
@@ -0,0 +1,166 @@
+/* Streams of other VMs at the upstreams. */
+#include "internal/caro_load_board.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+/* A VM with streams repeats itself each 1.5 s; three are missed. */
+#define NEWS_LIFE (5 * CARO_SECOND)
+/* A silence is told for as long as others may still wait there. */
+#define SILENCE_NEWS (500 * CARO_MS)
+
+typedef struct {
+    CaroHandle target;
+    uint32_t id_hash; /* The slot may hold another upstream by now. */
+    int running;
+    int reading;
+} Entry;
+
+typedef struct Sender {
+    char name[CARO_NAME_SIZE];
+    uint64_t boot;
+    uint32_t number;
+    CaroTime heard;
+    Entry entries[CARO_LOADS_MAX];
+    int n;
+    UT_hash_handle hh;
+} Sender;
+
+struct CaroLoadBoard {
+    CaroTargets *targets;
+    Sender *senders;
+};
+
+CaroLoadBoard *
+CaroLoadBoard_Create(CaroTargets *targets)
+{
+    CaroLoadBoard *b = calloc(1, sizeof(*b));
+    if (b != NULL) {
+        b->targets = targets;
+    }
+    return b;
+}
+
+void
+CaroLoadBoard_Destroy(CaroLoadBoard *b)
+{
+    Sender *s;
+    Sender *next;
+    if (b == NULL) {
+        return;
+    }
+    HASH_ITER(hh, b->senders, s, next)
+    {
+        HASH_DEL(b->senders, s);
+        free(s);
+    }
+    free(b);
+}
+
+/* Adds a sender's entries to the sums, or takes them out again. */
+static void
+count_entries(CaroLoadBoard *b, const Sender *s, int sign)
+{
+    for (int i = 0; i < s->n; i++) {
+        const Entry *e = &s->entries[i];
+        CaroTarget *target = CaroTargets_Get(b->targets, e->target);
+        if (target->is_used && target->id_hash == e->id_hash) {
+            target->others_running += sign * e->running;
+            target->others_reading += sign * e->reading;
+        }
+    }
+}
+
+static CaroHandle
+find_target(const CaroLoadBoard *b, uint32_t id_hash)
+{
+    for (CaroHandle h = 0; h < CaroTargets_Count(b->targets); h++) {
+        const CaroTarget *target = CaroTargets_Peek(b->targets, h);
+        if (target->is_used && target->is_present &&
+            target->id_hash == id_hash) {
+            return h;
+        }
+    }
+    return CARO_NO_HANDLE;
+}
+
+static Sender *
+find_sender(CaroLoadBoard *b, const char *name)
+{
+    Sender *s;
+    HASH_FIND(hh, b->senders, name, strlen(name), s);
+    if (s == NULL && (s = calloc(1, sizeof(*s))) != NULL) {
+        CARO_COPY(s->name, name);
+        HASH_ADD_KEYPTR(hh, b->senders, s->name, strlen(s->name), s);
+    }
+    return s;
+}
+
+int
+CaroLoadBoard_Take(CaroLoadBoard *b, const caro_load_news *news,
+                   CaroHandle silent[CARO_LOADS_MAX], CaroTime now)
+{
+    int n_silent = 0;
+    Sender *s = find_sender(b, news->sender);
+    if (s == NULL || (s->boot == news->boot && news->number <= s->number)) {
+        return 0;
+    }
+    count_entries(b, s, -1);
+    s->boot = news->boot;
+    s->number = news->number;
+    s->heard = now;
+    s->n = 0;
+    for (u_int i = 0; i < news->loads.loads_len; i++) {
+        const caro_target_load *load = &news->loads.loads_val[i];
+        CaroHandle h = find_target(b, load->target);
+        if (h == CARO_NO_HANDLE) {
+            continue;
+        }
+        s->entries[s->n++] = (Entry){.target = h,
+                                     .id_hash = load->target,
+                                     .running = (int)load->running,
+                                     .reading = (int)load->reading};
+        if (load->is_silent) {
+            silent[n_silent++] = h;
+        }
+    }
+    count_entries(b, s, 1);
+    return n_silent;
+}
+
+void
+CaroLoadBoard_Tick(CaroLoadBoard *b, CaroTime now)
+{
+    Sender *s;
+    Sender *next;
+    HASH_ITER(hh, b->senders, s, next)
+    {
+        if (now - s->heard >= NEWS_LIFE) {
+            count_entries(b, s, -1);
+            HASH_DEL(b->senders, s);
+            free(s);
+        }
+    }
+}
+
+int
+CaroLoadBoard_Fill(const CaroTargets *targets,
+                   caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
+{
+    int n = 0;
+    for (CaroHandle h = 0;
+         h < CaroTargets_Count(targets) && n < CARO_LOADS_MAX; h++) {
+        const CaroTarget *t = CaroTargets_Peek(targets, h);
+        bool is_silent =
+            t->silent_at != 0 && now - t->silent_at < SILENCE_NEWS;
+        if (t->is_used && t->is_present && (t->streams > 0 || is_silent)) {
+            loads[n++] = (caro_target_load){.target = t->id_hash,
+                                            .running = (u_int)t->streams,
+                                            .reading = (u_int)t->reading,
+                                            .is_silent = is_silent};
+        }
+    }
+    return n;
+}
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -6,10 +6,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 /* After a failure an upstream is left alone this long, doubled for each
    further one.  A tenth of a crash of 1.2 s, as the sites have them. */
 #define AVOID_FIRST (120 * CARO_MS)
 #define AVOID_MOST (2 * CARO_SECOND)
+/* Entries lapse after three heartbeats of 1.2 s; this outlasts it. */
+#define AVOID_REPLACED (8 * CARO_SECOND)
 
 struct CaroTargets {
     CaroTarget all[CARO_TARGETS_MAX];
@@ -81,6 +86,7 @@
         t->all[h].is_used = true;
     }
     t->all[h].entry = *entry;
+    t->all[h].id_hash = XXH32(entry->id, strlen(entry->id), 0);
     t->all[h].is_present = true;
     t->all[h].is_missing = false;
     return h;
@@ -133,6 +139,14 @@
     target->avoided_until = 0;
 }
 
+void
+CaroTargets_Replaced(CaroTargets *t, CaroHandle h, CaroTime now)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    target->failures++;
+    target->avoided_until = now + AVOID_REPLACED;
+}
+
 void
 CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTime now)
 {
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -230,6 +230,26 @@
 	} decisions;
 };
 typedef struct caro_why_reply caro_why_reply;
+#define CARO_LOADS_MAX 64
+
+struct caro_target_load {
+	u_int target;
+	u_int running;
+	u_int reading;
+	bool_t is_silent;
+};
+typedef struct caro_target_load caro_target_load;
+
+struct caro_load_news {
+	char *sender;
+	u_quad_t boot;
+	u_int number;
+	struct {
+		u_int loads_len;
+		caro_target_load *loads_val;
+	} loads;
+};
+typedef struct caro_load_news caro_load_news;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -271,6 +291,9 @@
 #define CARO_WHY 12
 extern  caro_why_reply * caro_why_1(caro_why_args *, CLIENT *);
 extern  caro_why_reply * caro_why_1_svc(caro_why_args *, struct svc_req *);
+#define CARO_LOADS 13
+extern  caro_load_news * caro_loads_1(caro_load_news *, CLIENT *);
+extern  caro_load_news * caro_loads_1_svc(caro_load_news *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -310,6 +333,9 @@
 #define CARO_WHY 12
 extern  caro_why_reply * caro_why_1();
 extern  caro_why_reply * caro_why_1_svc();
+#define CARO_LOADS 13
+extern  caro_load_news * caro_loads_1();
+extern  caro_load_news * caro_loads_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -337,6 +363,8 @@
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
 extern  bool_t xdr_caro_decision (XDR *, caro_decision*);
 extern  bool_t xdr_caro_why_reply (XDR *, caro_why_reply*);
+extern  bool_t xdr_caro_target_load (XDR *, caro_target_load*);
+extern  bool_t xdr_caro_load_news (XDR *, caro_load_news*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -360,6 +388,8 @@
 extern bool_t xdr_caro_why_args ();
 extern bool_t xdr_caro_decision ();
 extern bool_t xdr_caro_why_reply ();
+extern bool_t xdr_caro_target_load ();
+extern bool_t xdr_caro_load_news ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -168,6 +168,24 @@
     caro_decision decisions<CARO_WHY_MAX>;
 };
 
+const CARO_LOADS_MAX = 64;
+
+/* Streams of one VM at one upstream, which is named by a hash of its id. */
+struct caro_target_load {
+    unsigned int target;
+    unsigned int running; /* Streams, also those not yet read. */
+    unsigned int reading; /* Prompt tokens of those without an event. */
+    bool is_silent;       /* The VM has just found it silent. */
+};
+
+/* All streams of the sender; it replaces what the sender said before. */
+struct caro_load_news {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper boot;
+    unsigned int number; /* Grows with each message of a boot. */
+    caro_target_load loads<CARO_LOADS_MAX>;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -182,5 +200,6 @@
         caro_config CARO_CONFIG(caro_heartbeat) = 10;
         caro_heartbeat CARO_DRAIN(caro_heartbeat) = 11;
         caro_why_reply CARO_WHY(caro_why_args) = 12;
+        caro_load_news CARO_LOADS(caro_load_news) = 13;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -381,3 +381,75 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_target_load (XDR *xdrs, caro_target_load *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reading))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_silent))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->target);
+			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->reading);
+			IXDR_PUT_BOOL(buf, objp->is_silent);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->running))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->reading))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_silent))
+				 return FALSE;
+		} else {
+			objp->target = IXDR_GET_U_LONG(buf);
+			objp->running = IXDR_GET_U_LONG(buf);
+			objp->reading = IXDR_GET_U_LONG(buf);
+			objp->is_silent = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->reading))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_silent))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_load_news (XDR *xdrs, caro_load_news *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, CARO_LOADS_MAX,
+		sizeof (caro_target_load), (xdrproc_t) xdr_caro_target_load))
+		 return FALSE;
+	return TRUE;
+}
