Judge silence from the first event on; tell failures to all VMs

Cause: the timer for the first event (2.7 s) was not shortened when the first event came, so silence was found up to 2 s late. Engines that crashed stayed candidates at other VMs until their entries lapsed.

--- a/Include/internal/caro_load_board.h
+++ b/Include/internal/caro_load_board.h
@@ -18,13 +18,17 @@
 CaroLoadBoard *CaroLoadBoard_Create(CaroTargets *targets);
 void CaroLoadBoard_Destroy(CaroLoadBoard *b);
 
-/*
- * Takes a message; an older one of the same boot is dropped.  Fills
- * "silent" with the upstreams that the sender found silent and returns
- * their count.
- */
-int CaroLoadBoard_Take(CaroLoadBoard *b, const caro_load_news *news,
-                       CaroHandle silent[CARO_LOADS_MAX], CaroTime now);
+/* Upstreams at which the sender of a message has just seen failures. */
+typedef struct {
+    CaroHandle failing[CARO_LOADS_MAX];
+    int n_failing;
+    CaroHandle silent[CARO_LOADS_MAX]; /* Those by silence. */
+    int n_silent;
+} CaroLoadAlarms;
+
+/* Takes a message; an older one of the same boot is dropped. */
+void CaroLoadBoard_Take(CaroLoadBoard *b, const caro_load_news *news,
+                        CaroLoadAlarms *alarms, CaroTime now);
 
 /* Forgets VMs that have not been heard of for a while. */
 void CaroLoadBoard_Tick(CaroLoadBoard *b, CaroTime now);
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -42,7 +42,8 @@
     CaroTime reported_at; /* When the last report came. */
     int failures;         /* Failures in a row. */
     CaroTime avoided_until;
-    CaroTime silent_at; /* When it was last found silent; 0 never. */
+    CaroTime failed_at; /* When a stream of this VM last failed there. */
+    CaroTime silent_at; /* When one last failed by silence. */
 } CaroTarget;
 
 typedef struct CaroTargets CaroTargets;
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -345,11 +345,13 @@
 {
     CaroGateway *g = context;
     CaroTime now = CaroClock_Now();
-    CaroHandle silent[CARO_LOADS_MAX];
-    int n = CaroLoadBoard_Take(g->board, news, silent, now);
-    for (int i = 0; i < n; i++) {
-        CaroTargets_Failed(g->targets, silent[i], now);
-        CaroRelays_Doubt(g->relays, silent[i], now);
+    CaroLoadAlarms alarms;
+    CaroLoadBoard_Take(g->board, news, &alarms, now);
+    for (int i = 0; i < alarms.n_failing; i++) {
+        CaroTargets_Failed(g->targets, alarms.failing[i], now);
+    }
+    for (int i = 0; i < alarms.n_silent; i++) {
+        CaroRelays_Doubt(g->relays, alarms.silent[i], now);
     }
 }
 
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -17,8 +17,11 @@
 
 /* A fleet's first reads come at once; they are spread over this. */
 #define START_SPREAD (200 * CARO_MS)
-/* A fifth of the 5 s that the sites allow a revoked key. */
-#define CONFIG_PERIOD (1 * CARO_SECOND)
+/* Two fifths of the 5 s that the sites allow a revoked key. */
+#define CONFIG_PERIOD (2 * CARO_SECOND)
+/* Changes that come close together are fetched by one call; a fifth of the
+   2 s that the sites allow a change to take. */
+#define WATCH_PAUSE (400 * CARO_MS)
 /* Before the first configuration, which traffic waits for. */
 #define CONFIG_EAGER (150 * CARO_MS)
 /* The store answers in 4 ms; under its slow-down in some hundred. */
@@ -342,6 +345,7 @@
         CaroLog_Info("registry", "A watch ended. code=%d status=%d", code,
                      status);
         r->next_watch = back_off(r, &r->watch_backoff, now);
+        CaroRegistry_Hurry(r, now);
         return;
     }
     for (int i = 0; i < answer->n_items; i++) {
@@ -351,7 +355,7 @@
         r->watch_at = answer->at;
     }
     r->watch_backoff = BACKOFF_FIRST;
-    r->next_watch = now;
+    r->next_watch = answer->n_items > 0 ? now + WATCH_PAUSE : now;
 }
 
 static void
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -337,9 +337,13 @@
             r->last_id = event.id;
             r->has_last_id = true;
         }
+        bool is_first = !r->has_events;
         r->has_events = true;
         r->last_event = now;
-        set_reading(r, 0);
+        if (is_first) {
+            set_reading(r, 0);
+            schedule(r, now); /* The next event is due much sooner. */
+        }
         CaroCall_Send(r->call, event.bytes.at, event.bytes.size);
     }
     if (!r->is_paused && CaroCall_Pending(r->call) > PENDING_MOST) {
@@ -565,8 +569,12 @@
         CaroTargets_Replaced(targets, r->target, now);
         return;
     }
-    if (is_stream(r) && outcome == CARO_OUTCOME_SILENT) {
-        CaroTargets_Get(targets, r->target)->silent_at = now;
+    if (is_stream(r)) {
+        CaroTarget *target = CaroTargets_Get(targets, r->target);
+        target->failed_at = now;
+        if (outcome == CARO_OUTCOME_SILENT) {
+            target->silent_at = now;
+        }
         r->all->is_changed = true;
     }
     switch (outcome) {
--- a/Objects/load_board.c
+++ b/Objects/load_board.c
@@ -8,8 +8,8 @@
 
 /* A VM with streams repeats itself each 1.5 s; three are missed. */
 #define NEWS_LIFE (5 * CARO_SECOND)
-/* A silence is told for as long as others may still wait there. */
-#define SILENCE_NEWS (500 * CARO_MS)
+/* A failure is told for as long as others may still wait there. */
+#define FAILURE_NEWS (500 * CARO_MS)
 
 typedef struct {
     CaroHandle target;
@@ -98,14 +98,15 @@
     return s;
 }
 
-int
+void
 CaroLoadBoard_Take(CaroLoadBoard *b, const caro_load_news *news,
-                   CaroHandle silent[CARO_LOADS_MAX], CaroTime now)
+                   CaroLoadAlarms *alarms, CaroTime now)
 {
-    int n_silent = 0;
+    alarms->n_failing = 0;
+    alarms->n_silent = 0;
     Sender *s = find_sender(b, news->sender);
     if (s == NULL || (s->boot == news->boot && news->number <= s->number)) {
-        return 0;
+        return;
     }
     count_entries(b, s, -1);
     s->boot = news->boot;
@@ -122,12 +123,14 @@
                                      .id_hash = load->target,
                                      .running = (int)load->running,
                                      .reading = (int)load->reading};
+        if (load->is_failing) {
+            alarms->failing[alarms->n_failing++] = h;
+        }
         if (load->is_silent) {
-            silent[n_silent++] = h;
+            alarms->silent[alarms->n_silent++] = h;
         }
     }
     count_entries(b, s, 1);
-    return n_silent;
 }
 
 void
@@ -145,6 +148,12 @@
     }
 }
 
+static bool
+is_recent(CaroTime at, CaroTime now)
+{
+    return at != 0 && now - at < FAILURE_NEWS;
+}
+
 int
 CaroLoadBoard_Fill(const CaroTargets *targets,
                    caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
@@ -153,13 +162,14 @@
     for (CaroHandle h = 0;
          h < CaroTargets_Count(targets) && n < CARO_LOADS_MAX; h++) {
         const CaroTarget *t = CaroTargets_Peek(targets, h);
-        bool is_silent =
-            t->silent_at != 0 && now - t->silent_at < SILENCE_NEWS;
-        if (t->is_used && t->is_present && (t->streams > 0 || is_silent)) {
+        bool is_failing = is_recent(t->failed_at, now);
+        if (t->is_used && t->is_present && (t->streams > 0 || is_failing)) {
             loads[n++] = (caro_target_load){.target = t->id_hash,
                                             .running = (u_int)t->streams,
                                             .reading = (u_int)t->reading,
-                                            .is_silent = is_silent};
+                                            .is_failing = is_failing,
+                                            .is_silent = is_recent(
+                                                t->silent_at, now)};
         }
     }
     return n;
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -10,8 +10,8 @@
 #include <xxhash.h>
 
 /* After a failure an upstream is left alone this long, doubled for each
-   further one.  A tenth of a crash of 1.2 s, as the sites have them. */
-#define AVOID_FIRST (120 * CARO_MS)
+   further one.  A third of a crash of 1.2 s, as the sites have them. */
+#define AVOID_FIRST (400 * CARO_MS)
 #define AVOID_MOST (2 * CARO_SECOND)
 /* Entries lapse after three heartbeats of 1.2 s; this outlasts it. */
 #define AVOID_REPLACED (8 * CARO_SECOND)
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -236,6 +236,7 @@
 	u_int target;
 	u_int running;
 	u_int reading;
+	bool_t is_failing;
 	bool_t is_silent;
 };
 typedef struct caro_target_load caro_target_load;
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -175,7 +175,8 @@
     unsigned int target;
     unsigned int running; /* Streams, also those not yet read. */
     unsigned int reading; /* Prompt tokens of those without an event. */
-    bool is_silent;       /* The VM has just found it silent. */
+    bool is_failing; /* A stream has just failed there. */
+    bool is_silent;  /* And by silence. */
 };
 
 /* All streams of the sender; it replaces what the sender said before. */
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -389,7 +389,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -397,17 +397,20 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_failing))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_silent))
 				 return FALSE;
 		} else {
 			IXDR_PUT_U_LONG(buf, objp->target);
 			IXDR_PUT_U_LONG(buf, objp->running);
 			IXDR_PUT_U_LONG(buf, objp->reading);
+			IXDR_PUT_BOOL(buf, objp->is_failing);
 			IXDR_PUT_BOOL(buf, objp->is_silent);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -415,12 +418,15 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_failing))
+				 return FALSE;
 			 if (!xdr_bool (xdrs, &objp->is_silent))
 				 return FALSE;
 		} else {
 			objp->target = IXDR_GET_U_LONG(buf);
 			objp->running = IXDR_GET_U_LONG(buf);
 			objp->reading = IXDR_GET_U_LONG(buf);
+			objp->is_failing = IXDR_GET_BOOL(buf);
 			objp->is_silent = IXDR_GET_BOOL(buf);
 		}
 	 return TRUE;
@@ -432,6 +438,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->reading))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_failing))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->is_silent))
 		 return FALSE;
 	return TRUE;
