Tell all VMs of upstreams that are gone; leave a failing domain

Cause: after a crash of a domain its old entries stay listed for some seconds. Each VM found them out one by one; a stream used up its eight tries on refusals that take 1 to 7 ms, and was cut; copies were put at upstreams already dead.

--- a/Controllers/attempt.c
+++ b/Controllers/attempt.c
@@ -1,12 +1,37 @@
 /* What follows when an attempt at an upstream ends. */
 #include "internal/caro_attempt.h"
 
-/* Attempts of any kind; a bound on work, above every route's own. */
-#define TRIES_MAX 8
+/* Attempts of any kind; a bound on work.  Entries of a domain that crashed
+   stay listed for some seconds, and each may cost one quick attempt. */
+#define TRIES_MAX 24
 /* With less time left an upstream could not answer: a connection and an
    answer across domains take some milliseconds each. */
 #define USEFUL_MIN (20 * CARO_MS)
 
+const char *
+CaroOutcome_Name(CaroOutcome outcome)
+{
+    switch (outcome) {
+    case CARO_OUTCOME_UNSENT:
+        return "unsent";
+    case CARO_OUTCOME_GONE:
+        return "gone";
+    case CARO_OUTCOME_NOT_RUN:
+        return "not-run";
+    case CARO_OUTCOME_NO_TARGET:
+        return "no-upstream";
+    case CARO_OUTCOME_LOST:
+        return "lost";
+    case CARO_OUTCOME_SILENT:
+        return "silent";
+    case CARO_OUTCOME_FAILED:
+        return "failed";
+    case CARO_OUTCOME_EXPIRED:
+        return "expired";
+    }
+    return "unknown";
+}
+
 bool
 CaroAttempt_IsRepeatable(const CaroAttempt *a)
 {
@@ -39,6 +64,7 @@
     case CARO_OUTCOME_EXPIRED:
         return a->has_begun ? CARO_STEP_BREAK : CARO_STEP_EXPIRE;
     case CARO_OUTCOME_UNSENT:
+    case CARO_OUTCOME_GONE:
     case CARO_OUTCOME_NOT_RUN:
         return is_useful && has_budget ? CARO_STEP_RETRY : give_up(a);
     case CARO_OUTCOME_NO_TARGET:
--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -15,6 +15,10 @@
    where a stream that runs only shares the steps. */
 #define READING_WEIGHT 2.0
 #define READING_UNIT 8192.0 /* Tokens. */
+/* Entries that came within this of each other belong together; one that
+   came later than the failures is a new start. */
+#define SAME_START (1 * CARO_SECOND)
+#define FAILING_MIN 2
 /* Memory that a copy takes, against a running request. */
 #define COPY_WEIGHT 0.25
 /* Below the weight of one request: it only decides among equals. */
@@ -46,9 +50,29 @@
            COPY_WEIGHT * target->copies;
 }
 
+/* Most upstreams of the domain that were there before have just failed:
+   the rest are likely to be found dead, too. */
+static bool
+is_domain_failing(const CaroTargets *t, const CaroTarget *of, CaroTime now)
+{
+    int all = 0;
+    int failing = 0;
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        const CaroTarget *target = CaroTargets_Peek(t, h);
+        if (target->is_used && target->is_present &&
+            strcmp(target->entry.domain, of->entry.domain) == 0 &&
+            strcmp(target->entry.service, of->entry.service) == 0 &&
+            target->known_at <= of->known_at + SAME_START) {
+            all++;
+            failing += now < target->avoided_until;
+        }
+    }
+    return failing >= FAILING_MIN && failing * 3 >= all;
+}
+
 static double
-weigh(const CaroTarget *target, const CaroPlacingQuery *q, gsl_rng *rng,
-      CaroTime now)
+weigh(const CaroTargets *t, const CaroTarget *target,
+      const CaroPlacingQuery *q, gsl_rng *rng, CaroTime now)
 {
     double weight = load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
     if (strcmp(target->entry.domain, q->domain) != 0) {
@@ -58,6 +82,9 @@
         strcmp(target->entry.domain, q->left_domain) == 0) {
         weight += LOST_DOMAIN;
     }
+    if (q->is_stream && is_domain_failing(t, target, now)) {
+        weight += LOST_DOMAIN;
+    }
     return weight;
 }
 
@@ -92,7 +119,7 @@
             }
             continue;
         }
-        double weight = weigh(target, q, rng, now);
+        double weight = weigh(t, target, q, rng, now);
         if (best == CARO_NO_HANDLE || weight < best_weight) {
             best = h;
             best_weight = weight;
@@ -117,7 +144,8 @@
             continue;
         }
         double weight =
-            load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
+            load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng) +
+            (is_domain_failing(t, target, now) ? LOST_DOMAIN : 0.0);
         if (best == CARO_NO_HANDLE || weight < best_weight) {
             best = h;
             best_weight = weight;
--- a/Include/internal/caro_attempt.h
+++ b/Include/internal/caro_attempt.h
@@ -14,6 +14,7 @@
 /* How an attempt ended. */
 typedef enum {
     CARO_OUTCOME_UNSENT,    /* No byte can have reached the upstream. */
+    CARO_OUTCOME_GONE,      /* The upstream is no longer there. */
     CARO_OUTCOME_NOT_RUN,   /* The upstream said that it did not run. */
     CARO_OUTCOME_NO_TARGET, /* There is no upstream to send it to. */
     CARO_OUTCOME_LOST,      /* The answer broke off or was no answer. */
@@ -44,6 +45,9 @@
     CaroTime deadline;
 } CaroAttempt;
 
+/* A word for logs. */
+const char *CaroOutcome_Name(CaroOutcome outcome);
+
 /* The request may run a second time, or go on where it broke off. */
 bool CaroAttempt_IsRepeatable(const CaroAttempt *a);
 
--- a/Include/internal/caro_load_board.h
+++ b/Include/internal/caro_load_board.h
@@ -20,10 +20,11 @@
 
 /* Upstreams at which the sender of a message has just seen failures. */
 typedef struct {
-    CaroHandle failing[CARO_LOADS_MAX];
-    int n_failing;
-    CaroHandle silent[CARO_LOADS_MAX]; /* Those by silence. */
-    int n_silent;
+    struct {
+        CaroHandle target;
+        CaroTargetAlarm alarm;
+    } all[CARO_LOADS_MAX];
+    int n;
 } CaroLoadAlarms;
 
 /* Takes a message; an older one of the same boot is dropped. */
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -25,6 +25,14 @@
     bool is_leaving; /* Takes no new requests. */
 } CaroTargetEntry;
 
+/* How a request of this VM failed at an upstream, by growing certainty. */
+typedef enum {
+    CARO_TARGET_WELL,
+    CARO_TARGET_FAILING, /* It broke off, refused or could not be reached. */
+    CARO_TARGET_SILENT,  /* It stopped in the middle. */
+    CARO_TARGET_GONE     /* Another has its address, or nobody. */
+} CaroTargetAlarm;
+
 typedef struct {
     CaroTargetEntry entry;
     bool is_used;         /* The slot holds an upstream. */
@@ -42,8 +50,9 @@
     CaroTime reported_at; /* When the last report came. */
     int failures;         /* Failures in a row. */
     CaroTime avoided_until;
-    CaroTime failed_at; /* When a stream of this VM last failed there. */
-    CaroTime silent_at; /* When one last failed by silence. */
+    CaroTime known_at;     /* When this entry came. */
+    CaroTargetAlarm alarm; /* The last failure that this VM saw, */
+    CaroTime alarmed_at;   /* and when. */
 } CaroTarget;
 
 typedef struct CaroTargets CaroTargets;
@@ -56,7 +65,8 @@
  * started anew under its id gets a new handle.  Returns CARO_NO_HANDLE
  * when the table is full.
  */
-CaroHandle CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry);
+CaroHandle CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry,
+                           CaroTime now);
 
 CaroHandle CaroTargets_Find(const CaroTargets *t, const char *id);
 
@@ -72,12 +82,12 @@
 /* Lets a slot go whose upstream was removed and where nothing runs. */
 void CaroTargets_Release(CaroTargets *t, CaroHandle h);
 
-/* Another start of an upstream has its address: it is gone for good. */
-void CaroTargets_Replaced(CaroTargets *t, CaroHandle h, CaroTime now);
-
-/* The upstream answered, or failed to; "now" dates the avoidance. */
+/* The upstream answered well. */
 void CaroTargets_Succeeded(CaroTargets *t, CaroHandle h);
-void CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTime now);
+
+/* It failed, here or as another VM says: it is left alone for a while. */
+void CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTargetAlarm alarm,
+                        CaroTime now);
 
 /* May take a new request now. */
 bool CaroTarget_IsUsable(const CaroTarget *target, CaroTime now);
--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -217,7 +217,9 @@
         return;
     }
     if (!c->is_connected) {
-        fail(c, CARO_ERR_TIMEOUT, "no connection");
+        bool is_late = (what & BEV_EVENT_TIMEOUT) != 0;
+        fail(c, is_late ? CARO_ERR_TIMEOUT : CARO_ERR_GONE,
+             is_late ? "no connection in time" : "the connection is refused");
         return;
     }
     on_closed(c, what);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -347,11 +347,12 @@
     CaroTime now = CaroClock_Now();
     CaroLoadAlarms alarms;
     CaroLoadBoard_Take(g->board, news, &alarms, now);
-    for (int i = 0; i < alarms.n_failing; i++) {
-        CaroTargets_Failed(g->targets, alarms.failing[i], now);
-    }
-    for (int i = 0; i < alarms.n_silent; i++) {
-        CaroRelays_Doubt(g->relays, alarms.silent[i], now);
+    for (int i = 0; i < alarms.n; i++) {
+        CaroHandle h = alarms.all[i].target;
+        CaroTargets_Failed(g->targets, h, alarms.all[i].alarm, now);
+        if (alarms.all[i].alarm == CARO_TARGET_SILENT) {
+            CaroRelays_Doubt(g->relays, h, now);
+        }
     }
 }
 
@@ -365,9 +366,8 @@
     if (!is_changed && now < g->next_news) {
         return;
     }
-    caro_load_news news = {.sender = g->settings.vm,
-                           .boot = g->boot,
-                           .number = ++g->news_number};
+    caro_load_news news = {
+        .sender = g->settings.vm, .boot = g->boot, .number = ++g->news_number};
     news.loads.loads_val = loads;
     news.loads.loads_len = (u_int)CaroLoadBoard_Fill(g->targets, loads, now);
     g->next_news = now + NEWS_PERIOD;
@@ -540,8 +540,7 @@
     const CaroGatewaySettings *s = &g->settings;
     g->rng = gsl_rng_alloc(gsl_rng_taus2);
     g->targets = CaroTargets_Create();
-    g->board =
-        g->targets == NULL ? NULL : CaroLoadBoard_Create(g->targets);
+    g->board = g->targets == NULL ? NULL : CaroLoadBoard_Create(g->targets);
     g->pool = CaroChannelPool_Create(
         g->base, (int)(KEPT_PART * (double)s->descriptors));
     g->budget = CaroRetryBudget_Create(
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -154,7 +154,7 @@
         return;
     }
     CaroHandle old = CaroTargets_Find(r->targets, id);
-    CaroHandle h = CaroTargets_Put(r->targets, &entry);
+    CaroHandle h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
     if (h == CARO_NO_HANDLE) {
         CaroLog_Error("registry", "No room for an upstream. id=%s most=%d", id,
                       CARO_TARGETS_MAX);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -531,7 +531,9 @@
     }
     keep_channel(r, now);
     if (r->is_refusal) {
-        end_attempt(r, CARO_OUTCOME_NOT_RUN, "the upstream refused", now);
+        end_attempt(
+            r, r->status == 421 ? CARO_OUTCOME_GONE : CARO_OUTCOME_NOT_RUN,
+            "the upstream refused", now);
         return;
     }
     if (r->status >= 500 || is_false_promise(r->status)) {
@@ -547,8 +549,9 @@
 {
     CaroRelay *r = context;
     bool is_sent = CaroChannel_IsSent(r->channel);
-    (void)code;
-    end_attempt(r, is_sent ? CARO_OUTCOME_LOST : CARO_OUTCOME_UNSENT, reason,
+    CaroOutcome unsent =
+        code == CARO_ERR_GONE ? CARO_OUTCOME_GONE : CARO_OUTCOME_UNSENT;
+    end_attempt(r, is_sent ? CARO_OUTCOME_LOST : unsent, reason,
                 CaroClock_Now());
 }
 
@@ -557,36 +560,41 @@
                                                  .on_end = on_end,
                                                  .on_failure = on_failure};
 
-/* The target counts as failing, unless the failure is the request's. */
+/* What an outcome says of the upstream. */
+static CaroTargetAlarm
+alarm_of(const CaroRelay *r, CaroOutcome outcome)
+{
+    switch (outcome) {
+    case CARO_OUTCOME_GONE:
+        return CARO_TARGET_GONE;
+    case CARO_OUTCOME_SILENT:
+        return CARO_TARGET_SILENT;
+    case CARO_OUTCOME_UNSENT:
+    case CARO_OUTCOME_LOST:
+        return CARO_TARGET_FAILING;
+    case CARO_OUTCOME_NOT_RUN:
+        /* That it has no copy is no fault. */
+        return r->is_going_on ? CARO_TARGET_WELL : CARO_TARGET_FAILING;
+    default:
+        return CARO_TARGET_WELL;
+    }
+}
+
 static void
 blame_target(CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
-    if (r->is_going_on && outcome == CARO_OUTCOME_NOT_RUN) {
-        return; /* It has no copy, which is no fault. */
-    }
     CaroTargets *targets = r->all->parts.targets;
-    if (outcome == CARO_OUTCOME_NOT_RUN && r->status == 421) {
-        CaroTargets_Replaced(targets, r->target, now);
+    CaroTargetAlarm alarm = alarm_of(r, outcome);
+    if (alarm == CARO_TARGET_WELL) {
         return;
     }
+    CaroTargets_Failed(targets, r->target, alarm, now);
     if (is_stream(r)) {
         CaroTarget *target = CaroTargets_Get(targets, r->target);
-        target->failed_at = now;
-        if (outcome == CARO_OUTCOME_SILENT) {
-            target->silent_at = now;
-        }
+        target->alarm = alarm;
+        target->alarmed_at = now;
         r->all->is_changed = true;
     }
-    switch (outcome) {
-    case CARO_OUTCOME_UNSENT:
-    case CARO_OUTCOME_LOST:
-    case CARO_OUTCOME_SILENT:
-    case CARO_OUTCOME_NOT_RUN:
-        CaroTargets_Failed(targets, r->target, now);
-        break;
-    default:
-        break;
-    }
 }
 
 /* Prepares the next attempt: not where the last one failed, and from the
@@ -600,12 +608,13 @@
     bool has_run =
         outcome == CARO_OUTCOME_LOST || outcome == CARO_OUTCOME_SILENT;
     if (q->n_tried == CARO_TRIED_MAX) {
-        q->n_tried--;
+        q->n_tried--; /* Those that failed are avoided besides. */
     }
-    if (!r->is_going_on || outcome != CARO_OUTCOME_NOT_RUN) {
+    if (alarm_of(r, outcome) != CARO_TARGET_WELL ||
+        outcome == CARO_OUTCOME_FAILED) {
         q->tried[q->n_tried++] = r->target;
     }
-    if (outcome != CARO_OUTCOME_NOT_RUN && outcome != CARO_OUTCOME_FAILED) {
+    if (has_run) {
         CARO_COPY(r->left_domain, target->entry.domain);
         q->left_domain = r->left_domain;
     }
@@ -627,6 +636,25 @@
     CaroCall_Break(call);
 }
 
+static void
+log_attempt(const CaroRelay *r, CaroOutcome outcome, const char *reason,
+            CaroTime now)
+{
+    const CaroTargets *targets = r->all->parts.targets;
+    const char *copy = r->copy_at == CARO_NO_HANDLE
+                           ? ""
+                           : CaroTargets_Peek(targets, r->copy_at)->entry.id;
+    CaroLog_Info("relay",
+                 "An attempt ended. id=%s upstream=%s outcome=%s ms=%lld "
+                 "silent_ms=%lld has_events=%d from_copy=%d copy_at=%s "
+                 "reason=\"%s\"",
+                 r->id, CaroTargets_Peek(targets, r->target)->entry.id,
+                 CaroOutcome_Name(outcome),
+                 (long long)((now - r->attempt_started) / CARO_MS),
+                 (long long)((now - r->last_event) / CARO_MS), r->has_events,
+                 r->is_going_on, copy, reason);
+}
+
 static void
 end_attempt(CaroRelay *r, CaroOutcome outcome, const char *reason,
             CaroTime now)
@@ -634,13 +662,7 @@
     CaroRelays *all = r->all;
     if (r->target != CARO_NO_HANDLE) {
         blame_target(r, outcome, now);
-        CaroLog_Info(
-            "relay",
-            "An attempt ended. id=%s upstream=%s outcome=%d "
-            "ms=%lld silent_ms=%lld reason=\"%s\"",
-            r->id, CaroTargets_Peek(all->parts.targets, r->target)->entry.id,
-            outcome, (long long)((now - r->attempt_started) / CARO_MS),
-            (long long)((now - r->last_event) / CARO_MS), reason);
+        log_attempt(r, outcome, reason, now);
         turn_away(r, outcome);
     }
     CaroHandle left = r->target;
--- a/Objects/load_board.c
+++ b/Objects/load_board.c
@@ -98,12 +98,44 @@
     return s;
 }
 
+static CaroTargetAlarm
+read_alarm(caro_target_alarm alarm)
+{
+    switch (alarm) {
+    case CARO_ALARM_GONE:
+        return CARO_TARGET_GONE;
+    case CARO_ALARM_SILENT:
+        return CARO_TARGET_SILENT;
+    case CARO_ALARM_FAILING:
+        return CARO_TARGET_FAILING;
+    default:
+        return CARO_TARGET_WELL;
+    }
+}
+
+static caro_target_alarm
+write_alarm(const CaroTarget *t, CaroTime now)
+{
+    if (t->alarmed_at == 0 || now - t->alarmed_at >= FAILURE_NEWS) {
+        return CARO_ALARM_NONE;
+    }
+    switch (t->alarm) {
+    case CARO_TARGET_GONE:
+        return CARO_ALARM_GONE;
+    case CARO_TARGET_SILENT:
+        return CARO_ALARM_SILENT;
+    case CARO_TARGET_FAILING:
+        return CARO_ALARM_FAILING;
+    default:
+        return CARO_ALARM_NONE;
+    }
+}
+
 void
 CaroLoadBoard_Take(CaroLoadBoard *b, const caro_load_news *news,
                    CaroLoadAlarms *alarms, CaroTime now)
 {
-    alarms->n_failing = 0;
-    alarms->n_silent = 0;
+    alarms->n = 0;
     Sender *s = find_sender(b, news->sender);
     if (s == NULL || (s->boot == news->boot && news->number <= s->number)) {
         return;
@@ -123,11 +155,10 @@
                                      .id_hash = load->target,
                                      .running = (int)load->running,
                                      .reading = (int)load->reading};
-        if (load->is_failing) {
-            alarms->failing[alarms->n_failing++] = h;
-        }
-        if (load->is_silent) {
-            alarms->silent[alarms->n_silent++] = h;
+        if (load->alarm != CARO_ALARM_NONE) {
+            alarms->all[alarms->n].target = h;
+            alarms->all[alarms->n].alarm = read_alarm(load->alarm);
+            alarms->n++;
         }
     }
     count_entries(b, s, 1);
@@ -148,12 +179,6 @@
     }
 }
 
-static bool
-is_recent(CaroTime at, CaroTime now)
-{
-    return at != 0 && now - at < FAILURE_NEWS;
-}
-
 int
 CaroLoadBoard_Fill(const CaroTargets *targets,
                    caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
@@ -162,14 +187,13 @@
     for (CaroHandle h = 0;
          h < CaroTargets_Count(targets) && n < CARO_LOADS_MAX; h++) {
         const CaroTarget *t = CaroTargets_Peek(targets, h);
-        bool is_failing = is_recent(t->failed_at, now);
-        if (t->is_used && t->is_present && (t->streams > 0 || is_failing)) {
+        caro_target_alarm alarm = write_alarm(t, now);
+        if (t->is_used && t->is_present &&
+            (t->streams > 0 || alarm != CARO_ALARM_NONE)) {
             loads[n++] = (caro_target_load){.target = t->id_hash,
                                             .running = (u_int)t->streams,
                                             .reading = (u_int)t->reading,
-                                            .is_failing = is_failing,
-                                            .is_silent = is_recent(
-                                                t->silent_at, now)};
+                                            .alarm = alarm};
         }
     }
     return n;
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -14,7 +14,7 @@
 #define AVOID_FIRST (400 * CARO_MS)
 #define AVOID_MOST (2 * CARO_SECOND)
 /* Entries lapse after three heartbeats of 1.2 s; this outlasts it. */
-#define AVOID_REPLACED (8 * CARO_SECOND)
+#define AVOID_GONE (8 * CARO_SECOND)
 
 struct CaroTargets {
     CaroTarget all[CARO_TARGETS_MAX];
@@ -70,7 +70,7 @@
 }
 
 CaroHandle
-CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry)
+CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry, CaroTime now)
 {
     CaroHandle h = CaroTargets_Find(t, entry->id);
     if (h != CARO_NO_HANDLE && !is_same_start(&t->all[h].entry, entry)) {
@@ -84,6 +84,7 @@
         }
         memset(&t->all[h], 0, sizeof(t->all[h]));
         t->all[h].is_used = true;
+        t->all[h].known_at = now;
     }
     t->all[h].entry = *entry;
     t->all[h].id_hash = XXH32(entry->id, strlen(entry->id), 0);
@@ -140,23 +141,21 @@
 }
 
 void
-CaroTargets_Replaced(CaroTargets *t, CaroHandle h, CaroTime now)
-{
-    CaroTarget *target = CaroTargets_Get(t, h);
-    target->failures++;
-    target->avoided_until = now + AVOID_REPLACED;
-}
-
-void
-CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTime now)
+CaroTargets_Failed(CaroTargets *t, CaroHandle h, CaroTargetAlarm alarm,
+                   CaroTime now)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
     CaroTime wait = AVOID_FIRST;
     for (int i = 0; i < target->failures && wait < AVOID_MOST; i++) {
         wait *= 2;
     }
+    if (alarm == CARO_TARGET_GONE) {
+        wait = AVOID_GONE;
+    }
     target->failures++;
-    target->avoided_until = now + (wait < AVOID_MOST ? wait : AVOID_MOST);
+    if (now + wait > target->avoided_until) {
+        target->avoided_until = now + wait;
+    }
 }
 
 bool
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -232,12 +232,19 @@
 typedef struct caro_why_reply caro_why_reply;
 #define CARO_LOADS_MAX 64
 
+enum caro_target_alarm {
+	CARO_ALARM_NONE = 0,
+	CARO_ALARM_FAILING = 1,
+	CARO_ALARM_SILENT = 2,
+	CARO_ALARM_GONE = 3,
+};
+typedef enum caro_target_alarm caro_target_alarm;
+
 struct caro_target_load {
 	u_int target;
 	u_int running;
 	u_int reading;
-	bool_t is_failing;
-	bool_t is_silent;
+	caro_target_alarm alarm;
 };
 typedef struct caro_target_load caro_target_load;
 
@@ -364,6 +371,7 @@
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
 extern  bool_t xdr_caro_decision (XDR *, caro_decision*);
 extern  bool_t xdr_caro_why_reply (XDR *, caro_why_reply*);
+extern  bool_t xdr_caro_target_alarm (XDR *, caro_target_alarm*);
 extern  bool_t xdr_caro_target_load (XDR *, caro_target_load*);
 extern  bool_t xdr_caro_load_news (XDR *, caro_load_news*);
 
@@ -389,6 +397,7 @@
 extern bool_t xdr_caro_why_args ();
 extern bool_t xdr_caro_decision ();
 extern bool_t xdr_caro_why_reply ();
+extern bool_t xdr_caro_target_alarm ();
 extern bool_t xdr_caro_target_load ();
 extern bool_t xdr_caro_load_news ();
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -170,13 +170,20 @@
 
 const CARO_LOADS_MAX = 64;
 
+/* What a VM has just seen of an upstream. */
+enum caro_target_alarm {
+    CARO_ALARM_NONE = 0,
+    CARO_ALARM_FAILING = 1, /* A stream failed there. */
+    CARO_ALARM_SILENT = 2,  /* A stream there fell silent. */
+    CARO_ALARM_GONE = 3     /* Another has its address, or nobody. */
+};
+
 /* Streams of one VM at one upstream, which is named by a hash of its id. */
 struct caro_target_load {
     unsigned int target;
     unsigned int running; /* Streams, also those not yet read. */
     unsigned int reading; /* Prompt tokens of those without an event. */
-    bool is_failing; /* A stream has just failed there. */
-    bool is_silent;  /* And by silence. */
+    caro_target_alarm alarm;
 };
 
 /* All streams of the sender; it replaces what the sender said before. */
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -382,6 +382,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_target_alarm (XDR *xdrs, caro_target_alarm *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_target_load (XDR *xdrs, caro_target_load *objp)
 {
@@ -389,7 +399,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -397,20 +407,17 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_failing))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_silent))
-				 return FALSE;
+
 		} else {
-			IXDR_PUT_U_LONG(buf, objp->target);
-			IXDR_PUT_U_LONG(buf, objp->running);
-			IXDR_PUT_U_LONG(buf, objp->reading);
-			IXDR_PUT_BOOL(buf, objp->is_failing);
-			IXDR_PUT_BOOL(buf, objp->is_silent);
+		IXDR_PUT_U_LONG(buf, objp->target);
+		IXDR_PUT_U_LONG(buf, objp->running);
+		IXDR_PUT_U_LONG(buf, objp->reading);
 		}
+		 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
+			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -418,17 +425,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_failing))
-				 return FALSE;
-			 if (!xdr_bool (xdrs, &objp->is_silent))
-				 return FALSE;
+
 		} else {
-			objp->target = IXDR_GET_U_LONG(buf);
-			objp->running = IXDR_GET_U_LONG(buf);
-			objp->reading = IXDR_GET_U_LONG(buf);
-			objp->is_failing = IXDR_GET_BOOL(buf);
-			objp->is_silent = IXDR_GET_BOOL(buf);
+		objp->target = IXDR_GET_U_LONG(buf);
+		objp->running = IXDR_GET_U_LONG(buf);
+		objp->reading = IXDR_GET_U_LONG(buf);
 		}
+		 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
+			 return FALSE;
 	 return TRUE;
 	}
 
@@ -438,9 +442,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->reading))
 		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->is_failing))
-		 return FALSE;
-	 if (!xdr_bool (xdrs, &objp->is_silent))
+	 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
 		 return FALSE;
 	return TRUE;
 }
