--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -15,10 +15,9 @@
    where a stream that runs only shares the steps. */
 #define READING_WEIGHT 2.0
 #define READING_UNIT 8192.0 /* Tokens. */
-/* Entries that came within this of each other belong together; one that
-   came later than the failures is a new start. */
-#define SAME_START (1 * CARO_SECOND)
+/* A domain is failing with this many, and this part, of its upstreams. */
 #define FAILING_MIN 2
+#define FAILING_PART 3 /* One in three. */
 /* Memory that a copy takes, against a running request. */
 #define COPY_WEIGHT 0.25
 /* Below the weight of one request: it only decides among equals. */
@@ -50,8 +49,8 @@
            COPY_WEIGHT * target->copies;
 }
 
-/* Most upstreams of the domain that were there before have just failed:
-   the rest are likely to be found dead, too. */
+/* Many upstreams of the domain have failed since this one was known: it is
+   likely to be found dead, too.  One that started later is not. */
 static bool
 is_domain_failing(const CaroTargets *t, const CaroTarget *of, CaroTime now)
 {
@@ -61,13 +60,13 @@
         const CaroTarget *target = CaroTargets_Peek(t, h);
         if (target->is_used && target->is_present &&
             strcmp(target->entry.domain, of->entry.domain) == 0 &&
-            strcmp(target->entry.service, of->entry.service) == 0 &&
-            target->known_at <= of->known_at + SAME_START) {
+            strcmp(target->entry.service, of->entry.service) == 0) {
             all++;
-            failing += now < target->avoided_until;
+            failing += now < target->avoided_until &&
+                       target->failed_at >= of->known_at;
         }
     }
-    return failing >= FAILING_MIN && failing * 3 >= all;
+    return failing >= FAILING_MIN && failing * FAILING_PART >= all;
 }
 
 static double
--- a/Include/internal/caro_log.h
+++ b/Include/internal/caro_log.h
@@ -3,7 +3,8 @@
  *     caro_log - log lines with a fixed prefix for each part
  *
  * A line is a time, a level, the part and a short sentence followed by
- * key=value pairs.  log4c carries them to standard error.
+ * key=value pairs.  log4c carries them to standard output, at a bounded
+ *     pace and without blocking; lines left out are counted in the next.
  */
 #ifndef CARO_LOG_H
 #define CARO_LOG_H
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -50,6 +50,7 @@
     CaroTime reported_at; /* When the last report came. */
     int failures;         /* Failures in a row. */
     CaroTime avoided_until;
+    CaroTime failed_at;    /* Last failure, here or told by others. */
     CaroTime known_at;     /* When this entry came. */
     CaroTargetAlarm alarm; /* The last failure that this VM saw, */
     CaroTime alarmed_at;   /* and when. */
--- a/Modules/log.c
+++ b/Modules/log.c
@@ -5,9 +5,12 @@
 #include "internal/caro_types.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 enum { LINE_SIZE = 1024 };
 
@@ -34,11 +37,59 @@
     return line;
 }
 
+/* Lines leave at a bounded pace, and one that would block is dropped: a
+   reader of logs must not hold up a request.  The pace is ten lines for
+   each of the 30 requests a second that a VM of the sites serves. */
+#define LINES_PER_SECOND 300.0
+#define LINES_BURST 1500.0
+
+static struct {
+    double tokens;
+    CaroTime last;
+    uint64_t dropped;
+} pace = {.tokens = LINES_BURST};
+
+static bool
+may_write(CaroTime now)
+{
+    struct pollfd out = {.fd = STDOUT_FILENO, .events = POLLOUT};
+    double passed = (double)(now - pace.last) / (double)CARO_SECOND;
+    pace.last = now;
+    pace.tokens += passed * LINES_PER_SECOND;
+    if (pace.tokens > LINES_BURST) {
+        pace.tokens = LINES_BURST;
+    }
+    if (pace.tokens < 1.0 || poll(&out, 1, 0) != 1) {
+        return false;
+    }
+    pace.tokens -= 1.0;
+    return true;
+}
+
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *event)
 {
     (void)appender;
-    return fputs(event->evt_rendered_msg, stderr);
+    char note[96];
+    if (!may_write(CaroClock_Now())) {
+        pace.dropped++;
+        return 0;
+    }
+    if (pace.dropped > 0) {
+        int n = snprintf(note, sizeof(note),
+                         "%s WARN log: Lines were left out. count=%llu\n",
+                         vm_name, (unsigned long long)pace.dropped);
+        pace.dropped = 0;
+        /* A line lost here is one among those left out. */
+        if (write(STDOUT_FILENO, note, (size_t)n) < 0) {
+            pace.dropped = 1;
+        }
+    }
+    size_t size = strlen(event->evt_rendered_msg);
+    if (write(STDOUT_FILENO, event->evt_rendered_msg, size) < 0) {
+        pace.dropped++;
+    }
+    return 0;
 }
 
 static const log4c_layout_type_t layout_type = {.name = "carobloft",
@@ -55,7 +106,7 @@
     (void)log4c_appender_type_set(&appender_type);
     line_layout = log4c_layout_get("carobloft.line");
     (void)log4c_layout_set_type(line_layout, &layout_type);
-    line_appender = log4c_appender_get("carobloft.stderr");
+    line_appender = log4c_appender_get("carobloft.stdout");
     (void)log4c_appender_set_type(line_appender, &appender_type);
     (void)log4c_appender_set_layout(line_appender, line_layout);
     root_category = log4c_category_get("carobloft");
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -153,6 +153,7 @@
         wait = AVOID_GONE;
     }
     target->failures++;
+    target->failed_at = now;
     if (now + wait > target->avoided_until) {
         target->avoided_until = now + wait;
     }
--- /dev/null
+++ b/Test/test_gateway_rules.c
@@ -0,0 +1,306 @@
+/* Tests of the gateway's decisions on single requests. */
+#include "test.h"
+
+#include "internal/caro_attempt.h"
+#include "internal/caro_entry.h"
+#include "internal/caro_lapse.h"
+#include "internal/caro_platform.h"
+#include "internal/caro_proof.h"
+#include "internal/caro_retry_budget.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define S CARO_SECOND
+
+static CaroAttempt
+attempt_of(CaroRouteKind kind, bool is_resumable)
+{
+    return (CaroAttempt){.kind = kind,
+                         .is_resumable = is_resumable,
+                         .attempts_max = 2,
+                         .deadline = 10 * S};
+}
+
+static void
+test_an_order_runs_at_most_once(void **state)
+{
+    (void)state;
+    CaroAttempt a = attempt_of(CARO_ROUTE_NON_IDEMPOTENT, false);
+    /* What surely did not run is sent again, as often as it takes. */
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_UNSENT, true, S),
+                     CARO_STEP_RETRY);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_NOT_RUN, true, S),
+                     CARO_STEP_RETRY);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_GONE, true, S),
+                     CARO_STEP_RETRY);
+    /* Without an upstream it is refused, and that is true. */
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_NO_TARGET, true, S),
+                     CARO_STEP_REFUSE);
+    /* Lost on the way: it may have run, so nothing is promised. */
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_LOST, true, S),
+                     CARO_STEP_FAIL);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_NOT_RUN, false, S),
+                     CARO_STEP_FAIL);
+    a = attempt_of(CARO_ROUTE_NON_IDEMPOTENT, false);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_FAILED, true, S),
+                     CARO_STEP_PASS);
+    a = attempt_of(CARO_ROUTE_NON_IDEMPOTENT, false);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_EXPIRED, true, 10 * S),
+                     CARO_STEP_EXPIRE);
+}
+
+static void
+test_a_lookup_is_repeated_within_its_attempts(void **state)
+{
+    (void)state;
+    CaroAttempt a = attempt_of(CARO_ROUTE_IDEMPOTENT, false);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_FAILED, true, S),
+                     CARO_STEP_RETRY);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_FAILED, true, S),
+                     CARO_STEP_PASS);
+    a = attempt_of(CARO_ROUTE_IDEMPOTENT, false);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_LOST, false, S),
+                     CARO_STEP_FAIL);
+    a = attempt_of(CARO_ROUTE_IDEMPOTENT, false);
+    a.has_begun = true;
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_LOST, true, S),
+                     CARO_STEP_BREAK);
+}
+
+static void
+test_a_stream_goes_on_only_if_it_may(void **state)
+{
+    (void)state;
+    CaroAttempt a = attempt_of(CARO_ROUTE_STREAM, true);
+    a.has_begun = true;
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_SILENT, true, S),
+                     CARO_STEP_RETRY);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_NO_TARGET, true, S),
+                     CARO_STEP_WAIT);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_LOST, true, S),
+                     CARO_STEP_BREAK);
+    a = attempt_of(CARO_ROUTE_STREAM, false);
+    assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_LOST, true, S),
+                     CARO_STEP_FAIL);
+    /* Entries of a domain that crashed refuse quickly, one by one. */
+    a = attempt_of(CARO_ROUTE_STREAM, true);
+    a.has_begun = true;
+    for (a.tries = 1; a.tries < 20; a.tries++) {
+        assert_int_equal(CaroAttempt_End(&a, CARO_OUTCOME_GONE, true, S),
+                         CARO_STEP_RETRY);
+    }
+}
+
+static CaroRoutes *
+make_routes(void)
+{
+    CaroRoutes *r = CaroRoutes_Create(7);
+    CaroRoute route = {.kind = CARO_ROUTE_STREAM, .n_shares = 1};
+    CaroAccount account = {.name = "yard", .priority = 1};
+    int index;
+    CARO_COPY(route.host, "A.example");
+    CARO_COPY(route.prefix, "/x/");
+    CARO_COPY(route.name, "short");
+    assert_int_equal(CaroRoutes_Add(r, &route), 0);
+    CARO_COPY(route.prefix, "/x/long/");
+    CARO_COPY(route.name, "long");
+    assert_int_equal(CaroRoutes_Add(r, &route), 0);
+    CARO_COPY(route.prefix, "/open/");
+    CARO_COPY(route.name, "open");
+    route.is_public = true;
+    assert_int_equal(CaroRoutes_Add(r, &route), 0);
+    assert_int_equal(CaroRoutes_AddAccount(r, &account, &index), 0);
+    assert_int_equal(CaroRoutes_AddKey(r, "key-1", index), 0);
+    return r;
+}
+
+static CaroText
+text_of(const char *s)
+{
+    return (CaroText){s, s == NULL ? 0 : strlen(s)};
+}
+
+static CaroEntryVerdict
+judge(const CaroRoutes *r, const char *path, const char *key, bool is_proven)
+{
+    CaroEntryQuery q = {.routes = r,
+                        .is_listed = true,
+                        .is_proven = is_proven,
+                        .host = text_of("a.Example:80"),
+                        .path = text_of(path),
+                        .key = text_of(key)};
+    return CaroEntry_Judge(&q);
+}
+
+static void
+test_entry_of_a_proven_configuration(void **state)
+{
+    (void)state;
+    CaroRoutes *r = make_routes();
+    assert_int_equal(judge(r, "/x/1", "key-1", true).status, 0);
+    assert_string_equal(judge(r, "/x/1", "key-1", true).route->name, "short");
+    assert_string_equal(judge(r, "/x/long/1", "key-1", true).route->name,
+                        "long");
+    assert_string_equal(judge(r, "/x/long", "key-1", true).route->name,
+                        "short");
+    assert_string_equal(judge(r, "/x/1", "key-1", true).account->name, "yard");
+    assert_int_equal(judge(r, "/x/1", "key-2", true).status, 401);
+    assert_int_equal(judge(r, "/x/1", NULL, true).status, 401);
+    assert_int_equal(judge(r, "/y/1", "key-1", true).status, 404);
+    assert_int_equal(judge(r, "/open/1", NULL, true).status, 0);
+    CaroRoutes_Destroy(r);
+}
+
+/* A VM that may not know the newest configuration denies nothing. */
+static void
+test_entry_without_a_proof(void **state)
+{
+    (void)state;
+    CaroRoutes *r = make_routes();
+    assert_int_equal(judge(r, "/x/1", "key-1", false).status, 503);
+    assert_int_equal(judge(r, "/x/1", "key-2", false).status, 503);
+    assert_int_equal(judge(r, "/y/1", "key-1", false).status, 503);
+    assert_true(judge(r, "/y/1", "key-1", false).retry_after_s > 0.0);
+    assert_int_equal(judge(r, "/open/1", NULL, false).status, 0);
+    assert_int_equal(judge(NULL, "/x/1", "key-1", true).status, 503);
+    CaroEntryQuery stopping = {.routes = r,
+                               .is_listed = true,
+                               .is_proven = true,
+                               .is_stopping = true,
+                               .host = text_of("a.example"),
+                               .path = text_of("/open/1")};
+    assert_int_equal(CaroEntry_Judge(&stopping).status, 503);
+    CaroRoutes_Destroy(r);
+}
+
+static void
+test_a_proof_ages_from_the_sending_of_its_call(void **state)
+{
+    (void)state;
+    CaroProof p = {0};
+    assert_false(CaroProof_IsFresh(&p, 5 * S, S));
+    CaroProof_Note(&p, 3, 10 * S);
+    assert_true(CaroProof_IsFresh(&p, 5 * S, 14 * S));
+    /* Some of the bound is kept for the request itself. */
+    assert_false(CaroProof_IsFresh(&p, 5 * S, 14 * S + 600 * CARO_MS));
+    /* A later answer of an earlier call does not make it younger. */
+    CaroProof_Note(&p, 3, 9 * S);
+    assert_int_equal(p.at, 10 * S);
+    /* A peer's proof is as old as the question and its own age. */
+    CaroProof_Adopt(&p, 3, 2 * S, 20 * S);
+    assert_int_equal(p.at, 18 * S);
+    /* Of another revision, or none, it says nothing here. */
+    CaroProof_Adopt(&p, 4, 0, 30 * S);
+    CaroProof_Adopt(&p, 3, -1, 30 * S);
+    assert_int_equal(p.at, 18 * S);
+    CaroProof_Note(&p, 2, 40 * S);
+    assert_int_equal(p.revision, 3);
+}
+
+/* However peers pass it on, a proof is never younger than the read it
+   began with: all chains of three hops with all delays of a small grid. */
+static void
+test_a_proof_passed_on_is_never_too_young(void **state)
+{
+    (void)state;
+    for (int read = 0; read < 3; read++) {
+        for (int hops = 0; hops < 4 * 4 * 4 * 4 * 4 * 4; hops++) {
+            CaroProof holder = {.revision = 1, .at = 10 * S + read};
+            CaroTime now = 11 * S;
+            int rest = hops;
+            for (int hop = 0; hop < 3; hop++) {
+                CaroTime asked = now;
+                CaroTime answered = asked + rest % 4 * S; /* On the way. */
+                rest /= 4;
+                CaroTime age = CaroProof_Age(&holder, answered);
+                CaroProof next = {.revision = 1};
+                CaroProof_Adopt(&next, 1, age, asked);
+                now = answered + rest % 4 * S; /* And back. */
+                rest /= 4;
+                holder = next;
+            }
+            assert_true(holder.at <= 10 * S + read);
+        }
+    }
+}
+
+static void
+test_entries_that_lapse_in_an_outage_wait(void **state)
+{
+    (void)state;
+    /* In calm times an entry that is removed is gone at once. */
+    assert_int_equal(CaroLapse_GoneAt(false, 0, 50 * S), 50 * S);
+    assert_int_equal(CaroLapse_GoneAt(false, 40 * S, 50 * S), 50 * S);
+    /* Around an outage it is waited for, for two seconds and a little. */
+    CaroTime at = CaroLapse_GoneAt(false, 49 * S, 50 * S);
+    assert_true(at >= 51 * S && at <= 49 * S + 2500 * CARO_MS);
+    assert_true(CaroLapse_GoneAt(true, 0, 50 * S) >= 52 * S);
+}
+
+/* 13 VMs repeat all they may, in bursts; the deployment's bound holds. */
+static void
+test_the_retry_budget_holds_over_all_vms(void **state)
+{
+    (void)state;
+    enum { VMS = 13, STEP_MS = 100, STEPS = 600, WINDOW = 100 };
+    static int requests[STEPS];
+    static int repeats[STEPS];
+    CaroRetryBudget *budgets[VMS];
+    memset(requests, 0, sizeof(requests));
+    memset(repeats, 0, sizeof(repeats));
+    for (int vm = 0; vm < VMS; vm++) {
+        budgets[vm] = CaroRetryBudget_Create(0.8, 325.0, 10 * S);
+    }
+    for (int step = 0; step < STEPS; step++) {
+        CaroTime now = S + step * STEP_MS * CARO_MS;
+        int load = step / 150 % 2 == 0 ? 1 : 5;
+        for (int vm = 0; vm < VMS; vm++) {
+            for (int i = 0; i < load; i++) {
+                CaroRetryBudget_Request(budgets[vm], "desk", now);
+                requests[step]++;
+            }
+            while (CaroRetryBudget_IsOpen(budgets[vm], "desk", VMS, now)) {
+                CaroRetryBudget_Repeat(budgets[vm], "desk", now);
+                repeats[step]++;
+            }
+        }
+    }
+    for (int from = 0; from + WINDOW <= STEPS; from++) {
+        int all = 0;
+        int again = 0;
+        for (int i = from; i < from + WINDOW; i++) {
+            all += requests[i];
+            again += repeats[i];
+        }
+        /* Of this window or the one before it, whichever has more. */
+        int before = 0;
+        for (int i = from - WINDOW; i < from; i++) {
+            before += i < 0 ? 0 : requests[i];
+        }
+        int most = all > before ? all : before;
+        assert_true(again <= 0.8 * most + 325.0);
+    }
+    /* One service's repeats are not another's. */
+    assert_true(CaroRetryBudget_IsOpen(budgets[0], "other", VMS, 100 * S));
+    for (int vm = 0; vm < VMS; vm++) {
+        CaroRetryBudget_Destroy(budgets[vm]);
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_an_order_runs_at_most_once),
+        cmocka_unit_test(test_a_lookup_is_repeated_within_its_attempts),
+        cmocka_unit_test(test_a_stream_goes_on_only_if_it_may),
+        cmocka_unit_test(test_entry_of_a_proven_configuration),
+        cmocka_unit_test(test_entry_without_a_proof),
+        cmocka_unit_test(test_a_proof_ages_from_the_sending_of_its_call),
+        cmocka_unit_test(test_a_proof_passed_on_is_never_too_young),
+        cmocka_unit_test(test_entries_that_lapse_in_an_outage_wait),
+        cmocka_unit_test(test_the_retry_budget_holds_over_all_vms),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/Test/test_http_reader.c
@@ -0,0 +1,202 @@
+/* Tests of the framing of HTTP messages. */
+#include "test.h"
+
+#include "caro_error.h"
+#include "internal/caro_http_reader.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Reads all that is in the text; returns the pieces as letters: H, B, E,
+   and "!" for a refusal. */
+static const char *
+read_all(bool is_request, const char *text, size_t size, bool is_closed)
+{
+    static char out[64];
+    size_t n = 0;
+    CaroHttpReader *r = CaroHttpReader_Create(is_request);
+    struct evbuffer *in = evbuffer_new();
+    CaroHttpPiece piece;
+    (void)evbuffer_add(in, text, size);
+    for (int round = 0; round < 2; round++) {
+        int rc;
+        do {
+            rc = CaroHttpReader_Next(r, in, &piece);
+            if (n < sizeof(out) - 2 &&
+                (rc < 0 || piece.kind != CARO_PIECE_NONE)) {
+                out[n++] = rc < 0                          ? '!'
+                           : piece.kind == CARO_PIECE_HEAD ? 'H'
+                           : piece.kind == CARO_PIECE_BODY ? 'B'
+                                                           : 'E';
+            }
+        } while (rc == 0 && piece.kind != CARO_PIECE_NONE);
+        if (rc < 0 || !is_closed) {
+            break;
+        }
+        if (CaroHttpReader_Finish(r) < 0) {
+            out[n++] = '!';
+            break;
+        }
+    }
+    out[n] = '\0';
+    evbuffer_free(in);
+    CaroHttpReader_Destroy(r);
+    return out;
+}
+
+static const char *
+request(const char *text)
+{
+    return read_all(true, text, strlen(text), false);
+}
+
+static const char *
+response(const char *text, bool is_closed)
+{
+    return read_all(false, text, strlen(text), is_closed);
+}
+
+/* What would let another reader find the end elsewhere is refused, before
+   any byte behind it is taken as a request. */
+static void
+test_smuggling_is_refused(void **state)
+{
+    (void)state;
+    static const char *const heads[] = {
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        "Content-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+        "Content-Length: 4\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n"
+        "\r\n3\r\nabc\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+        "Content-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: +3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0x3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3, 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: a\r\nX-A: b\r\n c\r\n\r\n",
+        "POST / HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc",
+        "POST / HTTP/1.1\r\nHost: a\nX: b\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: a\rX: b\r\n\r\n",
+        "GET / HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\n"
+        "Upgrade: h2c\r\n\r\n",
+        "GET / HTTP/2.0\r\nHost: a\r\n\r\n",
+        "rubbish\r\n\r\n",
+    };
+    for (size_t i = 0; i < sizeof(heads) / sizeof(heads[0]); i++) {
+        assert_string_equal(request(heads[i]), "!");
+    }
+    /* The head is good here, the chunk is not. */
+    assert_string_equal(
+        request("POST / HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0x3\r\nabc\r\n"),
+        "H!");
+}
+
+static void
+test_bodies_end_where_they_say(void **state)
+{
+    (void)state;
+    assert_string_equal(request("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), "HE");
+    assert_string_equal(request("POST / HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: 3\r\n\r\nabc"),
+                        "HBE");
+    assert_string_equal(request("POST / HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: 3\r\n\r\nab"),
+                        "HB");
+    /* Two requests in a row. */
+    assert_string_equal(request("POST / HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: 3\r\n\r\nabc"
+                                "GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+                        "HBEHE");
+    assert_string_equal(
+        request("POST / HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+                "GET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+        "HBEHE");
+}
+
+static void
+test_a_cut_answer_is_not_whole(void **state)
+{
+    (void)state;
+    assert_string_equal(
+        response("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", true),
+        "HB!");
+    assert_string_equal(response("HTTP/1.1 200 OK\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n"
+                                 "3\r\nabc\r\n",
+                                 true),
+                        "HB!");
+    assert_string_equal(response("HTTP/1.1 200 OK\r\n\r\nabc", true), "HBE");
+    assert_string_equal(response("HTTP/1.1 200 OK\r\n\r\nabc", false), "HB");
+    assert_string_equal(response("NOISE 200\r\n\r\n", false), "!");
+    /* Bytes behind an answer are no part of it. */
+    assert_string_equal(
+        response("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\naxyz\r\n\r\n",
+                 false),
+        "HBE!");
+}
+
+static void
+test_a_large_head_is_refused(void **state)
+{
+    (void)state;
+    static char text[40000];
+    int n = snprintf(text, sizeof(text), "GET / HTTP/1.1\r\nX: ");
+    memset(text + n, 'a', sizeof(text) - (size_t)n);
+    CaroHttpReader *r = CaroHttpReader_Create(true);
+    struct evbuffer *in = evbuffer_new();
+    CaroHttpPiece piece;
+    (void)evbuffer_add(in, text, sizeof(text));
+    assert_int_equal(CaroHttpReader_Next(r, in, &piece), CARO_ERR_FULL);
+    evbuffer_free(in);
+    CaroHttpReader_Destroy(r);
+}
+
+/* Bytes that come one by one give the same message. */
+static void
+test_bytes_one_by_one(void **state)
+{
+    (void)state;
+    static const char text[] =
+        "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n";
+    char body[32];
+    size_t n = 0;
+    bool is_ended = false;
+    CaroHttpReader *r = CaroHttpReader_Create(true);
+    struct evbuffer *in = evbuffer_new();
+    for (size_t i = 0; i < sizeof(text) - 1; i++) {
+        CaroHttpPiece piece;
+        (void)evbuffer_add(in, text + i, 1);
+        do {
+            assert_int_equal(CaroHttpReader_Next(r, in, &piece), 0);
+            if (piece.kind == CARO_PIECE_BODY) {
+                memcpy(body + n, piece.body.at, piece.body.size);
+                n += piece.body.size;
+            }
+            is_ended |= piece.kind == CARO_PIECE_END;
+        } while (piece.kind != CARO_PIECE_NONE);
+    }
+    body[n] = '\0';
+    assert_true(is_ended);
+    assert_string_equal(body, "hello world");
+    evbuffer_free(in);
+    CaroHttpReader_Destroy(r);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_smuggling_is_refused),
+        cmocka_unit_test(test_bodies_end_where_they_say),
+        cmocka_unit_test(test_a_cut_answer_is_not_whole),
+        cmocka_unit_test(test_a_large_head_is_refused),
+        cmocka_unit_test(test_bytes_one_by_one),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/Test/test_placing.c
@@ -0,0 +1,336 @@
+/* Tests of placing, of the load that VMs tell each other, and of the
+   directory. */
+#include "test.h"
+
+#include "internal/caro_directory.h"
+#include "internal/caro_load_board.h"
+#include "internal/caro_placing.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define S CARO_SECOND
+
+enum { ENGINES = 18, VMS = 13 };
+
+static void
+put_engine(CaroTargets *t, const char *id, const char *domain, CaroTime now)
+{
+    CaroTargetEntry e = {.slots = 64};
+    CARO_COPY(e.id, id);
+    CARO_COPY(e.address, "10.0.0.1:80");
+    CARO_COPY(e.domain, domain);
+    CARO_COPY(e.service, "chat");
+    CARO_COPY(e.version, "v1");
+    assert_true(CaroTargets_Put(t, &e, now) != CARO_NO_HANDLE);
+}
+
+/* Three domains of engines, seen by one VM. */
+static CaroTargets *
+make_targets(void)
+{
+    static const char *const domains[] = {"a", "b", "c"};
+    CaroTargets *t = CaroTargets_Create();
+    for (int i = 0; i < ENGINES; i++) {
+        char id[16];
+        (void)snprintf(id, sizeof(id), "e%d", i);
+        put_engine(t, id, domains[i % 3], S);
+    }
+    return t;
+}
+
+static CaroPlacingQuery
+query_from(const char *domain)
+{
+    return (CaroPlacingQuery){
+        .service = "chat", .domain = domain, .is_stream = true};
+}
+
+/* Of one VM in the load below. */
+typedef struct {
+    CaroTargets *targets;
+    CaroLoadBoard *board;
+    const char *domain;
+    char name[8];
+    uint32_t number;
+} Vm;
+
+static void
+tell_others(Vm *vms, int from, CaroTime now)
+{
+    caro_target_load loads[CARO_LOADS_MAX];
+    CaroLoadAlarms alarms;
+    caro_load_news news = {
+        .sender = vms[from].name, .boot = 1, .number = ++vms[from].number};
+    news.loads.loads_val = loads;
+    news.loads.loads_len =
+        (u_int)CaroLoadBoard_Fill(vms[from].targets, loads, now);
+    for (int vm = 0; vm < VMS; vm++) {
+        if (vm != from) {
+            CaroLoadBoard_Take(vms[vm].board, &news, &alarms, now);
+        }
+    }
+}
+
+/*
+ * A load of five streams a second over 13 VMs, each read for a second and
+ * then running for four.  Returns the part that met an engine which was
+ * reading another prompt.
+ */
+static double
+play_load(bool is_told)
+{
+    enum { STREAMS = 600, PROMPT = 8200 };
+    static struct {
+        int vm;
+        CaroHandle engine;
+        CaroTime read_at;
+        CaroTime ends_at;
+    } streams[STREAMS];
+    Vm vms[VMS];
+    int met = 0;
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(rng, 7);
+    for (int vm = 0; vm < VMS; vm++) {
+        static const char *const domains[] = {"a", "b", "c"};
+        vms[vm] = (Vm){.targets = make_targets(), .domain = domains[vm % 3]};
+        vms[vm].board = CaroLoadBoard_Create(vms[vm].targets);
+        (void)snprintf(vms[vm].name, sizeof(vms[vm].name), "v%d", vm);
+    }
+    for (int i = 0; i < STREAMS; i++) {
+        CaroTime now = 2 * S + i * 200 * CARO_MS;
+        for (int j = 0; j < i; j++) {
+            CaroTarget *t =
+                CaroTargets_Get(vms[streams[j].vm].targets, streams[j].engine);
+            if (streams[j].read_at != 0 && now >= streams[j].read_at) {
+                streams[j].read_at = 0;
+                t->reading -= PROMPT;
+                if (is_told) {
+                    tell_others(vms, streams[j].vm, now);
+                }
+            }
+            if (streams[j].ends_at != 0 && now >= streams[j].ends_at) {
+                streams[j].ends_at = 0;
+                t->streams--;
+                t->in_flight--;
+                if (is_told) {
+                    tell_others(vms, streams[j].vm, now);
+                }
+            }
+        }
+        int vm = (int)gsl_rng_uniform_int(rng, VMS);
+        CaroPlacingQuery q = query_from(vms[vm].domain);
+        CaroHandle h = CaroPlacing_Choose(vms[vm].targets, &q, rng, now);
+        for (int j = 0; j < i; j++) {
+            if (streams[j].engine == h && streams[j].read_at != 0) {
+                met++;
+                break;
+            }
+        }
+        CaroTarget *t = CaroTargets_Get(vms[vm].targets, h);
+        t->in_flight++;
+        t->streams++;
+        t->reading += PROMPT;
+        streams[i].vm = vm;
+        streams[i].engine = h;
+        streams[i].read_at = now + S;
+        streams[i].ends_at = now + 5 * S;
+        if (is_told) {
+            tell_others(vms, vm, now);
+        }
+    }
+    for (int vm = 0; vm < VMS; vm++) {
+        CaroLoadBoard_Destroy(vms[vm].board);
+        CaroTargets_Destroy(vms[vm].targets);
+    }
+    gsl_rng_free(rng);
+    return (double)met / STREAMS;
+}
+
+/* Callers whose prompt waits behind another get their first event late;
+   with each VM telling its load this hardly happens. */
+static void
+test_prompts_do_not_meet(void **state)
+{
+    (void)state;
+    double alone = play_load(false);
+    double told = play_load(true);
+    print_message("prompts that met another: alone %.3f, told %.3f\n", alone,
+                  told);
+    assert_true(told < 0.01);
+    assert_true(alone > 5.0 * told);
+}
+
+static void
+test_a_lost_domain_is_left(void **state)
+{
+    (void)state;
+    CaroTargets *t = make_targets();
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    CaroPlacingQuery q = query_from("a");
+    CaroTime now = 10 * S;
+    for (int i = 0; i < 50; i++) {
+        CaroHandle h = CaroPlacing_Choose(t, &q, rng, now);
+        assert_string_equal(CaroTargets_Peek(t, h)->entry.domain, "a");
+    }
+    /* Two of six in "a" refuse connections: the rest are left, too. */
+    CaroTargets_Failed(t, 0, CARO_TARGET_GONE, now);
+    CaroTargets_Failed(t, 3, CARO_TARGET_GONE, now);
+    for (int i = 0; i < 50; i++) {
+        CaroHandle h = CaroPlacing_Choose(t, &q, rng, now);
+        assert_string_not_equal(CaroTargets_Peek(t, h)->entry.domain, "a");
+    }
+    /* One that started after the crash is taken. */
+    put_engine(t, "fresh", "a", now + 3 * S);
+    CaroTargets_Failed(t, 6, CARO_TARGET_GONE, now + 3 * S);
+    CaroHandle h = CaroPlacing_Choose(t, &q, rng, now + 3 * S);
+    assert_string_equal(CaroTargets_Peek(t, h)->entry.id, "fresh");
+    gsl_rng_free(rng);
+    CaroTargets_Destroy(t);
+}
+
+static void
+test_copies_are_kept_in_another_domain(void **state)
+{
+    (void)state;
+    CaroTargets *t = make_targets();
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    for (int i = 0; i < 50; i++) {
+        CaroHandle h = CaroPlacing_ChooseCopy(t, 0, rng, S);
+        assert_string_not_equal(CaroTargets_Peek(t, h)->entry.domain, "a");
+        CaroTargets_Get(t, h)->copies++;
+    }
+    gsl_rng_free(rng);
+    CaroTargets_Destroy(t);
+}
+
+static void
+test_leaving_and_unknown_upstreams(void **state)
+{
+    (void)state;
+    CaroTargets *t = CaroTargets_Create();
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    CaroPlacingQuery q = query_from("a");
+    assert_int_equal(CaroPlacing_Choose(t, &q, rng, S), CARO_NO_HANDLE);
+    put_engine(t, "e0", "a", S);
+    CaroTargets_Get(t, 0)->entry.is_leaving = true;
+    assert_int_equal(CaroPlacing_Choose(t, &q, rng, S), CARO_NO_HANDLE);
+    put_engine(t, "e1", "b", S);
+    assert_int_equal(CaroPlacing_Choose(t, &q, rng, S), 1);
+    /* The only one is taken though it failed, but not where it did. */
+    CaroTargets_Failed(t, 1, CARO_TARGET_FAILING, S);
+    assert_int_equal(CaroPlacing_Choose(t, &q, rng, S), 1);
+    q.tried[q.n_tried++] = 1;
+    assert_int_equal(CaroPlacing_Choose(t, &q, rng, S), CARO_NO_HANDLE);
+    gsl_rng_free(rng);
+    CaroTargets_Destroy(t);
+}
+
+/* A restart under the same id is another upstream: nothing of the old one
+   is believed of it, and the old slot lives as long as it is in use. */
+static void
+test_an_upstream_that_started_anew(void **state)
+{
+    (void)state;
+    CaroTargets *t = CaroTargets_Create();
+    CaroTargetEntry e = {.born_ms = 1000};
+    CARO_COPY(e.id, "e0");
+    CARO_COPY(e.address, "10.0.0.1:80");
+    CARO_COPY(e.service, "chat");
+    CaroHandle old = CaroTargets_Put(t, &e, S);
+    CaroTargets_Get(t, old)->in_flight++;
+    CaroTargets_Failed(t, old, CARO_TARGET_GONE, S);
+    assert_int_equal(CaroTargets_Put(t, &e, S), old);
+    e.born_ms = 2000;
+    CaroHandle fresh = CaroTargets_Put(t, &e, 2 * S);
+    assert_int_not_equal(fresh, old);
+    assert_true(CaroTarget_IsUsable(CaroTargets_Peek(t, fresh), 2 * S));
+    assert_false(CaroTargets_Peek(t, old)->is_present);
+    assert_true(CaroTargets_Peek(t, old)->is_used);
+    CaroTargets_Get(t, old)->in_flight--;
+    CaroTargets_Release(t, old);
+    assert_false(CaroTargets_Peek(t, old)->is_used);
+    CaroTargets_Destroy(t);
+}
+
+static void
+test_old_news_are_dropped(void **state)
+{
+    (void)state;
+    CaroTargets *t = make_targets();
+    CaroLoadBoard *b = CaroLoadBoard_Create(t);
+    CaroLoadAlarms alarms;
+    caro_target_load load = {.target = CaroTargets_Peek(t, 2)->id_hash,
+                             .running = 3,
+                             .reading = 100,
+                             .alarm = CARO_ALARM_SILENT};
+    caro_load_news news = {.sender = "v1", .boot = 5, .number = 2};
+    news.loads.loads_val = &load;
+    news.loads.loads_len = 1;
+    CaroLoadBoard_Take(b, &news, &alarms, S);
+    assert_int_equal(CaroTargets_Peek(t, 2)->others_running, 3);
+    assert_int_equal(alarms.n, 1);
+    assert_int_equal(alarms.all[0].alarm, CARO_TARGET_SILENT);
+    news.number = 1;
+    load.running = 9;
+    CaroLoadBoard_Take(b, &news, &alarms, S);
+    assert_int_equal(CaroTargets_Peek(t, 2)->others_running, 3);
+    assert_int_equal(alarms.n, 0);
+    /* Another start of the VM begins anew; a silent VM is forgotten. */
+    news.boot = 6;
+    CaroLoadBoard_Take(b, &news, &alarms, 2 * S);
+    assert_int_equal(CaroTargets_Peek(t, 2)->others_running, 9);
+    CaroLoadBoard_Tick(b, 60 * S);
+    assert_int_equal(CaroTargets_Peek(t, 2)->others_running, 0);
+    assert_int_equal(CaroTargets_Peek(t, 2)->others_reading, 0);
+    CaroLoadBoard_Destroy(b);
+    CaroTargets_Destroy(t);
+}
+
+static void
+add_vm(CaroMembership *m, const char *name, const char *domain,
+       caro_member_state state)
+{
+    caro_member_update u = {.name = (char *)name,
+                            .http = (char *)name,
+                            .peer = (char *)name,
+                            .domain = (char *)domain,
+                            .region = "r",
+                            .incarnation = 1,
+                            .boot = 1,
+                            .state = state};
+    (void)CaroMembership_Apply(m, &u, S);
+}
+
+static void
+test_the_directory_prefers_the_callers_domain(void **state)
+{
+    (void)state;
+    const char *out[CARO_DIRECTORY_MAX];
+    CaroVm self = {.name = "a1", .http = "a1", .domain = "a", .boot = 1};
+    CaroMembership *m = CaroMembership_Create(&self, S, 1, S);
+    add_vm(m, "a2", "a", CARO_MEMBER_ALIVE);
+    add_vm(m, "b1", "b", CARO_MEMBER_ALIVE);
+    add_vm(m, "b2", "b", CARO_MEMBER_LEAVING);
+    assert_int_equal(CaroDirectory_List(m, "a", true, out), 2);
+    /* "b" has one that is ready: too few to bear a loss. */
+    assert_int_equal(CaroDirectory_List(m, "b", true, out), 3);
+    assert_int_equal(CaroDirectory_List(m, "a", false, out), 2);
+    assert_int_equal(CaroDirectory_List(m, NULL, true, out), 3);
+    CaroMembership_Destroy(m);
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_prompts_do_not_meet),
+        cmocka_unit_test(test_a_lost_domain_is_left),
+        cmocka_unit_test(test_copies_are_kept_in_another_domain),
+        cmocka_unit_test(test_leaving_and_unknown_upstreams),
+        cmocka_unit_test(test_an_upstream_that_started_anew),
+        cmocka_unit_test(test_old_news_are_dropped),
+        cmocka_unit_test(test_the_directory_prefers_the_callers_domain),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/Test/test_platform.c
@@ -0,0 +1,227 @@
+/* Tests of the platform's formats, of event streams and of settings. */
+#include "test.h"
+
+#include "caro_gateway_settings.h"
+#include "internal/caro_event_stream.h"
+#include "internal/caro_platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char config[] =
+    "{\"version\":7,\"new_field\":1,\"routes\":["
+    "{\"name\":\"r1\",\"host\":\"a.example\",\"path_prefix\":\"/x/\","
+    "\"kind\":\"streaming\",\"timeout_ms\":25000,\"target_latency_ms\":4500,"
+    "\"priority\":1,\"traffic_split\":[{\"service\":\"s1\",\"weight\":90},"
+    "{\"service\":\"s2\",\"weight\":10}],\"max_attempts\":5,"
+    "\"resumable\":true,\"target_gap_ms\":700},"
+    "{\"name\":\"r2\",\"host\":\"a.example\",\"path_prefix\":\"/y/\","
+    "\"kind\":\"non_idempotent\",\"timeout_ms\":1200,\"service\":\"s2\","
+    "\"public\":true}],"
+    "\"limits\":{\"max_header_bytes\":1000,\"idle_timeout_ms\":2000},"
+    "\"tenants\":[{\"name\":\"t1\",\"api_keys\":[\"k1\",\"k2\"]}]}";
+
+static void
+test_a_configuration(void **state)
+{
+    (void)state;
+    CaroRoutes *r;
+    CaroError err;
+    assert_int_equal(CaroPlatform_ReadConfig(config, strlen(config), &r, &err),
+                     0);
+    assert_int_equal(CaroRoutes_Version(r), 7);
+    const CaroRoute *route = CaroRoutes_Find(r, "a.example", 9, "/x/1", 4);
+    assert_int_equal(route->kind, CARO_ROUTE_STREAM);
+    assert_true(route->is_resumable && !route->is_public);
+    assert_int_equal(route->gap, 700 * CARO_MS);
+    assert_int_equal(route->attempts_max, 5);
+    assert_string_equal(CaroRoute_ChooseService(route, 0.89), "s1");
+    assert_string_equal(CaroRoute_ChooseService(route, 0.91), "s2");
+    route = CaroRoutes_Find(r, "a.example", 9, "/y/1", 4);
+    assert_int_equal(route->kind, CARO_ROUTE_NON_IDEMPOTENT);
+    assert_true(route->is_public);
+    assert_string_equal(CaroRoutes_FindAccount(r, "k2", 2)->name, "t1");
+    assert_null(CaroRoutes_FindAccount(r, "k3", 2));
+    assert_int_equal(CaroRoutes_Limits(r)->head_bytes_max, 1000);
+    assert_int_equal(CaroRoutes_Limits(r)->idle_timeout, 2 * CARO_SECOND);
+    CaroRoutes_Destroy(r);
+    static const char bad[] = "{\"version\":8,\"routes\":[{\"name\":\"r\"}]}";
+    assert_true(CaroPlatform_ReadConfig(bad, strlen(bad), &r, &err) < 0);
+    assert_string_equal(err.peer, "host");
+    assert_true(CaroPlatform_ReadConfig("[]", 2, &r, &err) < 0);
+}
+
+static int
+read_target(const char *text, CaroTargetEntry *e)
+{
+    CaroError err;
+    return CaroPlatform_ReadTarget("i-1", text, strlen(text), e, &err);
+}
+
+static void
+test_entries_of_upstreams(void **state)
+{
+    (void)state;
+    CaroTargetEntry e;
+    assert_int_equal(
+        read_target("{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                    "\"zone\":\"z\",\"version\":\"v1\",\"slots\":6,"
+                    "\"state\":\"draining\",\"born\":17,\"more\":[]}",
+                    &e),
+        0);
+    assert_true(e.is_leaving);
+    assert_int_equal(e.born_ms, 17);
+    /* Of another writer: they name no upstream. */
+    static const char *const others[] = {
+        "",
+        "no json",
+        "[]",
+        "{}",
+        "{\"service\":1,\"address\":\"a\",\"zone\":\"z\","
+        "\"version\":\"v\",\"state\":\"ready\"}",
+        "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+        "\"version\":\"v\",\"state\":\"asleep\"}",
+        "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v\","
+        "\"state\":\"ready\"}",
+    };
+    for (size_t i = 0; i < sizeof(others) / sizeof(others[0]); i++) {
+        assert_true(read_target(others[i], &e) < 0);
+    }
+}
+
+static void
+test_answers_of_the_store(void **state)
+{
+    (void)state;
+    CaroStoreAnswer a;
+    static const char events[] =
+        "{\"events\":[{\"key\":\"servers/i\",\"value\":\"aGk=\","
+        "\"revision\":4,\"created_at\":4,\"lease\":0},"
+        "{\"key\":\"servers/j\",\"revision\":5,\"deleted\":true}],"
+        "\"at\":9}";
+    assert_int_equal(CaroPlatform_ReadAnswer(events, strlen(events), &a), 0);
+    assert_int_equal(a.n_items, 2);
+    assert_string_equal(a.items[0].value, "hi");
+    assert_int_equal(a.items[0].size, 2);
+    assert_null(a.items[1].value);
+    assert_int_equal(a.at, 9);
+    CaroStoreAnswer_Clear(&a);
+    static const char single[] =
+        "{\"key\":\"k\",\"value\":\"\",\"revision\":3,\"at\":8}";
+    assert_int_equal(CaroPlatform_ReadAnswer(single, strlen(single), &a), 0);
+    assert_int_equal(a.n_items, 1);
+    assert_int_equal(a.items[0].size, 0);
+    CaroStoreAnswer_Clear(&a);
+    assert_true(CaroPlatform_ReadAnswer("<html>", 6, &a) < 0);
+    const char *rest;
+    assert_int_equal(CaroPlatform_KeyKind("servers/i-1", &rest),
+                     CARO_KEY_TARGET);
+    assert_string_equal(rest, "i-1");
+    assert_int_equal(CaroPlatform_KeyKind("op/config", &rest),
+                     CARO_KEY_CONFIG);
+    assert_int_equal(CaroPlatform_KeyKind("op/config2", &rest),
+                     CARO_KEY_OTHER);
+    CaroStoreCall call;
+    assert_int_equal(CaroPlatform_CallPut(&call, "k", "hi", 4, 77), 0);
+    assert_string_equal(call.body,
+                        "{\"expected_revision\":[{\"key\":\"k\","
+                        "\"revision\":4}],\"puts\":[{\"key\":\"k\","
+                        "\"value\":\"aGk=\",\"lease\":77}],\"remove\":[]}");
+    CaroStoreCall_Clear(&call);
+}
+
+static void
+test_headers(void **state)
+{
+    (void)state;
+    CaroTargetLoad load;
+    int64_t tokens;
+    CaroText t = {"3,0,8", 5};
+    assert_int_equal(CaroPlatform_ReadLoad(t, &load), 0);
+    assert_int_equal(load.slots, 8);
+    t = (CaroText){"3,x,8", 5};
+    assert_true(CaroPlatform_ReadLoad(t, &load) < 0);
+    t = (CaroText){"1460,80", 7};
+    assert_int_equal(CaroPlatform_ReadPromptTokens(t, &tokens), 0);
+    assert_int_equal(tokens, 1460);
+    t = (CaroText){"x-ATTEMPT-id", 12};
+    assert_int_equal(CaroPlatform_HeaderId(t), CARO_HEADER_REQUEST_ID);
+}
+
+/* Only whole events come out, however the bytes are cut. */
+static void
+test_events_come_out_whole(void **state)
+{
+    (void)state;
+    static const char text[] = "id: 1\ndata: a\n\nid:2\ndata: b\n\n"
+                               "data: none\n\nid: 3\r\ndata: c\r\n\r\nid: 4";
+    for (size_t step = 1; step < sizeof(text); step++) {
+        CaroEventStream *s = CaroEventStream_Create();
+        int64_t ids[8];
+        int n = 0;
+        for (size_t from = 0; from < sizeof(text) - 1; from += step) {
+            size_t size = sizeof(text) - 1 - from;
+            CaroText part = {text + from, size < step ? size : step};
+            CaroEvent event;
+            assert_int_equal(CaroEventStream_Feed(s, part), 0);
+            while (CaroEventStream_Next(s, &event)) {
+                ids[n++] = event.id;
+            }
+        }
+        assert_int_equal(n, 4);
+        assert_int_equal(ids[0], 1);
+        assert_int_equal(ids[1], 2);
+        assert_int_equal(ids[2], -1);
+        assert_int_equal(ids[3], 3);
+        assert_int_equal(CaroEventStream_Rest(s), 5);
+        CaroEventStream_Destroy(s);
+    }
+}
+
+static const char good_settings[] =
+    "{\"vm\":\"v1\",\"front\":\"10.0.0.1:80\",\"ready\":\"10.0.0.1:81\","
+    "\"directory\":\"10.0.0.1:82\",\"host\":\"10.0.0.1\",\"peer_port\":7340,"
+    "\"domain\":\"d\",\"region\":\"r\",\"seeds\":[\"10.0.0.2:83\"],"
+    "\"store\":{\"address\":\"10.0.0.9:80\"},\"bounds\":{\"grace_s\":8.5}}";
+
+static void
+test_settings(void **state)
+{
+    (void)state;
+    CaroGatewaySettings s;
+    CaroError err;
+    assert_int_equal(CaroGatewaySettings_Parse(
+                         good_settings, strlen(good_settings), "f", &s, &err),
+                     0);
+    assert_true(s.grace_s == 8.5);
+    assert_int_equal(s.n_seeds, 1);
+    assert_int_equal(s.proof_ms, 5000);
+    static const struct {
+        const char *text;
+        const char *path;
+    } bad[] = {
+        {"{", "line 1"},
+        {"{\"vm\":3}", "$.vm"},
+        {"{\"vm\":\"v1\",\"frunt\":\"x\"}", "$.frunt"},
+    };
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        assert_true(CaroGatewaySettings_Parse(bad[i].text, strlen(bad[i].text),
+                                              "f", &s, &err) < 0);
+        assert_non_null(strstr(err.detail, bad[i].path));
+        assert_string_equal(err.peer, "f");
+    }
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(test_a_configuration),
+        cmocka_unit_test(test_entries_of_upstreams),
+        cmocka_unit_test(test_answers_of_the_store),
+        cmocka_unit_test(test_headers),
+        cmocka_unit_test(test_events_come_out_whole),
+        cmocka_unit_test(test_settings),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
