Carry out the operator's moves of traffic on the platform

An order runs by Controllers/course.c: a trial at half of the share that may be exposed, then all of it, then a look under load, and done at 0.92 of the time. Evidence (failures, answers 2.5 times slower) is the sequential test that the product had; VMs pool it in the messages that tell their loads. Any VM takes a version back; outcomes are written under a condition, in turn by rank.

Ruled out: bearing the trial by few VMs, as the product's own moves do; a VM without traffic then holds it up (proc_moves failed so).

--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -581,6 +581,20 @@
     return e == NULL ? CARO_NO_HANDLE : (CaroHandle)(e - m->members);
 }
 
+int
+CaroMembership_Rank(const CaroMembership *m)
+{
+    int rank = 0;
+    const char *own = m->members[CARO_SELF].vm.name;
+    for (CaroHandle vm = 1; vm < m->n; vm++) {
+        if (CaroMembership_IsUsable(m, vm) &&
+            strcmp(m->members[vm].vm.name, own) < 0) {
+            rank++;
+        }
+    }
+    return rank;
+}
+
 bool
 CaroMembership_IsUsable(const CaroMembership *m, CaroHandle vm)
 {
--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -93,8 +93,8 @@
     return target->is_used && target->is_present &&
            !target->entry.is_leaving &&
            strcmp(target->entry.service, q->service) == 0 &&
-           (q->version == NULL ||
-            strcmp(target->entry.version, q->version) == 0);
+           (q->version == NULL || (strcmp(target->entry.version, q->version) ==
+                                   0) != q->excludes_version);
 }
 
 CaroHandle
--- a/Include/caro_gateway_settings.h
+++ b/Include/caro_gateway_settings.h
@@ -36,7 +36,8 @@
     double retry_ratio;    /* Of the requests that may be repeated. */
     int64_t retry_slack;   /* Repeats besides, of all VMs. */
     double retry_window_s; /* The window of both. */
-    double move_share;     /* Of requests for a version on trial. */
+    double move_share;     /* Of requests for a version on trial, */
+    int64_t move_slack;    /* and requests besides. */
 } CaroGatewaySettings;
 
 /* As CaroSettings_Load and CaroSettings_Parse. */
--- a/Include/internal/caro_entry.h
+++ b/Include/internal/caro_entry.h
@@ -28,7 +28,7 @@
     const char *reason;
     double retry_after_s; /* 0 for none. */
     const CaroRoute *route;
-    const CaroAccount *account; /* NULL on a public route. */
+    const CaroClientAccount *account; /* NULL on a public route. */
 } CaroEntryVerdict;
 
 /* The verdict borrows from q->routes. */
--- a/Include/internal/caro_membership.h
+++ b/Include/internal/caro_membership.h
@@ -101,6 +101,9 @@
 int CaroMembership_CountUsable(const CaroMembership *m);
 bool CaroMembership_IsUsable(const CaroMembership *m, CaroHandle vm);
 
+/* How many usable members have a name before this VM's. */
+int CaroMembership_Rank(const CaroMembership *m);
+
 /* A message to the VM failed: it is probed next. */
 void CaroMembership_Hint(CaroMembership *m, CaroHandle vm);
 
--- a/Include/internal/caro_placing.h
+++ b/Include/internal/caro_placing.h
@@ -18,8 +18,9 @@
 
 typedef struct {
     const char *service;
-    const char *version; /* NULL for any. */
-    const char *domain;  /* Of this VM. */
+    const char *version;   /* NULL for any. */
+    bool excludes_version; /* Any but that one. */
+    const char *domain;    /* Of this VM. */
     bool is_stream;
     CaroHandle tried[CARO_TRIED_MAX]; /* Not to be taken again. */
     int n_tried;
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -12,6 +12,7 @@
 #include "internal/caro_channel_pool.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_front.h"
+#include "internal/caro_moves.h"
 #include "internal/caro_placing.h"
 #include "internal/caro_retry_budget.h"
 #include "internal/caro_routes.h"
@@ -23,6 +24,7 @@
     CaroTargets *targets;
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
+    CaroMoves *moves;
     CaroCounters *counters;
     gsl_rng *rng;
     const char *domain; /* Of this VM. */
@@ -40,7 +42,7 @@
  * public route) are copied.
  */
 void CaroRelays_Take(CaroRelays *all, CaroCall *call, const CaroRoute *route,
-                     const CaroAccount *account, CaroTime now);
+                     const CaroClientAccount *account, CaroTime now);
 
 /* The caller left, or takes bytes again. */
 void CaroRelays_CallerLeft(CaroRelays *all, CaroCall *call, CaroTime now);
--- a/Include/internal/caro_routes.h
+++ b/Include/internal/caro_routes.h
@@ -56,7 +56,7 @@
 typedef struct {
     char name[CARO_NAME_SIZE];
     int64_t priority; /* Goes before the route's; -1 when not given. */
-} CaroAccount;
+} CaroClientAccount;
 
 typedef struct CaroRoutes CaroRoutes;
 
@@ -68,7 +68,7 @@
 int CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route);
 
 /* Adds an account; *index names it for CaroRoutes_AddKey. */
-int CaroRoutes_AddAccount(CaroRoutes *r, const CaroAccount *account,
+int CaroRoutes_AddAccount(CaroRoutes *r, const CaroClientAccount *account,
                           int *index);
 
 /* Gives a key to an account.  Returns 0, CARO_ERR_INPUT or _NOMEM. */
@@ -85,8 +85,8 @@
                                  size_t path_size);
 
 /* The account that holds the key, or NULL.  Borrowed from r. */
-const CaroAccount *CaroRoutes_FindAccount(const CaroRoutes *r, const char *key,
-                                          size_t size);
+const CaroClientAccount *CaroRoutes_FindAccount(const CaroRoutes *r,
+                                                const char *key, size_t size);
 
 /* The service of one request; "draw" is uniform in [0, 1). */
 const char *CaroRoute_ChooseService(const CaroRoute *route, double draw);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -15,6 +15,7 @@
 #include "internal/caro_http.h"
 #include "internal/caro_load_board.h"
 #include "internal/caro_log.h"
+#include "internal/caro_moves.h"
 #include "internal/caro_platform.h"
 #include "internal/caro_registry.h"
 #include "internal/caro_relay.h"
@@ -53,6 +54,7 @@
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
     CaroLoadBoard *board;
+    CaroMoves *moves;
     CaroRelays *relays;
     CaroFront *front;
     CaroStoreClient *store;
@@ -275,24 +277,17 @@
 on_order(void *context, const char *service, const char *bytes, size_t size,
          int64_t revision)
 {
-    (void)context;
-    (void)bytes;
-    (void)size;
-    CaroLog_Warn("moves",
-                 "An order to move traffic is not carried out. service=%s "
-                 "revision=%lld reason=\"not built\"",
-                 service, (long long)revision);
+    CaroGateway *g = context;
+    CaroMoves_OnOrder(g->moves, service, bytes, size, revision,
+                      CaroClock_Now());
 }
 
 static void
 on_outcome(void *context, const char *service, const char *bytes, size_t size,
            int64_t revision)
 {
-    (void)context;
-    (void)service;
-    (void)bytes;
-    (void)size;
-    (void)revision;
+    CaroGateway *g = context;
+    CaroMoves_OnOutcome(g->moves, service, bytes, size, revision);
 }
 
 static const CaroRegistryHandlers registry_handlers = {
@@ -346,6 +341,12 @@
     CaroGateway *g = context;
     CaroTime now = CaroClock_Now();
     CaroLoadAlarms alarms;
+    CaroHandle vm =
+        CaroMembership_Find(CaroFleet_Membership(g->fleet), news->sender);
+    if (vm != CARO_NO_HANDLE) {
+        CaroMoves_Take(g->moves, vm, news->moves.moves_val,
+                       (int)news->moves.moves_len);
+    }
     CaroLoadBoard_Take(g->board, news, &alarms, now);
     for (int i = 0; i < alarms.n; i++) {
         CaroHandle h = alarms.all[i].target;
@@ -362,7 +363,9 @@
 spread_loads(CaroGateway *g, CaroTime now)
 {
     caro_target_load loads[CARO_LOADS_MAX];
-    bool is_changed = CaroRelays_TakeChange(g->relays);
+    caro_move_news moves[CARO_MOVES_MAX];
+    bool has_evidence = CaroMoves_TakeChange(g->moves);
+    bool is_changed = CaroRelays_TakeChange(g->relays) || has_evidence;
     if (!is_changed && now < g->next_news) {
         return;
     }
@@ -370,8 +373,10 @@
         .sender = g->settings.vm, .boot = g->boot, .number = ++g->news_number};
     news.loads.loads_val = loads;
     news.loads.loads_len = (u_int)CaroLoadBoard_Fill(g->targets, loads, now);
+    news.moves.moves_val = moves;
+    news.moves.moves_len = (u_int)CaroMoves_Fill(g->moves, moves);
     g->next_news = now + NEWS_PERIOD;
-    if (is_changed || news.loads.loads_len > 0) {
+    if (is_changed || news.loads.loads_len > 0 || news.moves.moves_len > 0) {
         CaroFleet_SpreadLoads(g->fleet, &news);
     }
 }
@@ -427,7 +432,7 @@
         }
     }
     return json_pack(
-        "{s:s, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o}", "vm",
+        "{s:s, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, s:o}", "vm",
         g->settings.vm, "ready", is_ready(g), "config_revision",
         (json_int_t)g->proof.revision, "proof_age_ms",
         (json_int_t)(CaroProof_Age(&g->proof, CaroClock_Boot()) / CARO_MS),
@@ -435,7 +440,8 @@
         "requests", CaroRelays_Count(g->relays), "connections",
         CaroFront_CountConnections(g->front), "channels_kept",
         CaroChannelPool_Kept(g->pool), "channels_opened",
-        (json_int_t)CaroChannelPool_Opened(g->pool), "upstreams", targets);
+        (json_int_t)CaroChannelPool_Opened(g->pool), "upstreams", targets,
+        "moves", CaroMoves_Dump(g->moves));
 }
 
 static const CaroGatewayHttpHandlers http_handlers = {
@@ -481,6 +487,10 @@
     CaroRegistry_Tick(g->registry, now);
     CaroFleet_Tick(g->fleet, now);
     CaroLoadBoard_Tick(g->board, now);
+    CaroMoves_SetRank(
+        g->moves, CaroMembership_Rank(CaroFleet_Membership(g->fleet)),
+        CaroMembership_CountUsable(CaroFleet_Membership(g->fleet)));
+    CaroMoves_Tick(g->moves, now);
     spread_loads(g, now);
     CaroRelays_SetVms(
         g->relays, CaroMembership_CountUsable(CaroFleet_Membership(g->fleet)));
@@ -547,8 +557,11 @@
         s->retry_ratio, (double)s->retry_slack,
         (CaroTime)(s->retry_window_s * (double)CARO_SECOND));
     g->store = CaroStoreClient_Create(g->base, s->store);
+    g->moves = g->store == NULL ? NULL
+                                : CaroMoves_Create(g->store, s->move_share,
+                                                   (double)s->move_slack);
     if (g->rng == NULL || g->board == NULL || g->pool == NULL ||
-        g->budget == NULL || g->store == NULL) {
+        g->budget == NULL || g->moves == NULL) {
         return CARO_ERR_NOMEM;
     }
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
@@ -556,6 +569,7 @@
                             .targets = g->targets,
                             .pool = g->pool,
                             .budget = g->budget,
+                            .moves = g->moves,
                             .counters = &g->counters,
                             .rng = g->rng,
                             .domain = g->settings.domain};
@@ -679,6 +693,7 @@
     CaroChannelPool_Destroy(g->pool);
     CaroRetryBudget_Destroy(g->budget);
     CaroLoadBoard_Destroy(g->board);
+    CaroMoves_Destroy(g->moves);
     CaroTargets_Destroy(g->targets);
     CaroRoutes_Destroy(g->routes);
     free(g->config);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -56,6 +56,7 @@
     char service[CARO_NAME_SIZE];
     char account[CARO_NAME_SIZE];     /* Empty on a public route. */
     char id[CARO_KEY_SIZE];           /* Of the caller's attempt. */
+    char version[CARO_NAME_SIZE];     /* Of the query; may be empty. */
     char left_domain[CARO_NAME_SIZE]; /* Where an upstream was lost. */
     CaroTime started;
     CaroTime caller_deadline;
@@ -73,6 +74,7 @@
     bool is_soiled;      /* The channel gave such an answer. */
     bool is_refusal;     /* The upstream says that it did not run. */
     bool is_event_stream;
+    bool is_on_trial; /* It goes to a version that may prove bad. */
     bool is_doubted;  /* Others found the upstream silent. */
     int reading;      /* Prompt tokens, until the first event. */
     int prompt;       /* Prompt tokens of the request. */
@@ -476,6 +478,16 @@
     }
 }
 
+/* How the present attempt went, for the move of its service. */
+static void
+sample_attempt(CaroRelay *r, bool is_failed, CaroTime now)
+{
+    const CaroTarget *target =
+        CaroTargets_Peek(r->all->parts.targets, r->target);
+    CaroMoves_Sample(r->all->parts.moves, r->service, target->entry.version,
+                     r->route.name, is_failed, now - r->attempt_started, now);
+}
+
 /* The upstream's answer is whole: the caller gets it. */
 static void
 finish_relay(CaroRelay *r, const char *reason, CaroTime now)
@@ -541,6 +553,7 @@
         return;
     }
     CaroTargets_Succeeded(targets, r->target);
+    sample_attempt(r, false, now);
     finish_relay(r, "answered", now);
 }
 
@@ -636,6 +649,26 @@
     CaroCall_Break(call);
 }
 
+/* A failure that may be the version's; a request that failed at a version
+   on trial is repeated at the one in force. */
+static void
+sample_failure(CaroRelay *r, CaroOutcome outcome, CaroTime now)
+{
+    switch (outcome) {
+    case CARO_OUTCOME_LOST:
+    case CARO_OUTCOME_SILENT:
+    case CARO_OUTCOME_FAILED:
+    case CARO_OUTCOME_EXPIRED:
+        sample_attempt(r, true, now);
+        if (r->is_on_trial) {
+            r->query.excludes_version = true;
+        }
+        break;
+    default:
+        break;
+    }
+}
+
 static void
 log_attempt(const CaroRelay *r, CaroOutcome outcome, const char *reason,
             CaroTime now)
@@ -662,6 +695,7 @@
     CaroRelays *all = r->all;
     if (r->target != CARO_NO_HANDLE) {
         blame_target(r, outcome, now);
+        sample_failure(r, outcome, now);
         log_attempt(r, outcome, reason, now);
         turn_away(r, outcome);
     }
@@ -778,6 +812,11 @@
     evbuffer_drain(r->body, evbuffer_get_length(r->body));
     CaroEventStream_Reset(r->events);
     r->target = choose_target(r, now);
+    if (r->target == CARO_NO_HANDLE && r->is_on_trial) {
+        /* The version has no upstream to take. */
+        r->query.version = NULL;
+        r->target = choose_target(r, now);
+    }
     if (r->target == CARO_NO_HANDLE) {
         end_attempt(r, CARO_OUTCOME_NO_TARGET, "no upstream to send it to",
                     now);
@@ -820,6 +859,21 @@
         r->caller_deadline < route ? r->caller_deadline : route;
 }
 
+static void
+choose_version(CaroRelay *r, CaroTime now)
+{
+    const CaroRelayParts *parts = &r->all->parts;
+    const char *version = NULL;
+    CaroVersionRule rule = CaroMoves_Pick(
+        parts->moves, r->service, gsl_rng_uniform(parts->rng), &version, now);
+    if (rule != CARO_VERSION_ANY) {
+        CARO_COPY(r->version, version);
+        r->query.version = r->version;
+        r->query.excludes_version = rule == CARO_VERSION_NOT;
+        r->is_on_trial = rule == CARO_VERSION_ONLY;
+    }
+}
+
 static void
 set_prompt(CaroRelay *r, const CaroHttpHead *head)
 {
@@ -865,7 +919,7 @@
 
 void
 CaroRelays_Take(CaroRelays *all, CaroCall *call, const CaroRoute *route,
-                const CaroAccount *account, CaroTime now)
+                const CaroClientAccount *account, CaroTime now)
 {
     const CaroHttpHead *head = CaroCall_Head(call);
     const char *service =
@@ -898,6 +952,7 @@
         (CaroPlacingQuery){.service = r->service,
                            .domain = all->parts.domain,
                            .is_stream = route->kind == CARO_ROUTE_STREAM};
+    choose_version(r, now);
     set_deadline(r, head, now);
     set_prompt(r, head);
     CaroRetryBudget_Request(all->parts.budget, r->service, now);
--- a/Objects/routes.c
+++ b/Objects/routes.c
@@ -40,7 +40,7 @@
     int64_t version;
     Host *hosts;
     Key *keys;
-    CaroAccount *accounts;
+    CaroClientAccount *accounts;
     int n_accounts;
     int n_routes;
     CaroCallerLimits limits;
@@ -134,10 +134,11 @@
 }
 
 int
-CaroRoutes_AddAccount(CaroRoutes *r, const CaroAccount *account, int *index)
+CaroRoutes_AddAccount(CaroRoutes *r, const CaroClientAccount *account,
+                      int *index)
 {
-    CaroAccount *all = realloc(r->accounts, ((size_t)r->n_accounts + 1) *
-                                                sizeof(*r->accounts));
+    CaroClientAccount *all = realloc(r->accounts, ((size_t)r->n_accounts + 1) *
+                                                      sizeof(*r->accounts));
     if (all == NULL) {
         return CARO_ERR_NOMEM;
     }
@@ -190,7 +191,7 @@
     return NULL;
 }
 
-const CaroAccount *
+const CaroClientAccount *
 CaroRoutes_FindAccount(const CaroRoutes *r, const char *text, size_t size)
 {
     Key *key;
--- a/Parser/gateway_settings.c
+++ b/Parser/gateway_settings.c
@@ -58,6 +58,7 @@
     NUMBER("retry_slack", retry_slack, 0, 1000000, 100),
     REAL("retry_window_s", retry_window_s, 1, 3600, 10),
     REAL("move_share", move_share, 0, 1, 0),
+    NUMBER("move_slack", move_slack, 0, 1000000, 0),
     CARO_END_OF_FIELDS,
 };
 
--- a/Programs/carofake.c
+++ b/Programs/carofake.c
@@ -60,10 +60,12 @@
         arg_str0(NULL, "domain", "NAME", "target: its failure domain");
     struct arg_str *service =
         arg_str0(NULL, "service", "NAME", "target: what it serves");
+    struct arg_str *version =
+        arg_str0(NULL, "version", "NAME", "target: of its software");
     struct arg_end *end = arg_end(8);
-    void *table[] = {kind, token,    listen,  name,    load,
-                     step, sequence, prefill, batch,   cache,
-                     work, registry, domain,  service, end};
+    void *table[] = {kind,     token,   listen,  name,  load, step,
+                     sequence, prefill, batch,   cache, work, registry,
+                     domain,   service, version, end};
     FakeOptions options = {.name = "fake",
                            .step_us = 5000,
                            .sequence_us = 100,
@@ -72,7 +74,8 @@
                            .cache_blocks = 4096,
                            .work_ms = 20,
                            .domain = "d1",
-                           .service = "chat"};
+                           .service = "chat",
+                           .version = "v1"};
     if (arg_nullcheck(table) != 0) {
         return 1;
     }
@@ -99,6 +102,7 @@
     options.registry = registry->count > 0 ? registry->sval[0] : NULL;
     options.domain = domain->count > 0 ? domain->sval[0] : options.domain;
     options.service = service->count > 0 ? service->sval[0] : options.service;
+    options.version = version->count > 0 ? version->sval[0] : options.version;
     int rc = run_kind(kind->sval[0], &options);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return rc;
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -256,6 +256,10 @@
 		u_int loads_len;
 		caro_target_load *loads_val;
 	} loads;
+	struct {
+		u_int moves_len;
+		caro_move_news *moves_val;
+	} moves;
 };
 typedef struct caro_load_news caro_load_news;
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -192,6 +192,7 @@
     unsigned hyper boot;
     unsigned int number; /* Grows with each message of a boot. */
     caro_target_load loads<CARO_LOADS_MAX>;
+    caro_move_news moves<CARO_MOVES_MAX>; /* Evidence of the sender. */
 };
 
 program CARO_PEER {
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -461,5 +461,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, CARO_LOADS_MAX,
 		sizeof (caro_target_load), (xdrproc_t) xdr_caro_target_load))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->moves.moves_val, (u_int *) &objp->moves.moves_len, CARO_MOVES_MAX,
+		sizeof (caro_move_news), (xdrproc_t) xdr_caro_move_news))
+		 return FALSE;
 	return TRUE;
 }
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -2,6 +2,7 @@
 #include "test.h"
 
 #include "internal/caro_attempt.h"
+#include "internal/caro_course.h"
 #include "internal/caro_entry.h"
 #include "internal/caro_lapse.h"
 #include "internal/caro_platform.h"
@@ -97,7 +98,7 @@
 {
     CaroRoutes *r = CaroRoutes_Create(7);
     CaroRoute route = {.kind = CARO_ROUTE_STREAM, .n_shares = 1};
-    CaroAccount account = {.name = "yard", .priority = 1};
+    CaroClientAccount account = {.name = "yard", .priority = 1};
     int index;
     CARO_COPY(route.host, "A.example");
     CARO_COPY(route.prefix, "/x/");
@@ -288,6 +289,45 @@
     }
 }
 
+/* Of a version that is never found bad, the requests it gets before its
+   time is over stay below what may be exposed. */
+static void
+test_a_course_exposes_no_more_than_it_may(void **state)
+{
+    (void)state;
+    static const double mosts[] = {0.02, 0.1, 0.3};
+    for (size_t i = 0; i < 3; i++) {
+        double sum = 0.0;
+        CaroCourse c = {.is_begun = true, .duration = 10 * S};
+        int steps = 0;
+        for (c.elapsed = 0; c.elapsed < c.duration; c.elapsed += 10000) {
+            if (CaroCourse_Next(&c) == CARO_COURSE_GO_ON) {
+                /* 22 requests a second, as the order services have. */
+                c.requests = 22.0 * (double)c.elapsed / CARO_SECOND;
+                sum += CaroCourse_Share(&c, mosts[i], 50.0);
+            }
+            steps++;
+        }
+        assert_true(sum / steps * 220.0 <= mosts[i] * 220.0 + 50.0);
+        assert_true(sum / steps * 220.0 >= 20.0);
+    }
+}
+
+static void
+test_a_course_ends_in_its_time(void **state)
+{
+    (void)state;
+    CaroCourse c = {.duration = 10 * S};
+    assert_int_equal(CaroCourse_Next(&c), CARO_COURSE_BEGIN);
+    c.is_begun = true;
+    assert_int_equal(CaroCourse_Next(&c), CARO_COURSE_GO_ON);
+    c.elapsed = 9500 * CARO_MS;
+    assert_int_equal(CaroCourse_Next(&c), CARO_COURSE_FINISH);
+    c.is_bad = true;
+    assert_int_equal(CaroCourse_Next(&c), CARO_COURSE_UNDO);
+    assert_true(CaroCourse_Share(&c, 0.1, 50.0) == 0.0);
+}
+
 int
 main(void)
 {
@@ -300,6 +340,8 @@
         cmocka_unit_test(test_a_proof_ages_from_the_sending_of_its_call),
         cmocka_unit_test(test_a_proof_passed_on_is_never_too_young),
         cmocka_unit_test(test_entries_that_lapse_in_an_outage_wait),
+        cmocka_unit_test(test_a_course_exposes_no_more_than_it_may),
+        cmocka_unit_test(test_a_course_ends_in_its_time),
         cmocka_unit_test(test_the_retry_budget_holds_over_all_vms),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Tools/bench/gateway.c
+++ b/Tools/bench/gateway.c
@@ -20,6 +20,7 @@
 
 enum {
     ADDRESSES_KEPT = 64,
+    DOMAINS = 2,
     WORKERS_MAX = 200,
     ORDERS_MAX = 20000,
     EVENTS = 60,
@@ -37,6 +38,7 @@
 
 typedef struct {
     GatewayLoad *load;
+    int domain; /* Of the caller, from 0. */
     CaroChannel *channel;
     struct event *timer;
     CaroEventStream *events;
@@ -54,16 +56,22 @@
     size_t n_text;
 } Worker;
 
+/* Addresses for the callers of one failure domain. */
+typedef struct {
+    GatewayLoad *load;
+    char all[ADDRESSES_KEPT][CARO_ADDRESS_SIZE];
+    int n;
+    CaroTime asked_at;
+    bool is_asking;
+} AddressList;
+
 struct GatewayLoad {
     struct event_base *base;
     const char *const *directories;
     int n_directories;
     const char *host;
     const char *key;
-    char addresses[ADDRESSES_KEPT][CARO_ADDRESS_SIZE];
-    int n_addresses;
-    CaroTime asked_at;
-    bool is_asking;
+    AddressList lists[DOMAINS];
     gsl_rng *rng;
     Worker workers[WORKERS_MAX];
     int n_workers;
@@ -213,7 +221,8 @@
         w->load->whole++;
         Samples_Add(&w->load->gap_ms, (double)w->worst_gap / CARO_MS);
     }
-    if (is_refused && w->last_id > 0 && w->last_id < EVENTS) {
+    if (is_refused && w->last_id > 0 && w->last_id < EVENTS &&
+        CaroClock_Now() - w->started < DEADLINE) {
         set_timer(w, 50 * CARO_MS); /* Goes on elsewhere. */
         return;
     }
@@ -245,10 +254,10 @@
                                          .on_failure = on_failure};
 
 static bool
-is_listed(const GatewayLoad *load, const char *address)
+is_listed(const AddressList *list, const char *address)
 {
-    for (int i = 0; i < load->n_addresses; i++) {
-        if (strcmp(load->addresses[i], address) == 0) {
+    for (int i = 0; i < list->n; i++) {
+        if (strcmp(list->all[i], address) == 0) {
             return true;
         }
     }
@@ -259,23 +268,22 @@
 on_addresses(void *context, int code, int status, const char *body,
              size_t size, bool is_sent, const struct evkeyvalq *headers)
 {
-    GatewayLoad *load = context;
+    AddressList *list = context;
     (void)is_sent;
     (void)headers;
-    load->is_asking = false;
+    list->is_asking = false;
     json_t *root =
         code == 0 && status == 200 ? json_loadb(body, size, 0, NULL) : NULL;
-    json_t *list = json_object_get(root, "addresses");
+    json_t *addresses = json_object_get(root, "addresses");
     size_t i;
     json_t *value;
-    if (json_array_size(list) > 0) {
-        load->n_addresses = 0;
-        json_array_foreach(list, i, value)
+    if (json_array_size(addresses) > 0) {
+        list->n = 0;
+        json_array_foreach(addresses, i, value)
         {
-            if (load->n_addresses < ADDRESSES_KEPT) {
-                CARO_COPY(load->addresses[load->n_addresses],
-                          json_string_value(value));
-                load->n_addresses++;
+            if (list->n < ADDRESSES_KEPT) {
+                CARO_COPY(list->all[list->n], json_string_value(value));
+                list->n++;
             }
         }
     }
@@ -283,23 +291,25 @@
 }
 
 static void
-ask_directory(GatewayLoad *load, CaroTime now)
+ask_directory(GatewayLoad *load, int domain, CaroTime now)
 {
     char path[160];
-    if (load->is_asking || now - load->asked_at < ADDRESS_LIFE) {
+    AddressList *list = &load->lists[domain];
+    if (list->is_asking || now - list->asked_at < ADDRESS_LIFE) {
         return;
     }
     int i = (int)gsl_rng_uniform_int(load->rng,
                                      (unsigned long)load->n_directories);
     (void)snprintf(path, sizeof(path), "%s?name=%s&region=r1&zone=d%d",
-                   CaroPlatform_AddressesPath(), load->host, i % 2 + 1);
+                   CaroPlatform_AddressesPath(), load->host, domain + 1);
     CaroHttpCall call = {.address = load->directories[i],
                          .path = path,
                          .method = EVHTTP_REQ_GET,
                          .timeout = ADDRESS_LIFE};
-    load->is_asking = true;
-    load->asked_at = now;
-    CaroHttp_Call(load->base, &call, on_addresses, load);
+    list->load = load;
+    list->is_asking = true;
+    list->asked_at = now;
+    CaroHttp_Call(load->base, &call, on_addresses, list);
 }
 
 static void
@@ -359,18 +369,19 @@
         load->open--;
         return;
     }
-    ask_directory(load, now);
-    if (load->n_addresses == 0) {
+    const AddressList *list = &load->lists[w->domain];
+    ask_directory(load, w->domain, now);
+    if (list->n == 0) {
         set_timer(w, 50 * CARO_MS);
         return;
     }
-    if (w->channel != NULL && !is_listed(load, w->address)) {
+    if (w->channel != NULL && !is_listed(list, w->address)) {
         close_channel(w);
     }
     if (w->channel == NULL) {
-        CARO_COPY(w->address,
-                  load->addresses[gsl_rng_uniform_int(
-                      load->rng, (unsigned long)load->n_addresses)]);
+        CARO_COPY(
+            w->address,
+            list->all[gsl_rng_uniform_int(load->rng, (unsigned long)list->n)]);
         w->channel = CaroChannel_Open(load->base, w->address, CONNECT_TIMEOUT);
     }
     struct evbuffer *out = evbuffer_new();
@@ -461,6 +472,7 @@
     for (int i = 0; i < load->n_workers; i++) {
         Worker *w = &load->workers[i];
         w->load = load;
+        w->domain = i % DOMAINS;
         w->timer = event_new(load->base, -1, 0, on_timer, w);
         w->events = CaroEventStream_Create();
         if (w->timer == NULL || w->events == NULL) {
--- a/Tools/fake/fake.h
+++ b/Tools/fake/fake.h
@@ -24,6 +24,7 @@
     const char *registry; /* Target: the platform's store. */
     const char *domain;   /* Target: its failure domain. */
     const char *service;  /* Target: what it serves. */
+    const char *version;  /* Target: of its software. */
 } FakeOptions;
 
 /* Each runs its stand-in; returns an exit status. */
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -39,6 +39,7 @@
     double torn_rate;
     bool is_leaving;
     int running;
+    long total; /* Requests that ran. */
     int64_t born_ms;
 } Target;
 
@@ -115,6 +116,7 @@
         HASH_ADD_KEYPTR(hh, t->runs, run->id, strlen(run->id), run);
     }
     run->count++;
+    t->total++;
 }
 
 static void
@@ -283,7 +285,8 @@
     t->fail_rate = Fake_Number(req, "fail", t->fail_rate);
     t->torn_rate = Fake_Number(req, "torn", t->torn_rate);
     t->is_leaving = Fake_Number(req, "leave", t->is_leaving) > 0.0;
-    (void)snprintf(text, sizeof(text), "running %d\n", t->running);
+    (void)snprintf(text, sizeof(text), "running %d\ntotal %ld\n", t->running,
+                   t->total);
     CaroHttp_Text(req, HTTP_OK, text);
 }
 
@@ -313,9 +316,10 @@
     int n = snprintf(
         entry, sizeof(entry),
         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-        "\"version\":\"v1\",\"slots\":64,\"state\":\"%s\",\"born\":%lld}",
+        "\"version\":\"%s\",\"slots\":64,\"state\":\"%s\",\"born\":%lld}",
         t->options->service, t->options->listen, t->options->domain,
-        t->is_leaving ? "draining" : "ready", (long long)t->born_ms);
+        t->options->version, t->is_leaving ? "draining" : "ready",
+        (long long)t->born_ms);
     CaroHttpCall call = {.address = t->options->registry,
                          .path = path,
                          .method = EVHTTP_REQ_POST,
--- a/Tools/gateway_fleet.sh
+++ b/Tools/gateway_fleet.sh
@@ -27,7 +27,7 @@
  "metrics_port":$((fleet_base + 200 + $1)),
  "domain":"$(fleet_domain "$1")","region":"r1","seeds":[],
  "store":{"address":"$(gateway_registry)"},
- "bounds":{"grace_s":${GRACE_S:-6},"retry_ratio":0.8,"retry_slack":300}}
+ "bounds":{"grace_s":${GRACE_S:-6},"move_share":0.1,"move_slack":50,"retry_ratio":0.8,"retry_slack":300}}
 EOF
 }
 
@@ -43,10 +43,11 @@
         --prefill-us 500
 }
 
-gateway_start_desk() { # I
+gateway_start_desk() { # I [VERSION]
     fleet_run "o$1" "$bin/carofake" target --listen "$(gateway_desk "$1")" \
         --name "o$1-$RANDOM" --registry "$(gateway_registry)" \
-        --domain "$(fleet_domain "$1")" --service desk --work-ms 10
+        --domain "$(fleet_domain "$1")" --service desk --work-ms 10 \
+        --version "${2:-v1}"
 }
 
 # The configuration; further JSON of accounts may be given.
@@ -127,7 +128,7 @@
     for i in $(seq 1 "$target_count"); do
         flags+=(--target "$(gateway_target "$i")")
     done
-    for i in $(seq 1 "$fleet_domains"); do
+    for i in $(seq 1 "${desk_count:-$fleet_domains}"); do
         flags+=(--target "$(gateway_desk "$i")")
     done
     timeout 90 "$bin/carobench" gateway "${flags[@]}" --host desk.example \
