--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -36,7 +36,9 @@
 #define GO_ON_PART 0.9
 /* Of a route that names no longest pause. */
 #define SILENCE_DEFAULT (1 * CARO_SECOND)
-/* Of the objective: a second upstream can still meet it. */
+/* Of the objective, when no other prompt was to be read there: a second
+   upstream can still meet it.  Behind others the wait may be their reading,
+   and to leave would only add to the load. */
 #define FIRST_EVENT_PART 0.6
 /* An idempotent request that is late by its objective is asked for again;
    it would earn little at the first upstream. */
@@ -76,6 +78,7 @@
     bool is_event_stream;
     bool is_on_trial; /* It goes to a version that may prove bad. */
     bool is_doubted;  /* Others found the upstream silent. */
+    bool is_behind;   /* Other prompts were to be read there first. */
     int reading;      /* Prompt tokens, until the first event. */
     int prompt;       /* Prompt tokens of the request. */
     bool is_going_on; /* The attempt goes on from a copy. */
@@ -276,9 +279,12 @@
             return (CaroTime)(GO_ON_PART * (double)r->route.gap);
         }
         /* A second wait for a first event would only add to the load. */
-        return r->attempt.runs == 0 || r->has_last_id
-                   ? (CaroTime)(FIRST_EVENT_PART * (double)r->route.objective)
-                   : r->route.timeout;
+        if (r->attempt.runs > 0 && !r->has_last_id) {
+            return r->route.timeout;
+        }
+        return r->is_behind
+                   ? r->route.objective
+                   : (CaroTime)(FIRST_EVENT_PART * (double)r->route.objective);
     case CARO_ROUTE_IDEMPOTENT:
         return r->attempt.runs == 0
                    ? (CaroTime)(PLAIN_PART * (double)r->route.objective)
@@ -823,6 +829,7 @@
         return;
     }
     CaroTarget *target = CaroTargets_Get(all->parts.targets, r->target);
+    r->is_behind = target->reading + target->others_reading > 0;
     target->in_flight++;
     target->streams += is_stream(r);
     all->is_changed |= is_stream(r);
