--- a/Include/internal/caro_gateway_http.h
+++ b/Include/internal/caro_gateway_http.h
@@ -8,6 +8,7 @@
 #include "caro_gateway_settings.h"
 #include "internal/caro_counters.h"
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <jansson.h>
 
@@ -20,6 +21,8 @@
     int (*list_addresses)(void *context, const char *domain, const char **out,
                           int most);
     const CaroCounters *(*get_counters)(void *context);
+    /* Writes the latency histograms as text. */
+    void (*write_latency)(void *context, struct evbuffer *out);
     /* The state of the process; the caller owns the value. */
     json_t *(*get_state)(void *context);
 } CaroGatewayHttpHandlers;
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -12,6 +12,7 @@
 #include "internal/caro_channel_pool.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_front.h"
+#include "internal/caro_latency.h"
 #include "internal/caro_moves.h"
 #include "internal/caro_placing.h"
 #include "internal/caro_retry_budget.h"
@@ -26,6 +27,7 @@
     CaroRetryBudget *budget;
     CaroMoves *moves;
     CaroCounters *counters;
+    CaroLatency *latency;
     gsl_rng *rng;
     const char *domain; /* Of this VM. */
 } CaroRelayParts;
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -50,6 +50,7 @@
     CaroGatewaySettings settings;
     gsl_rng *rng;
     CaroCounters counters;
+    CaroLatency *latency;
     CaroTargets *targets;
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
@@ -413,6 +414,13 @@
     return &g->counters;
 }
 
+static void
+write_latency(void *context, struct evbuffer *out)
+{
+    const CaroGateway *g = context;
+    CaroLatency_Write(g->latency, out);
+}
+
 static json_t *
 get_state(void *context)
 {
@@ -448,6 +456,7 @@
     .is_ready = is_ready,
     .list_addresses = list_addresses,
     .get_counters = get_counters,
+    .write_latency = write_latency,
     .get_state = get_state,
 };
 
@@ -549,6 +558,7 @@
 {
     const CaroGatewaySettings *s = &g->settings;
     g->rng = gsl_rng_alloc(gsl_rng_taus2);
+    g->latency = CaroLatency_Create();
     g->targets = CaroTargets_Create();
     g->board = g->targets == NULL ? NULL : CaroLoadBoard_Create(g->targets);
     g->pool = CaroChannelPool_Create(
@@ -560,8 +570,8 @@
     g->moves = g->store == NULL ? NULL
                                 : CaroMoves_Create(g->store, s->move_share,
                                                    (double)s->move_slack);
-    if (g->rng == NULL || g->board == NULL || g->pool == NULL ||
-        g->budget == NULL || g->moves == NULL) {
+    if (g->rng == NULL || g->latency == NULL || g->board == NULL ||
+        g->pool == NULL || g->budget == NULL || g->moves == NULL) {
         return CARO_ERR_NOMEM;
     }
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
@@ -571,6 +581,7 @@
                             .budget = g->budget,
                             .moves = g->moves,
                             .counters = &g->counters,
+                            .latency = g->latency,
                             .rng = g->rng,
                             .domain = g->settings.domain};
     g->relays = CaroRelays_Create(&parts);
@@ -694,6 +705,7 @@
     CaroRetryBudget_Destroy(g->budget);
     CaroLoadBoard_Destroy(g->board);
     CaroMoves_Destroy(g->moves);
+    CaroLatency_Destroy(g->latency);
     CaroTargets_Destroy(g->targets);
     CaroRoutes_Destroy(g->routes);
     free(g->config);
--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -67,6 +67,7 @@
                             CaroCounters_Name((CaroCounter)i),
                             (unsigned long long)c->values[i]);
     }
+    h->handlers->write_latency(h->context, buf);
     evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
                       "text/plain");
     evhttp_send_reply(req, HTTP_OK, NULL, buf);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -69,12 +69,13 @@
     CaroHandle target; /* Of the present attempt, or no handle. */
     CaroChannel *channel;
     CaroTime attempt_started;
-    CaroTime last_event; /* Or the start of the attempt. */
-    bool has_events;     /* The present attempt gave one. */
-    bool is_paused;      /* The caller is slow. */
-    bool is_skipping;    /* An answer that belongs to another request. */
-    bool is_soiled;      /* The channel gave such an answer. */
-    bool is_refusal;     /* The upstream says that it did not run. */
+    CaroTime last_passed; /* Last event of any attempt; 0 none. */
+    CaroTime last_event;  /* Or the start of the attempt. */
+    bool has_events;      /* The present attempt gave one. */
+    bool is_paused;       /* The caller is slow. */
+    bool is_skipping;     /* An answer that belongs to another request. */
+    bool is_soiled;       /* The channel gave such an answer. */
+    bool is_refusal;      /* The upstream says that it did not run. */
     bool is_event_stream;
     bool is_on_trial; /* It goes to a version that may prove bad. */
     bool is_doubted;  /* Others found the upstream silent. */
@@ -332,6 +333,17 @@
     }
 }
 
+/* How long the caller waited for this event. */
+static void
+note_wait(CaroRelay *r, CaroTime now)
+{
+    CaroLatencyKind kind = r->last_passed == 0 ? CARO_LATENCY_FIRST
+                           : r->has_events     ? CARO_LATENCY_GAP
+                                               : CARO_LATENCY_CHANGE;
+    CaroTime from = r->last_passed == 0 ? r->started : r->last_passed;
+    CaroLatency_Add(r->all->parts.latency, kind, now - from);
+}
+
 /* Passes whole events on; false when the stream cannot be what it says. */
 static bool
 pass_events(CaroRelay *r, CaroTime now)
@@ -346,8 +358,10 @@
             r->has_last_id = true;
         }
         bool is_first = !r->has_events;
+        note_wait(r, now);
         r->has_events = true;
         r->last_event = now;
+        r->last_passed = now;
         if (is_first) {
             set_reading(r, 0);
             schedule(r, now); /* The next event is due much sooner. */
@@ -560,6 +574,10 @@
     }
     CaroTargets_Succeeded(targets, r->target);
     sample_attempt(r, false, now);
+    if (!is_stream(r)) {
+        CaroLatency_Add(r->all->parts.latency, CARO_LATENCY_PLAIN,
+                        now - r->started);
+    }
     finish_relay(r, "answered", now);
 }
 
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -18,7 +18,6 @@
 #include <string.h>
 #include <uthash.h>
 
-#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #define HEARTBEAT (300 * CARO_MS)
