--- a/Programs/carobloftd.c
+++ b/Programs/carobloftd.c
@@ -97,7 +97,7 @@
 }
 
 static int
-run_gateway(const char *file)
+run_gateway(const char *file, bool is_check)
 {
     static CaroGatewaySettings settings;
     static GatewayRun run;
@@ -108,6 +108,10 @@
                       CaroError_Format(&err, line, sizeof(line)));
         return 2;
     }
+    if (is_check) {
+        (void)printf("the settings of gateway %s are good\n", settings.vm);
+        return 0;
+    }
     (void)signal(SIGPIPE, SIG_IGN);
     CaroLog_Start(settings.vm);
     base = event_base_new();
@@ -139,17 +143,23 @@
         arg_file0(NULL, "check", "FILE", "only check the settings");
     struct arg_file *gateway =
         arg_file0(NULL, "gateway", "FILE", "serve the platform's interface");
+    struct arg_file *check_gateway = arg_file0(
+        NULL, "check-gateway", "FILE", "only check the settings of a gateway");
     struct arg_end *end = arg_end(4);
-    void *table[] = {run, check, gateway, end};
+    void *table[] = {run, check, gateway, check_gateway, end};
     int rc = 2;
     if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0 ||
-        run->count + check->count + gateway->count != 1) {
+        run->count + check->count + gateway->count + check_gateway->count !=
+            1) {
         arg_print_errors(stderr, end, "carobloftd");
         (void)fprintf(stderr, "usage: carobloftd");
         arg_print_syntax(stderr, table, "\n");
     }
-    else if (gateway->count > 0) {
-        rc = run_gateway(gateway->filename[0]);
+    else if (gateway->count + check_gateway->count > 0) {
+        bool is_check = check_gateway->count > 0;
+        rc = run_gateway(is_check ? check_gateway->filename[0]
+                                  : gateway->filename[0],
+                         is_check);
     }
     else {
         bool is_check = check->count > 0;
--- a/Tools/demo.sh
+++ b/Tools/demo.sh
@@ -30,4 +30,20 @@
 [ "$runs" = 1 ] || { echo "demo: FAILED, $runs orders"; exit 1; }
 grep -q '"whole": 0,' "$fleet_dir/load.json" &&
     { echo "demo: FAILED, no generation came whole"; exit 1; }
+fleet_stop
+
+echo
+echo "== the same program as a gateway on the users' platform"
+. Tools/gateway_fleet.sh
+gateway_fleet_start 2 3 4
+echo "started: 1 store, 4 engines, 2 order services, 3 gateways in 2 domains"
+gateway_load --seconds 4 --seed 1 >"$fleet_dir/load.txt" &
+load=$!
+sleep 1.5
+fleet_kill t1 KILL
+echo "killed: engine t1, with SIGKILL, while it generated"
+status=0
+wait "$load" || status=$?
+cat "$fleet_dir/load.txt"
+[ "$status" -eq 0 ] || { echo "demo: FAILED, gateways"; exit 1; }
 echo "demo: passed"
