Do not pass a failure in place of a stream's rest

Cause: when a run that goes on was answered with a failure, its body was sent to the caller as part of the stream, and a 4xx ended the stream as whole. Such an answer now counts as a failed attempt.

The patience with engines is a decision of its own (Controllers/patience.c), events on their way a part of their own (Modules/stream_pass.c), and the counts of an upstream are kept by its table.

--- /dev/null
+++ b/Controllers/patience.c
@@ -0,0 +1,53 @@
+/* How long an attempt may go without its next event. */
+#include "internal/caro_patience.h"
+
+/* Of a route's longest pause on time; the rest is for another engine. */
+#define SILENCE_PART 0.45
+/* The same for the first event of a run that goes on from a copy: a
+   connection, the rest of the prompt and five tokens. */
+#define COPY_PART 0.9
+/* Of a route that names no longest pause. */
+#define GAP_DEFAULT (2 * CARO_SECOND)
+/* Of the objective, when no other prompt was to be read there: a second
+   upstream can still meet it.  Behind others the wait may be their reading. */
+#define FIRST_EVENT_PART 0.6
+/* An idempotent request that is late by its objective is asked for again;
+   it would earn little at the first upstream. */
+#define PLAIN_PART 1.2
+
+static CaroTime
+part_of(double part, CaroTime whole)
+{
+    return (CaroTime)(part * (double)whole);
+}
+
+static CaroTime
+of_stream(const CaroPatienceQuery *q)
+{
+    CaroTime gap = q->route->gap > 0 ? q->route->gap : GAP_DEFAULT;
+    if (q->has_events || q->is_doubted) {
+        return part_of(SILENCE_PART, gap);
+    }
+    if (q->is_from_copy) {
+        return part_of(COPY_PART, gap);
+    }
+    if (!q->is_first && !q->has_been_passed) {
+        return q->route->timeout;
+    }
+    return q->is_behind ? q->route->objective
+                        : part_of(FIRST_EVENT_PART, q->route->objective);
+}
+
+CaroTime
+CaroPatience_Of(const CaroPatienceQuery *q)
+{
+    switch (q->route->kind) {
+    case CARO_ROUTE_STREAM:
+        return of_stream(q);
+    case CARO_ROUTE_IDEMPOTENT:
+        return q->is_first ? part_of(PLAIN_PART, q->route->objective)
+                           : q->route->timeout;
+    default:
+        return q->route->timeout;
+    }
+}
--- /dev/null
+++ b/Include/internal/caro_patience.h
@@ -0,0 +1,26 @@
+/*
+ * NAME
+ *     caro_patience - how long an attempt may go without its next event
+ *
+ * Answers engines that fall silent without closing: what is left of the
+ * longest pause on time has to suffice for another engine to go on, and an
+ * engine that is only busy must not be left, because that adds to the load.
+ */
+#ifndef CARO_PATIENCE_H
+#define CARO_PATIENCE_H
+
+#include "internal/caro_routes.h"
+
+typedef struct {
+    const CaroRoute *route;
+    bool has_events;      /* The attempt has given one. */
+    bool is_doubted;      /* Others found its upstream silent. */
+    bool is_from_copy;    /* It goes on from a copy of memory. */
+    bool is_behind;       /* Other prompts were to be read there first. */
+    bool is_first;        /* No upstream has failed the request yet. */
+    bool has_been_passed; /* The caller has events of it. */
+} CaroPatienceQuery;
+
+CaroTime CaroPatience_Of(const CaroPatienceQuery *q);
+
+#endif
--- a/Include/internal/caro_relay_head.h
+++ b/Include/internal/caro_relay_head.h
@@ -24,6 +24,14 @@
    CARO_ERR_NOMEM. */
 int CaroRelayHead_WriteRequest(struct evbuffer *out, const CaroRequestHead *h);
 
+/* What keeps a success from being the upstream's answer to the request of
+   that id: a static text, or NULL when it is. */
+const char *CaroRelayHead_CheckSuccess(const CaroHttpHead *head,
+                                       const char *id);
+
+/* The status promises that the request has not run and never will. */
+bool CaroRelayHead_IsPromise(int status);
+
 /* Copies the upstream's header lines that are meant for the caller. */
 void CaroRelayHead_CopyAnswer(struct evbuffer *out, const CaroHttpHead *head);
 
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -80,8 +80,25 @@
 /* One above the highest handle in use. */
 CaroHandle CaroTargets_Count(const CaroTargets *t);
 
-/* Lets a slot go whose upstream was removed and where nothing runs. */
-void CaroTargets_Release(CaroTargets *t, CaroHandle h);
+/* A request of this VM begins or ends there; the slot of an upstream that
+   was removed is free with the last of them. */
+void CaroTargets_Begin(CaroTargets *t, CaroHandle h, bool is_stream);
+void CaroTargets_End(CaroTargets *t, CaroHandle h, bool is_stream);
+
+/* The same for a copy that is kept there. */
+void CaroTargets_BeginCopy(CaroTargets *t, CaroHandle h);
+void CaroTargets_EndCopy(CaroTargets *t, CaroHandle h);
+
+/* Prompt tokens that are to be read there, more or fewer. */
+void CaroTargets_AddReading(CaroTargets *t, CaroHandle h, int tokens);
+
+/* What the upstream told of its load. */
+void CaroTargets_Report(CaroTargets *t, CaroHandle h, int running, int waiting,
+                        CaroTime now);
+
+/* A stream of this VM failed there, which other VMs are to be told. */
+void CaroTargets_Alarm(CaroTargets *t, CaroHandle h, CaroTargetAlarm alarm,
+                       CaroTime now);
 
 /* The upstream answered well. */
 void CaroTargets_Succeeded(CaroTargets *t, CaroHandle h);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -11,10 +11,11 @@
 
 #include "internal/caro_attempt.h"
 #include "internal/caro_clock.h"
-#include "internal/caro_event_stream.h"
 #include "internal/caro_log.h"
+#include "internal/caro_patience.h"
 #include "internal/caro_platform.h"
 #include "internal/caro_relay_head.h"
+#include "internal/caro_stream_pass.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,21 +29,6 @@
 #define LOOK_AGAIN (40 * CARO_MS)
 /* An answer must leave before the caller's patience ends. */
 #define ANSWER_MARGIN (25 * CARO_MS)
-/* Of a route's longest pause on time: what is left of it has to suffice
-   for another upstream to go on. */
-#define SILENCE_PART 0.45
-/* The same for the first event of a run that goes on from a copy: a
-   connection, the rest of the prompt and five tokens. */
-#define GO_ON_PART 0.9
-/* Of a route that names no longest pause. */
-#define SILENCE_DEFAULT (1 * CARO_SECOND)
-/* Of the objective, when no other prompt was to be read there: a second
-   upstream can still meet it.  Behind others the wait may be their reading,
-   and to leave would only add to the load. */
-#define FIRST_EVENT_PART 0.6
-/* An idempotent request that is late by its objective is asked for again;
-   it would earn little at the first upstream. */
-#define PLAIN_PART 1.2
 /* Suggested to callers that found no upstream; engines that crash are back
    in about a second. */
 #define RETRY_AFTER_S 0.3
@@ -69,14 +55,14 @@
     CaroHandle target; /* Of the present attempt, or no handle. */
     CaroChannel *channel;
     CaroTime attempt_started;
-    CaroTime last_passed; /* Last event of any attempt; 0 none. */
-    CaroTime last_event;  /* Or the start of the attempt. */
-    bool has_events;      /* The present attempt gave one. */
-    bool is_paused;       /* The caller is slow. */
-    bool is_skipping;     /* An answer that belongs to another request. */
-    bool is_soiled;       /* The channel gave such an answer. */
-    bool is_refusal;      /* The upstream says that it did not run. */
+    CaroTime last_event; /* Or the start of the attempt. */
+    bool has_events;     /* The present attempt gave one. */
+    bool is_paused;      /* The caller is slow. */
+    bool is_skipping;    /* An answer that belongs to another request. */
+    bool is_soiled;      /* The channel gave such an answer. */
+    bool is_refusal;     /* The upstream says that it did not run. */
     bool is_event_stream;
+    bool is_passing;  /* A long plain answer, as it comes. */
     bool is_on_trial; /* It goes to a version that may prove bad. */
     bool is_doubted;  /* Others found the upstream silent. */
     bool is_behind;   /* Other prompts were to be read there first. */
@@ -86,12 +72,10 @@
 
     CaroHandle copy_at;  /* Keeps a copy of the present run. */
     CaroHandle go_on_at; /* The next attempt goes on from a copy. */
-    int64_t last_id;     /* Of the last event passed on, or as told. */
-    bool has_last_id;
     int status;
     struct evbuffer *headers; /* Of the upstream's answer. */
     struct evbuffer *body;    /* Held part of the answer. */
-    CaroEventStream *events;
+    CaroStreamPass *pass;
 };
 
 struct CaroRelays {
@@ -128,8 +112,8 @@
 static void
 set_reading(CaroRelay *r, int tokens)
 {
-    CaroTarget *target = CaroTargets_Get(r->all->parts.targets, r->target);
-    target->reading += tokens - r->reading;
+    CaroTargets_AddReading(r->all->parts.targets, r->target,
+                           tokens - r->reading);
     r->all->is_changed |= tokens != r->reading;
     r->reading = tokens;
 }
@@ -144,10 +128,8 @@
     r->channel = NULL;
     if (r->target != CARO_NO_HANDLE) {
         set_reading(r, 0);
-        CaroTargets_Get(targets, r->target)->in_flight--;
-        CaroTargets_Get(targets, r->target)->streams -= is_stream(r);
         r->all->is_changed |= is_stream(r);
-        CaroTargets_Release(targets, r->target);
+        CaroTargets_End(targets, r->target, is_stream(r));
         r->target = CARO_NO_HANDLE;
     }
 }
@@ -157,8 +139,7 @@
 {
     CaroTargets *targets = r->all->parts.targets;
     if (*copy != CARO_NO_HANDLE) {
-        CaroTargets_Get(targets, *copy)->copies--;
-        CaroTargets_Release(targets, *copy);
+        CaroTargets_EndCopy(targets, *copy);
         *copy = CARO_NO_HANDLE;
     }
 }
@@ -188,7 +169,7 @@
     if (r->body != NULL) {
         evbuffer_free(r->body);
     }
-    CaroEventStream_Destroy(r->events);
+    CaroStreamPass_Destroy(r->pass);
     free(r);
 }
 
@@ -225,7 +206,8 @@
                  "ms=%lld tries=%d runs=%lld last_event=%lld reason=\"%s\"",
                  r->id, r->route.name, r->account, status,
                  (long long)((now - r->started) / CARO_MS), r->attempt.tries,
-                 (long long)r->attempt.runs, (long long)r->last_id, reason);
+                 (long long)r->attempt.runs,
+                 (long long)CaroStreamPass_LastId(r->pass), reason);
 }
 
 void
@@ -262,37 +244,18 @@
     (void)event_add(r->timer, &t);
 }
 
-/* How long the present attempt may go without its next event. */
 static CaroTime
 patience_of(const CaroRelay *r)
 {
-    switch (r->route.kind) {
-    case CARO_ROUTE_STREAM:
-        if (r->has_events) {
-            return r->route.gap > 0
-                       ? (CaroTime)(SILENCE_PART * (double)r->route.gap)
-                       : SILENCE_DEFAULT;
-        }
-        if (r->is_doubted) {
-            return (CaroTime)(SILENCE_PART * (double)r->route.gap);
-        }
-        if (r->is_going_on) {
-            return (CaroTime)(GO_ON_PART * (double)r->route.gap);
-        }
-        /* A second wait for a first event would only add to the load. */
-        if (r->attempt.runs > 0 && !r->has_last_id) {
-            return r->route.timeout;
-        }
-        return r->is_behind
-                   ? r->route.objective
-                   : (CaroTime)(FIRST_EVENT_PART * (double)r->route.objective);
-    case CARO_ROUTE_IDEMPOTENT:
-        return r->attempt.runs == 0
-                   ? (CaroTime)(PLAIN_PART * (double)r->route.objective)
-                   : r->route.timeout;
-    default:
-        return r->route.timeout;
-    }
+    CaroPatienceQuery q = {.route = &r->route,
+                           .has_events = CaroStreamPass_HasEvents(r->pass),
+                           .is_doubted = r->is_doubted,
+                           .is_from_copy = r->is_going_on,
+                           .is_behind = r->is_behind,
+                           .is_first = r->attempt.runs == 0,
+                           .has_been_passed =
+                               CaroStreamPass_LastId(r->pass) >= 0};
+    return CaroPatience_Of(&q);
 }
 
 /* When the present attempt counts as silent. */
@@ -333,64 +296,33 @@
     }
 }
 
-/* How long the caller waited for this event. */
+/* Stops reading the upstream while the caller is slow. */
 static void
-note_wait(CaroRelay *r, CaroTime now)
+pace_upstream(CaroRelay *r)
 {
-    CaroLatencyKind kind = r->last_passed == 0 ? CARO_LATENCY_FIRST
-                           : r->has_events     ? CARO_LATENCY_GAP
-                                               : CARO_LATENCY_CHANGE;
-    CaroTime from = r->last_passed == 0 ? r->started : r->last_passed;
-    CaroLatency_Add(r->all->parts.latency, kind, now - from);
-}
-
-/* Passes whole events on; false when the stream cannot be what it says. */
-static bool
-pass_events(CaroRelay *r, CaroTime now)
-{
-    CaroEvent event;
-    while (CaroEventStream_Next(r->events, &event)) {
-        if (event.id >= 0 && r->has_last_id && event.id <= r->last_id) {
-            return false; /* A resumed run begins behind what we have. */
-        }
-        if (event.id >= 0) {
-            r->last_id = event.id;
-            r->has_last_id = true;
-        }
-        bool is_first = !r->has_events;
-        note_wait(r, now);
-        r->has_events = true;
-        r->last_event = now;
-        r->last_passed = now;
-        if (is_first) {
-            set_reading(r, 0);
-            schedule(r, now); /* The next event is due much sooner. */
-        }
-        CaroCall_Send(r->call, event.bytes.at, event.bytes.size);
-    }
     if (!r->is_paused && CaroCall_Pending(r->call) > PENDING_MOST) {
         r->is_paused = true;
         CaroChannel_Pause(r->channel, true);
     }
-    return true;
 }
 
-/* An answer that the caller may have: signed, plain, of this request. */
-static const char *
-check_success(const CaroHttpHead *head, const char *id)
+static void
+pass_events(CaroRelay *r, CaroText bytes, CaroTime now)
 {
-    const char *signature = CaroPlatform_HeaderName(CARO_HEADER_SIGNATURE);
-    const char *request_id = CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID);
-    if (CaroHttpHead_Find(head, signature).at == NULL) {
-        return "a success without a signature";
+    bool is_first = !CaroStreamPass_HasEvents(r->pass);
+    int n = CaroStreamPass_Feed(r->pass, r->call, bytes, now);
+    if (n < 0) {
+        end_attempt(r, CARO_OUTCOME_LOST, "events out of order", now);
+        return;
     }
-    if (!CaroText_Equals(CaroHttpHead_Find(head, request_id), id)) {
-        return "a success without the request's id";
+    if (n > 0) {
+        r->last_event = now;
     }
-    if (CaroHttpHead_Find(head, "content-encoding").at != NULL) {
-        return "a success with an encoded body";
+    if (n > 0 && is_first) {
+        set_reading(r, 0);
+        schedule(r, now); /* The next event is due much sooner. */
     }
-    return NULL;
+    pace_upstream(r);
 }
 
 static void
@@ -400,10 +332,8 @@
     CaroText value = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LOAD));
     if (value.at != NULL && CaroPlatform_ReadLoad(value, &load) == 0) {
-        CaroTarget *target = CaroTargets_Get(r->all->parts.targets, r->target);
-        target->running = (int)load.running;
-        target->waiting = (int)load.waiting;
-        target->reported_at = now;
+        CaroTargets_Report(r->all->parts.targets, r->target, (int)load.running,
+                           (int)load.waiting, now);
     }
 }
 
@@ -441,7 +371,7 @@
     if (r->is_refusal || head->status < 200 || head->status > 299) {
         return;
     }
-    const char *fault = check_success(head, r->id);
+    const char *fault = CaroRelayHead_CheckSuccess(head, r->id);
     if (fault != NULL) {
         end_attempt(r, CARO_OUTCOME_LOST, fault, now);
     }
@@ -451,6 +381,23 @@
     }
 }
 
+/* Keeps a plain answer until it is whole, or passes a long one on. */
+static void
+hold_body(CaroRelay *r, CaroText bytes)
+{
+    (void)evbuffer_add(r->body, bytes.at, bytes.size);
+    size_t size = evbuffer_get_length(r->body);
+    if (size <= HELD_MOST || r->is_refusal || r->status >= 300) {
+        return;
+    }
+    r->is_passing = true;
+    r->attempt.has_begun = true;
+    CaroCall_Begin(r->call, r->status, r->headers);
+    CaroCall_Send(r->call, (const char *)evbuffer_pullup(r->body, -1), size);
+    evbuffer_drain(r->body, size);
+    pace_upstream(r);
+}
+
 static void
 on_body(void *context, CaroText bytes)
 {
@@ -460,32 +407,17 @@
         return;
     }
     if (r->is_event_stream) {
-        if (CaroEventStream_Feed(r->events, bytes) < 0 ||
-            !pass_events(r, now)) {
-            end_attempt(r, CARO_OUTCOME_LOST, "events out of order", now);
-        }
-        return;
+        pass_events(r, bytes, now);
     }
-    if (r->attempt.has_begun) {
+    else if (r->is_passing) {
         CaroCall_Send(r->call, bytes.at, bytes.size);
+        pace_upstream(r);
     }
-    else {
-        (void)evbuffer_add(r->body, bytes.at, bytes.size);
-        if (evbuffer_get_length(r->body) <= HELD_MOST || r->is_refusal ||
-            r->status >= 300) {
-            return;
-        }
-        r->attempt.has_begun = true;
-        CaroCall_Begin(r->call, r->status, r->headers);
-        size_t size = evbuffer_get_length(r->body);
-        CaroCall_Send(r->call, (const char *)evbuffer_pullup(r->body, -1),
-                      size);
-        evbuffer_drain(r->body, size);
-    }
-    if (!r->is_paused && CaroCall_Pending(r->call) > PENDING_MOST) {
-        r->is_paused = true;
-        CaroChannel_Pause(r->channel, true);
+    else if (!r->attempt.has_begun) {
+        hold_body(r, bytes);
     }
+    /* Else it is the body of a failure, and the caller has a part of an
+       answer already: it is dropped. */
 }
 
 /* Returns the channel of an answer that ended well. */
@@ -532,13 +464,6 @@
     evbuffer_free(body);
 }
 
-/* A status that promises "not run" from an upstream that did not say so. */
-static bool
-is_false_promise(int status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 static void
 on_end(void *context)
 {
@@ -557,7 +482,7 @@
         evbuffer_free(nothing);
         return;
     }
-    if (r->is_event_stream && CaroEventStream_Rest(r->events) > 0) {
+    if (r->is_event_stream && CaroStreamPass_IsInside(r->pass)) {
         end_attempt(r, CARO_OUTCOME_LOST, "the stream ended in an event", now);
         return;
     }
@@ -568,7 +493,10 @@
             "the upstream refused", now);
         return;
     }
-    if (r->status >= 500 || is_false_promise(r->status)) {
+    /* Behind a part of an answer only its rest is one. */
+    bool is_other =
+        r->attempt.has_begun && !r->is_event_stream && !r->is_passing;
+    if (r->status >= 500 || CaroRelayHead_IsPromise(r->status) || is_other) {
         end_attempt(r, CARO_OUTCOME_FAILED, "the upstream failed", now);
         return;
     }
@@ -627,9 +555,7 @@
     }
     CaroTargets_Failed(targets, r->target, alarm, now);
     if (is_stream(r)) {
-        CaroTarget *target = CaroTargets_Get(targets, r->target);
-        target->alarm = alarm;
-        target->alarmed_at = now;
+        CaroTargets_Alarm(targets, r->target, alarm, now);
         r->all->is_changed = true;
     }
 }
@@ -656,7 +582,8 @@
         q->left_domain = r->left_domain;
     }
     leave_copy(r, &r->go_on_at);
-    if (has_run && r->has_events && r->copy_at != CARO_NO_HANDLE) {
+    if (has_run && CaroStreamPass_HasEvents(r->pass) &&
+        r->copy_at != CARO_NO_HANDLE) {
         r->go_on_at = r->copy_at;
         r->copy_at = CARO_NO_HANDLE;
     }
@@ -708,8 +635,9 @@
                  r->id, CaroTargets_Peek(targets, r->target)->entry.id,
                  CaroOutcome_Name(outcome),
                  (long long)((now - r->attempt_started) / CARO_MS),
-                 (long long)((now - r->last_event) / CARO_MS), r->has_events,
-                 r->is_going_on, copy, reason);
+                 (long long)((now - r->last_event) / CARO_MS),
+                 CaroStreamPass_HasEvents(r->pass), r->is_going_on, copy,
+                 reason);
 }
 
 static void
@@ -740,7 +668,7 @@
         set_timer(r, now + LOOK_AGAIN, now);
         break;
     case CARO_STEP_PASS:
-        if (is_false_promise(r->status)) {
+        if (CaroRelayHead_IsPromise(r->status)) {
             answer_here(r, 502, reason, now);
         }
         else {
@@ -789,7 +717,7 @@
     r->copy_at =
         CaroPlacing_ChooseCopy(targets, r->target, r->all->parts.rng, now);
     if (r->copy_at != CARO_NO_HANDLE) {
-        CaroTargets_Get(targets, r->copy_at)->copies++;
+        CaroTargets_BeginCopy(targets, r->copy_at);
     }
 }
 
@@ -809,7 +737,7 @@
                        : CaroTargets_Peek(targets, r->copy_at)->entry.address,
         .copy_from = r->is_going_on ? to->address : NULL,
         .request_id = r->id,
-        .last_event = r->has_last_id ? r->last_id : -1};
+        .last_event = CaroStreamPass_LastId(r->pass)};
     struct evbuffer *out = evbuffer_new();
     if (out == NULL || CaroRelayHead_WriteRequest(out, &head) < 0) {
         if (out != NULL) {
@@ -831,10 +759,10 @@
     r->is_event_stream = false;
     r->is_refusal = false;
     r->is_soiled = false;
-    r->has_events = false;
+    r->is_passing = false;
     r->is_paused = false;
     evbuffer_drain(r->body, evbuffer_get_length(r->body));
-    CaroEventStream_Reset(r->events);
+    CaroStreamPass_BeginRun(r->pass);
     r->target = choose_target(r, now);
     if (r->target == CARO_NO_HANDLE && r->is_on_trial) {
         /* The version has no upstream to take. */
@@ -846,10 +774,9 @@
                     now);
         return;
     }
-    CaroTarget *target = CaroTargets_Get(all->parts.targets, r->target);
+    const CaroTarget *target = CaroTargets_Peek(all->parts.targets, r->target);
     r->is_behind = target->reading + target->others_reading > 0;
-    target->in_flight++;
-    target->streams += is_stream(r);
+    CaroTargets_Begin(all->parts.targets, r->target, is_stream(r));
     all->is_changed |= is_stream(r);
     set_reading(r, r->is_going_on ? 0 : r->prompt);
     r->is_doubted = false;
@@ -911,7 +838,8 @@
 }
 
 static CaroRelay *
-create_relay(CaroRelays *all, CaroCall *call, const CaroRoute *route)
+create_relay(CaroRelays *all, CaroCall *call, const CaroRoute *route,
+             CaroTime now)
 {
     CaroRelay *r = calloc(1, sizeof(*r));
     if (r == NULL) {
@@ -923,11 +851,11 @@
     r->target = CARO_NO_HANDLE;
     r->copy_at = CARO_NO_HANDLE;
     r->go_on_at = CARO_NO_HANDLE;
-    r->last_id = -1;
     r->timer = event_new(all->parts.base, -1, 0, on_timer, r);
     r->headers = evbuffer_new();
     r->body = evbuffer_new();
-    r->events = CaroEventStream_Create();
+    r->started = now;
+    r->pass = CaroStreamPass_Create(all->parts.latency, now);
     r->next = all->first;
     if (all->first != NULL) {
         all->first->prev = r;
@@ -935,7 +863,7 @@
     all->first = r;
     all->n++;
     if (r->timer == NULL || r->headers == NULL || r->body == NULL ||
-        r->events == NULL) {
+        r->pass == NULL) {
         destroy_relay(r);
         return NULL;
     }
@@ -951,7 +879,8 @@
         CaroRoute_ChooseService(route, gsl_rng_uniform(all->parts.rng));
     CaroText id = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
-    CaroRelay *r = create_relay(all, call, route);
+    CaroRelay *r = create_relay(all, call, route, now);
+    int64_t last_id;
     if (r == NULL || service == NULL) {
         if (r != NULL) {
             destroy_relay(r);
@@ -968,8 +897,9 @@
     }
     CaroText last = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_LAST_EVENT));
-    r->has_last_id = CaroText_ToNumber(last, &r->last_id);
-    r->started = now;
+    if (CaroText_ToNumber(last, &last_id)) {
+        CaroStreamPass_SetLastId(r->pass, last_id);
+    }
     r->attempt = (CaroAttempt){.kind = route->kind,
                                .is_resumable = route->is_resumable,
                                .attempts_max = route->attempts_max};
--- a/Modules/relay_head.c
+++ b/Modules/relay_head.c
@@ -180,3 +180,26 @@
         }
     }
 }
+
+const char *
+CaroRelayHead_CheckSuccess(const CaroHttpHead *head, const char *id)
+{
+    const char *signature = CaroPlatform_HeaderName(CARO_HEADER_SIGNATURE);
+    const char *request_id = CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID);
+    if (CaroHttpHead_Find(head, signature).at == NULL) {
+        return "a success without a signature";
+    }
+    if (!CaroText_Equals(CaroHttpHead_Find(head, request_id), id)) {
+        return "a success without the request's id";
+    }
+    if (CaroHttpHead_Find(head, "content-encoding").at != NULL) {
+        return "a success with an encoded body";
+    }
+    return NULL;
+}
+
+bool
+CaroRelayHead_IsPromise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
--- /dev/null
+++ b/Modules/stream_pass.c
@@ -0,0 +1,113 @@
+/* A stream's events on their way to the caller. */
+#include "internal/caro_stream_pass.h"
+
+#include "internal/caro_event_stream.h"
+
+#include <stdlib.h>
+
+struct CaroStreamPass {
+    CaroLatency *latency;
+    CaroEventStream *events;
+    CaroTime started;
+    CaroTime passed_at; /* Last event of any run; 0 none. */
+    int64_t last_id;
+    bool has_events;
+};
+
+CaroStreamPass *
+CaroStreamPass_Create(CaroLatency *latency, CaroTime started)
+{
+    CaroStreamPass *s = calloc(1, sizeof(*s));
+    if (s == NULL) {
+        return NULL;
+    }
+    s->latency = latency;
+    s->started = started;
+    s->last_id = -1;
+    s->events = CaroEventStream_Create();
+    if (s->events == NULL) {
+        free(s);
+        return NULL;
+    }
+    return s;
+}
+
+void
+CaroStreamPass_Destroy(CaroStreamPass *s)
+{
+    if (s != NULL) {
+        CaroEventStream_Destroy(s->events);
+        free(s);
+    }
+}
+
+void
+CaroStreamPass_SetLastId(CaroStreamPass *s, int64_t id)
+{
+    s->last_id = id;
+}
+
+void
+CaroStreamPass_BeginRun(CaroStreamPass *s)
+{
+    CaroEventStream_Reset(s->events);
+    s->has_events = false;
+}
+
+/* How long the caller waited for this event. */
+static void
+note_wait(CaroStreamPass *s, CaroTime now)
+{
+    if (s->passed_at == 0) {
+        CaroLatency_Add(s->latency, CARO_LATENCY_FIRST, now - s->started);
+    }
+    else {
+        CaroLatency_Add(s->latency,
+                        s->has_events ? CARO_LATENCY_GAP : CARO_LATENCY_CHANGE,
+                        now - s->passed_at);
+    }
+    s->passed_at = now;
+}
+
+int
+CaroStreamPass_Feed(CaroStreamPass *s, CaroCall *call, CaroText bytes,
+                    CaroTime now)
+{
+    CaroEvent event;
+    int n = 0;
+    int rc = CaroEventStream_Feed(s->events, bytes);
+    if (rc < 0) {
+        return rc;
+    }
+    while (CaroEventStream_Next(s->events, &event)) {
+        if (event.id >= 0) {
+            if (event.id <= s->last_id) {
+                return CARO_ERR_INPUT;
+            }
+            s->last_id = event.id;
+        }
+        note_wait(s, now);
+        s->has_events = true;
+        n++;
+        CaroCall_Send(call, event.bytes.at, event.bytes.size);
+    }
+    return n;
+}
+
+bool
+CaroStreamPass_IsInside(const CaroStreamPass *s)
+{
+    return CaroEventStream_Rest(s->events) > 0;
+}
+
+bool
+CaroStreamPass_HasEvents(const CaroStreamPass *s)
+{
+    return s->has_events;
+}
+
+int64_t
+CaroStreamPass_LastId(const CaroStreamPass *s)
+{
+    return s->last_id;
+}
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -93,15 +93,9 @@
     return h;
 }
 
-void
-CaroTargets_Remove(CaroTargets *t, CaroHandle h)
-{
-    CaroTargets_Get(t, h)->is_present = false;
-    CaroTargets_Release(t, h);
-}
-
-void
-CaroTargets_Release(CaroTargets *t, CaroHandle h)
+/* Lets a slot go whose upstream was removed and where nothing runs. */
+static void
+release(CaroTargets *t, CaroHandle h)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
     if (!target->is_present && target->in_flight == 0 && target->copies == 0) {
@@ -112,6 +106,13 @@
     }
 }
 
+void
+CaroTargets_Remove(CaroTargets *t, CaroHandle h)
+{
+    CaroTargets_Get(t, h)->is_present = false;
+    release(t, h);
+}
+
 CaroTarget *
 CaroTargets_Get(CaroTargets *t, CaroHandle h)
 {
@@ -132,6 +133,64 @@
     return t->count;
 }
 
+void
+CaroTargets_Begin(CaroTargets *t, CaroHandle h, bool is_stream)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    target->in_flight++;
+    target->streams += is_stream;
+}
+
+void
+CaroTargets_End(CaroTargets *t, CaroHandle h, bool is_stream)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    assert(target->in_flight > 0);
+    target->in_flight--;
+    target->streams -= is_stream;
+    release(t, h);
+}
+
+void
+CaroTargets_BeginCopy(CaroTargets *t, CaroHandle h)
+{
+    CaroTargets_Get(t, h)->copies++;
+}
+
+void
+CaroTargets_EndCopy(CaroTargets *t, CaroHandle h)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    assert(target->copies > 0);
+    target->copies--;
+    release(t, h);
+}
+
+void
+CaroTargets_AddReading(CaroTargets *t, CaroHandle h, int tokens)
+{
+    CaroTargets_Get(t, h)->reading += tokens;
+}
+
+void
+CaroTargets_Report(CaroTargets *t, CaroHandle h, int running, int waiting,
+                   CaroTime now)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    target->running = running;
+    target->waiting = waiting;
+    target->reported_at = now;
+}
+
+void
+CaroTargets_Alarm(CaroTargets *t, CaroHandle h, CaroTargetAlarm alarm,
+                  CaroTime now)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    target->alarm = alarm;
+    target->alarmed_at = now;
+}
+
 void
 CaroTargets_Succeeded(CaroTargets *t, CaroHandle h)
 {
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -5,6 +5,7 @@
 #include "internal/caro_course.h"
 #include "internal/caro_entry.h"
 #include "internal/caro_lapse.h"
+#include "internal/caro_patience.h"
 #include "internal/caro_platform.h"
 #include "internal/caro_proof.h"
 #include "internal/caro_retry_budget.h"
@@ -289,6 +290,39 @@
     }
 }
 
+/* A pause over 700 ms is late: an engine that falls silent is left early
+   enough for another to go on, a busy one is not left. */
+static void
+test_patience_with_engines(void **state)
+{
+    (void)state;
+    CaroRoute route = {.kind = CARO_ROUTE_STREAM,
+                       .timeout = 25 * S,
+                       .objective = 4500 * CARO_MS,
+                       .gap = 700 * CARO_MS};
+    CaroPatienceQuery q = {.route = &route, .is_first = true};
+    assert_true(CaroPatience_Of(&q) < route.objective);
+    q.is_behind = true;
+    assert_int_equal(CaroPatience_Of(&q), route.objective);
+    /* Once another VM saw it fall silent, it is only waited for as between
+       two events. */
+    q.is_doubted = true;
+    assert_true(CaroPatience_Of(&q) <= 350 * CARO_MS);
+    q.is_doubted = false;
+    q.has_events = true;
+    assert_true(CaroPatience_Of(&q) <= 350 * CARO_MS);
+    /* Five tokens beside a prompt that is read take 150 ms. */
+    assert_true(CaroPatience_Of(&q) >= 2 * 150 * CARO_MS);
+    /* A second wait for a first event would only add to the load. */
+    q = (CaroPatienceQuery){.route = &route};
+    assert_int_equal(CaroPatience_Of(&q), route.timeout);
+    route.gap = 0;
+    q.is_doubted = true;
+    assert_true(CaroPatience_Of(&q) > 0);
+    route.kind = CARO_ROUTE_NON_IDEMPOTENT;
+    assert_int_equal(CaroPatience_Of(&q), route.timeout);
+}
+
 /* Of a version that is never found bad, the requests it gets before its
    time is over stay below what may be exposed. */
 static void
@@ -340,6 +374,7 @@
         cmocka_unit_test(test_a_proof_ages_from_the_sending_of_its_call),
         cmocka_unit_test(test_a_proof_passed_on_is_never_too_young),
         cmocka_unit_test(test_entries_that_lapse_in_an_outage_wait),
+        cmocka_unit_test(test_patience_with_engines),
         cmocka_unit_test(test_a_course_exposes_no_more_than_it_may),
         cmocka_unit_test(test_a_course_ends_in_its_time),
         cmocka_unit_test(test_the_retry_budget_holds_over_all_vms),
--- a/Test/test_placing.c
+++ b/Test/test_placing.c
@@ -100,19 +100,18 @@
     for (int i = 0; i < STREAMS; i++) {
         CaroTime now = 2 * S + i * 200 * CARO_MS;
         for (int j = 0; j < i; j++) {
-            CaroTarget *t =
-                CaroTargets_Get(vms[streams[j].vm].targets, streams[j].engine);
             if (streams[j].read_at != 0 && now >= streams[j].read_at) {
                 streams[j].read_at = 0;
-                t->reading -= PROMPT;
+                CaroTargets_AddReading(vms[streams[j].vm].targets,
+                                       streams[j].engine, -PROMPT);
                 if (is_told) {
                     tell_others(vms, streams[j].vm, now);
                 }
             }
             if (streams[j].ends_at != 0 && now >= streams[j].ends_at) {
                 streams[j].ends_at = 0;
-                t->streams--;
-                t->in_flight--;
+                CaroTargets_End(vms[streams[j].vm].targets, streams[j].engine,
+                                true);
                 if (is_told) {
                     tell_others(vms, streams[j].vm, now);
                 }
@@ -127,10 +126,8 @@
                 break;
             }
         }
-        CaroTarget *t = CaroTargets_Get(vms[vm].targets, h);
-        t->in_flight++;
-        t->streams++;
-        t->reading += PROMPT;
+        CaroTargets_Begin(vms[vm].targets, h, true);
+        CaroTargets_AddReading(vms[vm].targets, h, PROMPT);
         streams[i].vm = vm;
         streams[i].engine = h;
         streams[i].read_at = now + S;
@@ -198,7 +195,7 @@
     for (int i = 0; i < 50; i++) {
         CaroHandle h = CaroPlacing_ChooseCopy(t, 0, rng, S);
         assert_string_not_equal(CaroTargets_Peek(t, h)->entry.domain, "a");
-        CaroTargets_Get(t, h)->copies++;
+        CaroTargets_BeginCopy(t, h);
     }
     gsl_rng_free(rng);
     CaroTargets_Destroy(t);
@@ -238,7 +235,7 @@
     CARO_COPY(e.address, "10.0.0.1:80");
     CARO_COPY(e.service, "chat");
     CaroHandle old = CaroTargets_Put(t, &e, S);
-    CaroTargets_Get(t, old)->in_flight++;
+    CaroTargets_Begin(t, old, false);
     CaroTargets_Failed(t, old, CARO_TARGET_GONE, S);
     assert_int_equal(CaroTargets_Put(t, &e, S), old);
     e.born_ms = 2000;
@@ -247,8 +244,7 @@
     assert_true(CaroTarget_IsUsable(CaroTargets_Peek(t, fresh), 2 * S));
     assert_false(CaroTargets_Peek(t, old)->is_present);
     assert_true(CaroTargets_Peek(t, old)->is_used);
-    CaroTargets_Get(t, old)->in_flight--;
-    CaroTargets_Release(t, old);
+    CaroTargets_End(t, old, false);
     assert_false(CaroTargets_Peek(t, old)->is_used);
     CaroTargets_Destroy(t);
 }
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -611,6 +611,31 @@
     assert_non_null(strstr(f->got, "data: b\n\n\r\n0\r\n\r\n"));
 }
 
+/* What a second upstream answers in place of the rest is neither passed on
+   nor taken as the end. */
+static void
+test_a_failure_in_place_of_the_rest(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_STREAM;
+    f->route.is_resumable = true;
+    script(f, REPLY_CLOSE, STREAM("r1") "f\r\nid: 1\ndata: a\n\n\r\n");
+    script(f, REPLY_KEEP,
+           "HTTP/1.1 500 X\r\nX-Attempt-Id: r1\r\nContent-Length: 4\r\n"
+           "\r\noops");
+    script(f, REPLY_KEEP,
+           "HTTP/1.1 404 X\r\nX-Attempt-Id: r1\r\nContent-Length: 4\r\n"
+           "\r\nnone");
+    script(f, REPLY_KEEP, STREAM("r1") "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    put_target(f, "t3");
+    put_target(f, "t4");
+    request(f, "r1", 3, STEP);
+    wait_for(f, "\r\n0\r\n\r\n");
+    assert_null(strstr(f->got, "oops"));
+    assert_null(strstr(f->got, "none"));
+    assert_non_null(strstr(f->got, "data: b\n\n\r\n0\r\n\r\n"));
+}
+
 /* A silent engine is left within the pause that is still on time, and its
    channel is closed, so that the run is not at work twice. */
 static void
@@ -686,6 +711,7 @@
         RELAY_TEST(test_a_stream_cut_in_an_event),
         RELAY_TEST(test_a_stream_that_may_not_go_on),
         RELAY_TEST(test_a_stream_that_starts_over),
+        RELAY_TEST(test_a_failure_in_place_of_the_rest),
         RELAY_TEST(test_a_stream_that_falls_silent),
         RELAY_TEST(test_a_caller_that_leaves),
         RELAY_TEST(test_a_caller_that_does_not_read),
