--- a/Test/fuzz_parsers.c
+++ b/Test/fuzz_parsers.c
@@ -1,11 +1,16 @@
 /*
- * A libFuzzer target for the readers of what people write: the operators'
- * language, the settings and the configuration.  The first byte chooses.
+ * A libFuzzer target for the readers of what people and peers write: the
+ * operators' language, settings and configurations, HTTP messages, event
+ * streams, and the documents of the platform.  The first byte chooses.
  */
+#include "caro_gateway_settings.h"
 #include "caro_settings.h"
 #include "internal/caro_command.h"
 #include "internal/caro_config.h"
+#include "internal/caro_event_stream.h"
+#include "internal/caro_http_reader.h"
 #include "internal/caro_orders.h"
+#include "internal/caro_platform.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -26,9 +31,58 @@
     }
 }
 
+/* Reads messages until there are no more or one is refused. */
+static void
+fuzz_http(const char *text, size_t size, bool is_request)
+{
+    CaroHttpReader *r = CaroHttpReader_Create(is_request);
+    struct evbuffer *in = evbuffer_new();
+    CaroHttpPiece piece = {.kind = CARO_PIECE_NONE};
+    int rc = 0;
+    for (size_t i = 0; i < size && rc == 0; i += 7) {
+        (void)evbuffer_add(in, text + i, size - i < 7 ? size - i : 7);
+        do {
+            rc = CaroHttpReader_Next(r, in, &piece);
+        } while (rc == 0 && piece.kind != CARO_PIECE_NONE);
+    }
+    (void)CaroHttpReader_Finish(r);
+    evbuffer_free(in);
+    CaroHttpReader_Destroy(r);
+}
+
+static void
+fuzz_events(const char *text, size_t size)
+{
+    CaroEventStream *s = CaroEventStream_Create();
+    CaroEvent event;
+    (void)CaroEventStream_Feed(s, (CaroText){text, size});
+    while (CaroEventStream_Next(s, &event)) {
+    }
+    CaroEventStream_Destroy(s);
+}
+
+static void
+fuzz_documents(const char *text, size_t size)
+{
+    CaroError err;
+    CaroRoutes *routes;
+    CaroTargetEntry entry;
+    CaroMoveOrder order;
+    CaroStoreAnswer answer;
+    if (CaroPlatform_ReadConfig(text, size, &routes, &err) == 0) {
+        CaroRoutes_Destroy(routes);
+    }
+    if (CaroPlatform_ReadAnswer(text, size, &answer) == 0) {
+        CaroStoreAnswer_Clear(&answer);
+    }
+    (void)CaroPlatform_ReadTarget("id", text, size, &entry, &err);
+    (void)CaroPlatform_ReadOrder(text, size, &order, &err);
+}
+
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
+    static CaroGatewaySettings gateway;
     static CaroSettings settings;
     CaroError err;
     if (size == 0) {
@@ -40,14 +94,28 @@
     }
     memcpy(text, data + 1, size - 1);
     text[size - 1] = '\0';
-    switch (data[0] % 4) {
+    switch (data[0] % 9) {
     case 0:
     case 1:
-        fuzz_text(text, data[0] % 4);
+        fuzz_text(text, data[0] % 9);
         break;
     case 2:
         (void)CaroSettings_Parse(text, size - 1, "fuzz", &settings, &err);
         break;
+    case 4:
+    case 5:
+        fuzz_http(text, size - 1, data[0] % 9 == 4);
+        break;
+    case 6:
+        fuzz_events(text, size - 1);
+        break;
+    case 7:
+        fuzz_documents(text, size - 1);
+        break;
+    case 8:
+        (void)CaroGatewaySettings_Parse(text, size - 1, "fuzz", &gateway,
+                                        &err);
+        break;
     default:
         CaroConfig_Destroy(CaroConfig_Parse(text, size - 1, 1, &err));
         break;
--- a/Test/fuzz_run.sh
+++ b/Test/fuzz_run.sh
@@ -4,13 +4,14 @@
 set -eu
 out=build-fuzz
 mkdir -p "$out"
-packages="libtirpc jansson gsl libcrypto"
+packages="libtirpc jansson gsl libcrypto libevent"
 # shellcheck disable=SC2046,SC2086
 clang -std=c11 -O1 -g -D_GNU_SOURCE -fsanitize=fuzzer,address,undefined \
     -fno-sanitize-recover=all -IInclude -IProtocol \
     $(pkg-config --cflags $packages) -o "$out/fuzz_parsers" \
-    Test/fuzz_parsers.c Parser/*.c Objects/error.c Objects/ticket.c \
-    $(pkg-config --libs $packages) -lm
+    Test/fuzz_parsers.c Parser/*.c platform/*.c Objects/error.c \
+    Objects/routes.c Objects/ticket.c Modules/http.c Modules/http_reader.c \
+    $(pkg-config --libs $packages) -lhttp_parser -lm
 cp -r Test/corpus "$out/"
 "$out/fuzz_parsers" -seed=1 -runs="${RUNS:-200000}" -max_len=4096 \
     "$out/corpus" 2>&1 | tail -3
