--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -47,8 +47,8 @@
                      const CaroClientAccount *account, CaroTime now);
 
 /* The caller left, or takes bytes again. */
-void CaroRelays_CallerLeft(CaroRelays *all, CaroCall *call, CaroTime now);
-void CaroRelays_CallerDrained(CaroRelays *all, CaroCall *call, CaroTime now);
+void CaroRelays_CallerLeft(CaroCall *call, CaroTime now);
+void CaroRelays_CallerDrained(CaroCall *call, CaroTime now);
 
 /* An upstream was found silent elsewhere: those who wait there for a first
    event wait no longer than for any other event. */
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -194,14 +194,14 @@
             return;
         }
     }
-    CaroRelays_CallerLeft(g->relays, call, CaroClock_Now());
+    CaroRelays_CallerLeft(call, CaroClock_Now());
 }
 
 static void
 on_drained(void *context, CaroCall *call)
 {
-    CaroGateway *g = context;
-    CaroRelays_CallerDrained(g->relays, call, CaroClock_Now());
+    (void)context;
+    CaroRelays_CallerDrained(call, CaroClock_Now());
 }
 
 static void
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -47,7 +47,6 @@
     char version[CARO_NAME_SIZE];     /* Of the query; may be empty. */
     char left_domain[CARO_NAME_SIZE]; /* Where an upstream was lost. */
     CaroTime started;
-    CaroTime caller_deadline;
     CaroAttempt attempt;
     CaroPlacingQuery query;
     struct event *timer;
@@ -56,7 +55,6 @@
     CaroChannel *channel;
     CaroTime attempt_started;
     CaroTime last_event; /* Or the start of the attempt. */
-    bool has_events;     /* The present attempt gave one. */
     bool is_paused;      /* The caller is slow. */
     bool is_skipping;    /* An answer that belongs to another request. */
     bool is_soiled;      /* The channel gave such an answer. */
@@ -804,11 +802,10 @@
     CaroText value = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_TIME_LEFT));
     CaroTime route = now + r->route.timeout;
-    r->caller_deadline = CaroText_ToNumber(value, &ms)
-                             ? now + ms * CARO_MS - ANSWER_MARGIN
-                             : route;
-    r->attempt.deadline =
-        r->caller_deadline < route ? r->caller_deadline : route;
+    CaroTime caller = CaroText_ToNumber(value, &ms)
+                          ? now + ms * CARO_MS - ANSWER_MARGIN
+                          : route;
+    r->attempt.deadline = caller < route ? caller : route;
 }
 
 static void
@@ -916,10 +913,9 @@
 }
 
 void
-CaroRelays_CallerLeft(CaroRelays *all, CaroCall *call, CaroTime now)
+CaroRelays_CallerLeft(CaroCall *call, CaroTime now)
 {
     CaroRelay *r = CaroCall_Owner(call);
-    (void)all;
     if (r == NULL) {
         return;
     }
@@ -929,10 +925,9 @@
 }
 
 void
-CaroRelays_CallerDrained(CaroRelays *all, CaroCall *call, CaroTime now)
+CaroRelays_CallerDrained(CaroCall *call, CaroTime now)
 {
     CaroRelay *r = CaroCall_Owner(call);
-    (void)all;
     if (r != NULL && r->is_paused && r->channel != NULL) {
         r->is_paused = false;
         r->last_event = now;
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -227,15 +227,15 @@
 static void
 on_left(void *context, CaroCall *call)
 {
-    Fixture *f = context;
-    CaroRelays_CallerLeft(f->relays, call, CaroClock_Now());
+    (void)context;
+    CaroRelays_CallerLeft(call, CaroClock_Now());
 }
 
 static void
 on_drained(void *context, CaroCall *call)
 {
-    Fixture *f = context;
-    CaroRelays_CallerDrained(f->relays, call, CaroClock_Now());
+    (void)context;
+    CaroRelays_CallerDrained(call, CaroClock_Now());
 }
 
 static void
