Forget a foreign answer with the upstream that gave it

Cause: an answer of another request that broke off left the relay skipping; the next upstream's answer was then dropped, and the caller waited for its deadline. Found by reading; the new test fails without the change.

--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -264,7 +264,8 @@
     g->config_size = size;
     CaroRoutes_Destroy(g->routes);
     g->routes = routes;
-    /* Older proofs are of an older revision. */
+    /* Nothing newer than an older revision stood when that was proven, so
+       nothing newer than this one did. */
     g->proof = (CaroProof){.revision = revision, .at = g->proof.at};
     CaroFrontLimits limits = front_limits(g, CaroRoutes_Limits(routes));
     CaroFront_SetLimits(g->front, &limits);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -757,6 +757,7 @@
     r->is_event_stream = false;
     r->is_refusal = false;
     r->is_soiled = false;
+    r->is_skipping = false;
     r->is_passing = false;
     r->is_paused = false;
     evbuffer_drain(r->body, evbuffer_get_length(r->body));
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -460,6 +460,21 @@
     wait_for(f, "\r\n\r\nalso");
 }
 
+/* A foreign answer that breaks off leaves nothing behind for the next
+   upstream's. */
+static void
+test_a_foreign_answer_that_breaks_off(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_IDEMPOTENT;
+    script(f, REPLY_RESET,
+           "HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nX-Response-Seal: s\r\n"
+           "Content-Length: 9\r\n\r\nhal");
+    script(f, REPLY_KEEP, ANSWER("r1", "mine"));
+    request(f, "r1", 0, STEP);
+    wait_for(f, "\r\n\r\nmine");
+}
+
 static void
 test_bytes_behind_an_answer(void **state)
 {
@@ -702,6 +717,7 @@
         RELAY_TEST(test_headers_and_body_pass),
         RELAY_TEST(test_an_early_answer),
         RELAY_TEST(test_an_answer_of_another_request),
+        RELAY_TEST(test_a_foreign_answer_that_breaks_off),
         RELAY_TEST(test_bytes_behind_an_answer),
         RELAY_TEST(test_an_answer_without_a_length),
         RELAY_TEST(test_a_cut_answer_of_an_order),
