Count others' streams anew, so that an earlier start's end takes nothing

Cause: an upstream that started anew under its id could get the slot and the hash of its earlier start; when another VM's older streams ended, they were taken from the new start's count, which fell below zero and drew streams to it. Kept channels of the earlier start stayed with the slot as well. Found by reading; the new test fails without the change.

--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -58,6 +58,10 @@
 
 typedef struct CaroTargets CaroTargets;
 
+/* Both are of one start of the upstream. */
+bool CaroTargetEntry_IsSameStart(const CaroTargetEntry *a,
+                                 const CaroTargetEntry *b);
+
 CaroTargets *CaroTargets_Create(void);
 void CaroTargets_Destroy(CaroTargets *t);
 
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -143,6 +143,16 @@
     }
 }
 
+static void
+drop_target(CaroRegistry *r, CaroHandle h, const char *cause)
+{
+    CaroLog_Info("registry", "An upstream is gone. id=%s cause=\"%s\"",
+                 CaroTargets_Peek(r->targets, h)->entry.id, cause);
+    CaroTargets_Get(r->targets, h)->is_present = false;
+    r->handlers->on_target(r->context, h);
+    CaroTargets_Remove(r->targets, h);
+}
+
 static void
 take_target(CaroRegistry *r, const char *id, const CaroStoreItem *item)
 {
@@ -156,29 +166,21 @@
         return;
     }
     CaroHandle old = CaroTargets_Find(r->targets, id);
+    if (old != CARO_NO_HANDLE &&
+        !CaroTargetEntry_IsSameStart(&CaroTargets_Peek(r->targets, old)->entry,
+                                     &entry)) {
+        drop_target(r, old, "it started anew under its id");
+    }
     CaroHandle h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
     if (h == CARO_NO_HANDLE) {
         CaroLog_Error("registry", "No room for an upstream. id=%s most=%d", id,
                       CARO_TARGETS_MAX);
         return;
     }
-    if (old != CARO_NO_HANDLE && old != h) {
-        r->handlers->on_target(r->context, old);
-    }
     r->listed[h] = r->list_number;
     r->handlers->on_target(r->context, h);
 }
 
-static void
-drop_target(CaroRegistry *r, CaroHandle h, const char *cause)
-{
-    CaroLog_Info("registry", "An upstream is gone. id=%s cause=\"%s\"",
-                 CaroTargets_Peek(r->targets, h)->entry.id, cause);
-    CaroTargets_Get(r->targets, h)->is_present = false;
-    r->handlers->on_target(r->context, h);
-    CaroTargets_Remove(r->targets, h);
-}
-
 /* An entry is not there: drop it, or wait for it behind an outage. */
 static void
 miss_target(CaroRegistry *r, CaroHandle h, const char *cause, CaroTime now)
--- a/Objects/load_board.c
+++ b/Objects/load_board.c
@@ -59,16 +59,27 @@
     free(b);
 }
 
-/* Adds a sender's entries to the sums, or takes them out again. */
+/* Makes the sums anew.  A slot that now holds another start of an upstream,
+   under the same id or not, has none of the old one's streams. */
 static void
-count_entries(CaroLoadBoard *b, const Sender *s, int sign)
+count_all(CaroLoadBoard *b)
 {
-    for (int i = 0; i < s->n; i++) {
-        const Entry *e = &s->entries[i];
-        CaroTarget *target = CaroTargets_Get(b->targets, e->target);
-        if (target->is_used && target->id_hash == e->id_hash) {
-            target->others_running += sign * e->running;
-            target->others_reading += sign * e->reading;
+    Sender *s;
+    Sender *next;
+    for (CaroHandle h = 0; h < CaroTargets_Count(b->targets); h++) {
+        CaroTarget *target = CaroTargets_Get(b->targets, h);
+        target->others_running = 0;
+        target->others_reading = 0;
+    }
+    HASH_ITER(hh, b->senders, s, next)
+    {
+        for (int i = 0; i < s->n; i++) {
+            const Entry *e = &s->entries[i];
+            CaroTarget *target = CaroTargets_Get(b->targets, e->target);
+            if (target->is_used && target->id_hash == e->id_hash) {
+                target->others_running += e->running;
+                target->others_reading += e->reading;
+            }
         }
     }
 }
@@ -140,7 +151,6 @@
     if (s == NULL || (s->boot == news->boot && news->number <= s->number)) {
         return;
     }
-    count_entries(b, s, -1);
     s->boot = news->boot;
     s->number = news->number;
     s->heard = now;
@@ -161,7 +171,7 @@
             alarms->n++;
         }
     }
-    count_entries(b, s, 1);
+    count_all(b);
 }
 
 void
@@ -169,14 +179,18 @@
 {
     Sender *s;
     Sender *next;
+    bool is_changed = false;
     HASH_ITER(hh, b->senders, s, next)
     {
         if (now - s->heard >= NEWS_LIFE) {
-            count_entries(b, s, -1);
             HASH_DEL(b->senders, s);
             free(s);
+            is_changed = true;
         }
     }
+    if (is_changed) {
+        count_all(b);
+    }
 }
 
 int
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -60,8 +60,8 @@
     return CARO_NO_HANDLE;
 }
 
-static bool
-is_same_start(const CaroTargetEntry *a, const CaroTargetEntry *b)
+bool
+CaroTargetEntry_IsSameStart(const CaroTargetEntry *a, const CaroTargetEntry *b)
 {
     bool is_reborn =
         a->born_ms != 0 && b->born_ms != 0 && a->born_ms != b->born_ms;
@@ -73,7 +73,8 @@
 CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry, CaroTime now)
 {
     CaroHandle h = CaroTargets_Find(t, entry->id);
-    if (h != CARO_NO_HANDLE && !is_same_start(&t->all[h].entry, entry)) {
+    if (h != CARO_NO_HANDLE &&
+        !CaroTargetEntry_IsSameStart(&t->all[h].entry, entry)) {
         CaroTargets_Remove(t, h);
         h = CARO_NO_HANDLE;
     }
--- a/Test/test_placing.c
+++ b/Test/test_placing.c
@@ -283,6 +283,35 @@
     CaroTargets_Destroy(t);
 }
 
+/* An upstream that starts anew under its id has none of the streams that
+   were told of it; their end must not be taken from its count. */
+static void
+test_news_of_an_earlier_start(void **state)
+{
+    (void)state;
+    CaroTargets *t = CaroTargets_Create();
+    CaroLoadBoard *b = CaroLoadBoard_Create(t);
+    CaroLoadAlarms alarms;
+    CaroTargetEntry e = {.born_ms = 1000};
+    CARO_COPY(e.id, "e0");
+    CaroHandle h = CaroTargets_Put(t, &e, S);
+    caro_target_load load = {.target = CaroTargets_Peek(t, h)->id_hash,
+                             .running = 3};
+    caro_load_news news = {.sender = "v1", .boot = 5, .number = 1};
+    news.loads.loads_val = &load;
+    news.loads.loads_len = 1;
+    CaroLoadBoard_Take(b, &news, &alarms, S);
+    e.born_ms = 2000;
+    h = CaroTargets_Put(t, &e, S);
+    assert_int_equal(CaroTargets_Peek(t, h)->others_running, 0);
+    news.number = 2;
+    news.loads.loads_len = 0;
+    CaroLoadBoard_Take(b, &news, &alarms, S);
+    assert_int_equal(CaroTargets_Peek(t, h)->others_running, 0);
+    CaroLoadBoard_Destroy(b);
+    CaroTargets_Destroy(t);
+}
+
 static void
 add_vm(CaroMembership *m, const char *name, const char *domain,
        caro_member_state state)
@@ -326,6 +355,7 @@
         cmocka_unit_test(test_leaving_and_unknown_upstreams),
         cmocka_unit_test(test_an_upstream_that_started_anew),
         cmocka_unit_test(test_old_news_are_dropped),
+        cmocka_unit_test(test_news_of_an_earlier_start),
         cmocka_unit_test(test_the_directory_prefers_the_callers_domain),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
