--- a/Tools/bench/gateway.c
+++ b/Tools/bench/gateway.c
@@ -375,7 +375,9 @@
         set_timer(w, 50 * CARO_MS);
         return;
     }
-    if (w->channel != NULL && !is_listed(list, w->address)) {
+    /* The peer may have closed it since the last answer. */
+    if (w->channel != NULL && (!is_listed(list, w->address) ||
+                               !CaroChannel_IsKeepable(w->channel))) {
         close_channel(w);
     }
     if (w->channel == NULL) {
