--- a/Include/internal/caro_stream_pass.h
+++ b/Include/internal/caro_stream_pass.h
@@ -40,4 +40,10 @@
 /* Id of the last event that the caller has; -1 none. */
 int64_t CaroStreamPass_LastId(const CaroStreamPass *s);
 
+/* The caller's wait for its first event; -1 before it. */
+CaroTime CaroStreamPass_First(const CaroStreamPass *s);
+
+/* Its longest wait from one event to the next. */
+CaroTime CaroStreamPass_LongestPause(const CaroStreamPass *s);
+
 #endif
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -199,13 +199,18 @@
 static void
 log_end(const CaroRelay *r, int status, const char *reason, CaroTime now)
 {
+    CaroTime first = CaroStreamPass_First(r->pass);
+    CaroTime pause = CaroStreamPass_LongestPause(r->pass);
     CaroLog_Info("relay",
                  "A request ended. id=%s route=%s account=%s status=%d "
-                 "ms=%lld tries=%d runs=%lld last_event=%lld reason=\"%s\"",
+                 "ms=%lld tries=%d runs=%lld last_event=%lld first_ms=%lld "
+                 "pause_ms=%lld reason=\"%s\"",
                  r->id, r->route.name, r->account, status,
                  (long long)((now - r->started) / CARO_MS), r->attempt.tries,
                  (long long)r->attempt.runs,
-                 (long long)CaroStreamPass_LastId(r->pass), reason);
+                 (long long)CaroStreamPass_LastId(r->pass),
+                 (long long)(first < 0 ? -1 : first / CARO_MS),
+                 (long long)(pause / CARO_MS), reason);
 }
 
 void
--- a/Modules/stream_pass.c
+++ b/Modules/stream_pass.c
@@ -10,6 +10,8 @@
     CaroEventStream *events;
     CaroTime started;
     CaroTime passed_at; /* Last event of any run; 0 none. */
+    CaroTime first;     /* Wait for the first event; -1 none. */
+    CaroTime pause;     /* Longest wait from one event to the next. */
     int64_t last_id;
     bool has_events;
 };
@@ -24,6 +26,7 @@
     s->latency = latency;
     s->started = started;
     s->last_id = -1;
+    s->first = -1;
     s->events = CaroEventStream_Create();
     if (s->events == NULL) {
         free(s);
@@ -58,13 +61,16 @@
 static void
 note_wait(CaroStreamPass *s, CaroTime now)
 {
+    CaroTime wait = now - (s->passed_at == 0 ? s->started : s->passed_at);
     if (s->passed_at == 0) {
-        CaroLatency_Add(s->latency, CARO_LATENCY_FIRST, now - s->started);
+        s->first = wait;
+        CaroLatency_Add(s->latency, CARO_LATENCY_FIRST, wait);
     }
     else {
+        s->pause = wait > s->pause ? wait : s->pause;
         CaroLatency_Add(s->latency,
                         s->has_events ? CARO_LATENCY_GAP : CARO_LATENCY_CHANGE,
-                        now - s->passed_at);
+                        wait);
     }
     s->passed_at = now;
 }
@@ -111,3 +117,15 @@
 {
     return s->last_id;
 }
+
+CaroTime
+CaroStreamPass_First(const CaroStreamPass *s)
+{
+    return s->first;
+}
+
+CaroTime
+CaroStreamPass_LongestPause(const CaroStreamPass *s)
+{
+    return s->pause;
+}
