Keep copies only at engines that have been heard since they failed

Cause: a stream that is lost goes on from its copy within 10 to 100 ms, but one in four had none and paused for 0.8 to 2.7 s. Its copy had been sent to an engine that had crashed some seconds before: a crashed engine stays in the registry until its entry lapses, is avoided for 0.4 s only, and has no load, so it was the first choice. A request sent there finds out at once; a copy only when it is needed. Change: the table keeps when an upstream was last heard; a copy goes to one of which nothing was heard since its last failure only for want of another. A line tells how each stream went on.

--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -11,6 +11,8 @@
 #define CROSSING_PLAIN 2.0
 /* A domain that just lost an upstream is likely to lose the next. */
 #define LOST_DOMAIN 3.0
+/* More than any load: only for want of another. */
+#define DOUBTFUL 1000.0
 /* A prompt that waits to be read delays the next one by its whole reading,
    where a stream that runs only shares the steps. */
 #define READING_WEIGHT 2.0
@@ -127,6 +129,22 @@
     return best != CARO_NO_HANDLE ? best : avoided;
 }
 
+/* Unlike a request, a copy finds out only when it is needed. */
+static double
+weigh_copy(const CaroTargets *t, const CaroTarget *target, gsl_rng *rng,
+           CaroTime now)
+{
+    double weight =
+        load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
+    if (is_domain_failing(t, target, now)) {
+        weight += LOST_DOMAIN;
+    }
+    if (CaroTarget_IsDoubtful(target, now)) {
+        weight += DOUBTFUL;
+    }
+    return weight;
+}
+
 CaroHandle
 CaroPlacing_ChooseCopy(const CaroTargets *t, CaroHandle runs_at, gsl_rng *rng,
                        CaroTime now)
@@ -142,9 +160,7 @@
             strcmp(target->entry.domain, from->domain) == 0) {
             continue;
         }
-        double weight =
-            load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng) +
-            (is_domain_failing(t, target, now) ? LOST_DOMAIN : 0.0);
+        double weight = weigh_copy(t, target, rng, now);
         if (best == CARO_NO_HANDLE || weight < best_weight) {
             best = h;
             best_weight = weight;
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -51,6 +51,7 @@
     int failures;         /* Failures in a row. */
     CaroTime avoided_until;
     CaroTime failed_at;    /* Last failure, here or told by others. */
+    CaroTime heard_at;     /* Its last answer or event, likewise. */
     CaroTime known_at;     /* When this entry came. */
     CaroTargetAlarm alarm; /* The last failure that this VM saw, */
     CaroTime alarmed_at;   /* and when. */
@@ -104,6 +105,9 @@
 void CaroTargets_Alarm(CaroTargets *t, CaroHandle h, CaroTargetAlarm alarm,
                        CaroTime now);
 
+/* It sent an answer or an event, at that time. */
+void CaroTargets_Heard(CaroTargets *t, CaroHandle h, CaroTime at);
+
 /* The upstream answered well. */
 void CaroTargets_Succeeded(CaroTargets *t, CaroHandle h);
 
@@ -114,4 +118,11 @@
 /* May take a new request now. */
 bool CaroTarget_IsUsable(const CaroTarget *target, CaroTime now);
 
+/*
+ * Nothing has been heard of it since it failed a short while ago.  An
+ * upstream that crashed stays registered until its entry lapses, and mostly
+ * comes back under another id.
+ */
+bool CaroTarget_IsDoubtful(const CaroTarget *target, CaroTime now);
+
 #endif
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -309,10 +309,26 @@
     }
 }
 
+/* A stream goes on at another upstream. */
+static void
+log_change(const CaroRelay *r, CaroTime now)
+{
+    const CaroTargets *targets = r->all->parts.targets;
+    const CaroTarget *target = CaroTargets_Peek(targets, r->target);
+    CaroLog_Info("relay",
+                 "A stream goes on. id=%s upstream=%s from_copy=%d ms=%lld "
+                 "own=%d others=%d reading=%d copies=%d",
+                 r->id, target->entry.id, r->is_going_on,
+                 (long long)((now - r->attempt_started) / CARO_MS),
+                 target->streams, target->others_running,
+                 target->reading + target->others_reading, target->copies);
+}
+
 static void
 pass_events(CaroRelay *r, CaroText bytes, CaroTime now)
 {
     bool is_first = !CaroStreamPass_HasEvents(r->pass);
+    bool goes_on = is_first && CaroStreamPass_First(r->pass) >= 0;
     int n = CaroStreamPass_Feed(r->pass, r->call, bytes, now);
     if (n < 0) {
         end_attempt(r, CARO_OUTCOME_LOST, "events out of order", now);
@@ -320,6 +336,10 @@
     }
     if (n > 0) {
         r->last_event = now;
+        CaroTargets_Heard(r->all->parts.targets, r->target, now);
+    }
+    if (n > 0 && goes_on) {
+        log_change(r, now);
     }
     if (n > 0 && is_first) {
         set_reading(r, 0);
@@ -363,6 +383,7 @@
         r->is_soiled = true;
         return;
     }
+    CaroTargets_Heard(r->all->parts.targets, r->target, now);
     note_load(r, head, now);
     r->status = head->status;
     r->is_refusal =
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -192,6 +192,15 @@
     target->alarmed_at = now;
 }
 
+void
+CaroTargets_Heard(CaroTargets *t, CaroHandle h, CaroTime at)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    if (at > target->heard_at) {
+        target->heard_at = at;
+    }
+}
+
 void
 CaroTargets_Succeeded(CaroTargets *t, CaroHandle h)
 {
@@ -225,3 +234,10 @@
     return target->is_used && target->is_present &&
            !target->entry.is_leaving && now >= target->avoided_until;
 }
+
+bool
+CaroTarget_IsDoubtful(const CaroTarget *target, CaroTime now)
+{
+    return target->failed_at > target->heard_at &&
+           now - target->failed_at < AVOID_GONE;
+}
--- a/Test/test_placing.c
+++ b/Test/test_placing.c
@@ -201,6 +201,39 @@
     CaroTargets_Destroy(t);
 }
 
+/* An engine that crashed stays listed until its entry lapses.  A stream
+   whose copy lies there has none when its own engine is lost. */
+static void
+test_a_copy_is_kept_where_life_was_seen(void **state)
+{
+    (void)state;
+    CaroTargets *t = make_targets();
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    CaroTime now = 10 * S;
+    CaroHandle dead = CaroPlacing_ChooseCopy(t, 0, rng, now);
+    CaroTargets_Heard(t, dead, now - S);
+    CaroTargets_Failed(t, dead, CARO_TARGET_FAILING, now);
+    now += 4 * S; /* It is no longer avoided. */
+    for (int i = 0; i < 500; i++) {
+        assert_int_not_equal(CaroPlacing_ChooseCopy(t, 0, rng, now), dead);
+    }
+    /* Another VM tells that it has events from there. */
+    CaroTargets_Heard(t, dead, now);
+    bool is_taken = false;
+    for (int i = 0; i < 500; i++) {
+        is_taken |= CaroPlacing_ChooseCopy(t, 0, rng, now) == dead;
+    }
+    assert_true(is_taken);
+    /* For want of a better one any is taken. */
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        CaroTargets_Failed(t, h, CARO_TARGET_FAILING, now);
+    }
+    assert_int_not_equal(CaroPlacing_ChooseCopy(t, 0, rng, now + 3 * S),
+                         CARO_NO_HANDLE);
+    gsl_rng_free(rng);
+    CaroTargets_Destroy(t);
+}
+
 static void
 test_leaving_and_unknown_upstreams(void **state)
 {
@@ -352,6 +385,7 @@
         cmocka_unit_test(test_prompts_do_not_meet),
         cmocka_unit_test(test_a_lost_domain_is_left),
         cmocka_unit_test(test_copies_are_kept_in_another_domain),
+        cmocka_unit_test(test_a_copy_is_kept_where_life_was_seen),
         cmocka_unit_test(test_leaving_and_unknown_upstreams),
         cmocka_unit_test(test_an_upstream_that_started_anew),
         cmocka_unit_test(test_old_news_are_dropped),
