Do not leave a busy engine before its first event

Cause: a stream without a first event after 2.7 s was sent to a second engine, and the first had read its prompt for nothing. Ruled out: dead engines; at 37 s none was down. Change: patience before the first event counts from the last sign of life of the engine, an event of any stream here or, told with the loads, at another VM.

--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -134,8 +134,7 @@
 weigh_copy(const CaroTargets *t, const CaroTarget *target, gsl_rng *rng,
            CaroTime now)
 {
-    double weight =
-        load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
+    double weight = load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
     if (is_domain_failing(t, target, now)) {
         weight += LOST_DOMAIN;
     }
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -265,10 +265,18 @@
 static CaroTime
 silent_at(const CaroRelay *r)
 {
-    bool is_repeatable = CaroAttempt_IsRepeatable(&r->attempt);
-    return !is_repeatable || r->is_paused || r->target == CARO_NO_HANDLE
-               ? r->attempt.deadline
-               : r->last_event + patience_of(r);
+    if (!CaroAttempt_IsRepeatable(&r->attempt) || r->is_paused ||
+        r->target == CARO_NO_HANDLE) {
+        return r->attempt.deadline;
+    }
+    CaroTime heard = r->last_event;
+    if (is_stream(r) && !CaroStreamPass_HasEvents(r->pass)) {
+        /* It may be read after others; their events show that it will be. */
+        const CaroTarget *target =
+            CaroTargets_Peek(r->all->parts.targets, r->target);
+        heard = target->heard_at > heard ? target->heard_at : heard;
+    }
+    return heard + patience_of(r);
 }
 
 static void
--- a/Objects/load_board.c
+++ b/Objects/load_board.c
@@ -11,6 +11,9 @@
 /* A failure is told for as long as others may still wait there. */
 #define FAILURE_NEWS (500 * CARO_MS)
 
+/* Told of an upstream that was never heard; an hour says as much. */
+enum { QUIET_MOST = 3600000 };
+
 typedef struct {
     CaroHandle target;
     uint32_t id_hash; /* The slot may hold another upstream by now. */
@@ -165,6 +168,7 @@
                                      .id_hash = load->target,
                                      .running = (int)load->running,
                                      .reading = (int)load->reading};
+        CaroTargets_Heard(b->targets, h, now - load->quiet_ms * CARO_MS);
         if (load->alarm != CARO_ALARM_NONE) {
             alarms->all[alarms->n].target = h;
             alarms->all[alarms->n].alarm = read_alarm(load->alarm);
@@ -193,6 +197,13 @@
     }
 }
 
+static u_int
+quiet_ms(const CaroTarget *t, CaroTime now)
+{
+    CaroTime ms = (now - t->heard_at) / CARO_MS;
+    return ms < QUIET_MOST ? (u_int)ms : QUIET_MOST;
+}
+
 int
 CaroLoadBoard_Fill(const CaroTargets *targets,
                    caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
@@ -204,7 +215,8 @@
         caro_target_alarm alarm = write_alarm(t, now);
         if (t->is_used && t->is_present &&
             (t->streams > 0 || alarm != CARO_ALARM_NONE)) {
-            loads[n++] = (caro_target_load){.target = t->id_hash,
+            loads[n++] = (caro_target_load){.quiet_ms = quiet_ms(t, now),
+                                            .target = t->id_hash,
                                             .running = (u_int)t->streams,
                                             .reading = (u_int)t->reading,
                                             .alarm = alarm};
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -244,6 +244,7 @@
 	u_int target;
 	u_int running;
 	u_int reading;
+	u_int quiet_ms;
 	caro_target_alarm alarm;
 };
 typedef struct caro_target_load caro_target_load;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -399,7 +399,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -407,17 +407,20 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->quiet_ms))
+				 return FALSE;
 
 		} else {
 		IXDR_PUT_U_LONG(buf, objp->target);
 		IXDR_PUT_U_LONG(buf, objp->running);
 		IXDR_PUT_U_LONG(buf, objp->reading);
+		IXDR_PUT_U_LONG(buf, objp->quiet_ms);
 		}
 		 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -425,11 +428,14 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->quiet_ms))
+				 return FALSE;
 
 		} else {
 		objp->target = IXDR_GET_U_LONG(buf);
 		objp->running = IXDR_GET_U_LONG(buf);
 		objp->reading = IXDR_GET_U_LONG(buf);
+		objp->quiet_ms = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
 			 return FALSE;
@@ -442,6 +448,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->reading))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->quiet_ms))
+		 return FALSE;
 	 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
 		 return FALSE;
 	return TRUE;
--- a/Test/test_placing.c
+++ b/Test/test_placing.c
@@ -292,6 +292,7 @@
     caro_target_load load = {.target = CaroTargets_Peek(t, 2)->id_hash,
                              .running = 3,
                              .reading = 100,
+                             .quiet_ms = 300,
                              .alarm = CARO_ALARM_SILENT};
     caro_load_news news = {.sender = "v1", .boot = 5, .number = 2};
     news.loads.loads_val = &load;
@@ -300,6 +301,7 @@
     assert_int_equal(CaroTargets_Peek(t, 2)->others_running, 3);
     assert_int_equal(alarms.n, 1);
     assert_int_equal(alarms.all[0].alarm, CARO_TARGET_SILENT);
+    assert_int_equal(CaroTargets_Peek(t, 2)->heard_at, S - 300 * CARO_MS);
     news.number = 1;
     load.running = 9;
     CaroLoadBoard_Take(b, &news, &alarms, S);
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -669,6 +669,30 @@
     assert_true(f->up.closed >= 1);
 }
 
+/* Prompts are read one after the other.  An engine that is heard to serve
+   others is not left for being slow to begin, which would have the prompt
+   read twice; one of which nothing is heard is. */
+static void
+test_a_busy_engine_is_not_left(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_STREAM;
+    f->route.is_resumable = true;
+    f->route.objective = 400 * CARO_MS;
+    script(f, REPLY_NEVER, "");
+    script(f, REPLY_KEEP, STREAM("r1") "f\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n");
+    request(f, "r1", 3, STEP);
+    for (int i = 0; i < 50; i++) {
+        CaroTime now = CaroClock_Now();
+        CaroTargets_Heard(f->parts.targets, 0, now);
+        CaroTargets_Heard(f->parts.targets, 1, now);
+        run_for(f, STEP);
+    }
+    assert_int_equal(f->up.n_seen, 1);
+    wait_for(f, "data: a\n\n\r\n0\r\n\r\n");
+    assert_int_equal(f->up.n_seen, 2);
+}
+
 static void
 test_a_caller_that_leaves(void **state)
 {
@@ -731,6 +755,7 @@
         RELAY_TEST(test_a_stream_that_starts_over),
         RELAY_TEST(test_a_failure_in_place_of_the_rest),
         RELAY_TEST(test_a_stream_that_falls_silent),
+        RELAY_TEST(test_a_busy_engine_is_not_left),
         RELAY_TEST(test_a_caller_that_leaves),
         RELAY_TEST(test_a_caller_that_does_not_read),
     };
