Spread copies by the memory that engines hold, others' copies included

An engine holds 88,000 tokens, nine streams or copies. A VM knew only its own copies and weighed them a quarter, so that all VMs sent theirs to the same engines: in the test's load 13 and more lay at one engine, where the mean is 5.3. Change: the copies are told with the loads; a copy goes to the engine with the fewest streams and copies. The test plays eight streams a second from 13 VMs and fails before: 13 at one engine; after: 7.

--- a/Controllers/placing.c
+++ b/Controllers/placing.c
@@ -48,7 +48,7 @@
     }
     double reading = target->reading + target->others_reading;
     return load + READING_WEIGHT * reading / READING_UNIT +
-           COPY_WEIGHT * target->copies;
+           COPY_WEIGHT * (target->copies + target->others_copies);
 }
 
 /* Many upstreams of the domain have failed since this one was known: it is
@@ -134,7 +134,8 @@
 weigh_copy(const CaroTargets *t, const CaroTarget *target, gsl_rng *rng,
            CaroTime now)
 {
-    double weight = load_of(target, now) + RANDOM_PART * gsl_rng_uniform(rng);
+    double weight = target->streams + target->others_running + target->copies +
+                    target->others_copies + RANDOM_PART * gsl_rng_uniform(rng);
     if (is_domain_failing(t, target, now)) {
         weight += LOST_DOMAIN;
     }
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -45,6 +45,7 @@
     int others_running;   /* Streams of other VMs. */
     int others_reading;   /* Prompt tokens of those without an event. */
     int copies;           /* Copies of this VM's streams it keeps. */
+    int others_copies;    /* Copies of other VMs' streams. */
     int running;          /* Last report. */
     int waiting;          /* Last report. */
     CaroTime reported_at; /* When the last report came. */
--- a/Objects/load_board.c
+++ b/Objects/load_board.c
@@ -19,6 +19,7 @@
     uint32_t id_hash; /* The slot may hold another upstream by now. */
     int running;
     int reading;
+    int copies;
 } Entry;
 
 typedef struct Sender {
@@ -73,6 +74,7 @@
         CaroTarget *target = CaroTargets_Get(b->targets, h);
         target->others_running = 0;
         target->others_reading = 0;
+        target->others_copies = 0;
     }
     HASH_ITER(hh, b->senders, s, next)
     {
@@ -82,6 +84,7 @@
             if (target->is_used && target->id_hash == e->id_hash) {
                 target->others_running += e->running;
                 target->others_reading += e->reading;
+                target->others_copies += e->copies;
             }
         }
     }
@@ -167,7 +170,8 @@
         s->entries[s->n++] = (Entry){.target = h,
                                      .id_hash = load->target,
                                      .running = (int)load->running,
-                                     .reading = (int)load->reading};
+                                     .reading = (int)load->reading,
+                                     .copies = (int)load->copies};
         CaroTargets_Heard(b->targets, h, now - load->quiet_ms * CARO_MS);
         if (load->alarm != CARO_ALARM_NONE) {
             alarms->all[alarms->n].target = h;
@@ -214,11 +218,12 @@
         const CaroTarget *t = CaroTargets_Peek(targets, h);
         caro_target_alarm alarm = write_alarm(t, now);
         if (t->is_used && t->is_present &&
-            (t->streams > 0 || alarm != CARO_ALARM_NONE)) {
+            (t->streams > 0 || t->copies > 0 || alarm != CARO_ALARM_NONE)) {
             loads[n++] = (caro_target_load){.quiet_ms = quiet_ms(t, now),
                                             .target = t->id_hash,
                                             .running = (u_int)t->streams,
                                             .reading = (u_int)t->reading,
+                                            .copies = (u_int)t->copies,
                                             .alarm = alarm};
         }
     }
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -244,6 +244,7 @@
 	u_int target;
 	u_int running;
 	u_int reading;
+	u_int copies;
 	u_int quiet_ms;
 	caro_target_alarm alarm;
 };
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -183,6 +183,7 @@
     unsigned int target;
     unsigned int running; /* Streams, also those not yet read. */
     unsigned int reading; /* Prompt tokens of those without an event. */
+    unsigned int copies; /* Of the sender's streams, kept there. */
     unsigned int quiet_ms; /* Since its last answer or event. */
     caro_target_alarm alarm;
 };
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -399,7 +399,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -407,6 +407,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->copies))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->quiet_ms))
 				 return FALSE;
 
@@ -414,13 +416,14 @@
 		IXDR_PUT_U_LONG(buf, objp->target);
 		IXDR_PUT_U_LONG(buf, objp->running);
 		IXDR_PUT_U_LONG(buf, objp->reading);
+		IXDR_PUT_U_LONG(buf, objp->copies);
 		IXDR_PUT_U_LONG(buf, objp->quiet_ms);
 		}
 		 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->target))
 				 return FALSE;
@@ -428,6 +431,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->reading))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->copies))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->quiet_ms))
 				 return FALSE;
 
@@ -435,6 +440,7 @@
 		objp->target = IXDR_GET_U_LONG(buf);
 		objp->running = IXDR_GET_U_LONG(buf);
 		objp->reading = IXDR_GET_U_LONG(buf);
+		objp->copies = IXDR_GET_U_LONG(buf);
 		objp->quiet_ms = IXDR_GET_U_LONG(buf);
 		}
 		 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
@@ -448,6 +454,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->reading))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->copies))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->quiet_ms))
 		 return FALSE;
 	 if (!xdr_caro_target_alarm (xdrs, &objp->alarm))
--- a/Test/test_placing.c
+++ b/Test/test_placing.c
@@ -72,22 +72,32 @@
     }
 }
 
-/*
- * A load of five streams a second over 13 VMs, each read for a second and
- * then running for four.  Returns the part that met an engine which was
- * reading another prompt.
- */
-static double
-play_load(bool is_told)
+typedef struct {
+    bool is_told;    /* The VMs tell each other their loads. */
+    CaroTime every;  /* Between two streams. */
+    CaroTime length; /* Of a stream, its prompt's reading included. */
+} Load;
+
+typedef struct {
+    double met;    /* Part that met an engine reading another prompt. */
+    int held_most; /* Streams and copies at one engine. */
+} LoadResult;
+
+/* Streams over 13 VMs, each read for a second and kept twice. */
+static LoadResult
+play_load(Load load)
 {
     enum { STREAMS = 600, PROMPT = 8200 };
     static struct {
         int vm;
         CaroHandle engine;
+        CaroHandle copy;
         CaroTime read_at;
         CaroTime ends_at;
     } streams[STREAMS];
     Vm vms[VMS];
+    LoadResult result = {0};
+    int held[ENGINES] = {0};
     int met = 0;
     gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(rng, 7);
@@ -98,13 +108,13 @@
         (void)snprintf(vms[vm].name, sizeof(vms[vm].name), "v%d", vm);
     }
     for (int i = 0; i < STREAMS; i++) {
-        CaroTime now = 2 * S + i * 200 * CARO_MS;
+        CaroTime now = 2 * S + i * load.every;
         for (int j = 0; j < i; j++) {
             if (streams[j].read_at != 0 && now >= streams[j].read_at) {
                 streams[j].read_at = 0;
                 CaroTargets_AddReading(vms[streams[j].vm].targets,
                                        streams[j].engine, -PROMPT);
-                if (is_told) {
+                if (load.is_told) {
                     tell_others(vms, streams[j].vm, now);
                 }
             }
@@ -112,7 +122,11 @@
                 streams[j].ends_at = 0;
                 CaroTargets_End(vms[streams[j].vm].targets, streams[j].engine,
                                 true);
-                if (is_told) {
+                CaroTargets_EndCopy(vms[streams[j].vm].targets,
+                                    streams[j].copy);
+                held[streams[j].engine]--;
+                held[streams[j].copy]--;
+                if (load.is_told) {
                     tell_others(vms, streams[j].vm, now);
                 }
             }
@@ -130,9 +144,17 @@
         CaroTargets_AddReading(vms[vm].targets, h, PROMPT);
         streams[i].vm = vm;
         streams[i].engine = h;
+        streams[i].copy = CaroPlacing_ChooseCopy(vms[vm].targets, h, rng, now);
+        CaroTargets_BeginCopy(vms[vm].targets, streams[i].copy);
+        held[h]++;
+        held[streams[i].copy]++;
+        for (int j = 0; j < ENGINES; j++) {
+            result.held_most =
+                held[j] > result.held_most ? held[j] : result.held_most;
+        }
         streams[i].read_at = now + S;
-        streams[i].ends_at = now + 5 * S;
-        if (is_told) {
+        streams[i].ends_at = now + load.length;
+        if (load.is_told) {
             tell_others(vms, vm, now);
         }
     }
@@ -141,7 +163,8 @@
         CaroTargets_Destroy(vms[vm].targets);
     }
     gsl_rng_free(rng);
-    return (double)met / STREAMS;
+    result.met = (double)met / STREAMS;
+    return result;
 }
 
 /* Callers whose prompt waits behind another get their first event late;
@@ -150,14 +173,33 @@
 test_prompts_do_not_meet(void **state)
 {
     (void)state;
-    double alone = play_load(false);
-    double told = play_load(true);
+    Load load = {.every = 200 * CARO_MS, .length = 5 * S};
+    double alone = play_load(load).met;
+    load.is_told = true;
+    double told = play_load(load).met;
     print_message("prompts that met another: alone %.3f, told %.3f\n", alone,
                   told);
     assert_true(told < 0.01);
     assert_true(alone > 5.0 * told);
 }
 
+/* An engine whose memory is full sets streams aside, and their callers wait
+   for more than a second.  The engines hold 88,000 tokens, which are nine
+   streams or copies of 8,900.  At eight streams a second, each running for
+   six, they hold 5.3 in the mean. */
+static void
+test_memory_is_not_overcommitted(void **state)
+{
+    (void)state;
+    Load load = {.every = 125 * CARO_MS, .length = 6 * S};
+    int alone = play_load(load).held_most;
+    load.is_told = true;
+    int told = play_load(load).held_most;
+    print_message("held at one engine at most: alone %d, told %d\n", alone,
+                  told);
+    assert_true(told <= 88000 / 8900);
+}
+
 static void
 test_a_lost_domain_is_left(void **state)
 {
@@ -385,6 +427,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_prompts_do_not_meet),
+        cmocka_unit_test(test_memory_is_not_overcommitted),
         cmocka_unit_test(test_a_lost_domain_is_left),
         cmocka_unit_test(test_copies_are_kept_in_another_domain),
         cmocka_unit_test(test_a_copy_is_kept_where_life_was_seen),
