Do not take an engine for silent that serves its other streams

Cause: an engine whose memory is full sets its newest stream aside. Ruled out: lost engines; at that time (43 s) none was down. Change: a stream that falls silent while others at the engine have events goes on elsewhere, but nothing is said against the engine.

--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -29,6 +29,9 @@
 #define LOOK_AGAIN (40 * CARO_MS)
 /* An answer must leave before the caller's patience ends. */
 #define ANSWER_MARGIN (25 * CARO_MS)
+/* An engine that reads a prompt beside its streams gives each of them an
+   event in about 155 ms, which others tell within a hop. */
+#define OTHERS_GAP (200 * CARO_MS)
 /* Suggested to callers that found no upstream; engines that crash are back
    in about a second. */
 #define RETRY_AFTER_S 0.3
@@ -557,15 +560,27 @@
                                                  .on_end = on_end,
                                                  .on_failure = on_failure};
 
+/* Other streams there have events: this one was set aside by the engine,
+   as it does when its memory is full, or its packets are lost. */
+static bool
+is_only_this_silent(const CaroRelay *r, CaroTime now)
+{
+    const CaroTarget *target =
+        CaroTargets_Peek(r->all->parts.targets, r->target);
+    return target->heard_at > r->last_event &&
+           now - target->heard_at < OTHERS_GAP;
+}
+
 /* What an outcome says of the upstream. */
 static CaroTargetAlarm
-alarm_of(const CaroRelay *r, CaroOutcome outcome)
+alarm_of(const CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
     switch (outcome) {
     case CARO_OUTCOME_GONE:
         return CARO_TARGET_GONE;
     case CARO_OUTCOME_SILENT:
-        return CARO_TARGET_SILENT;
+        return is_only_this_silent(r, now) ? CARO_TARGET_WELL
+                                           : CARO_TARGET_SILENT;
     case CARO_OUTCOME_UNSENT:
     case CARO_OUTCOME_LOST:
         return CARO_TARGET_FAILING;
@@ -581,7 +596,7 @@
 blame_target(CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
     CaroTargets *targets = r->all->parts.targets;
-    CaroTargetAlarm alarm = alarm_of(r, outcome);
+    CaroTargetAlarm alarm = alarm_of(r, outcome, now);
     if (alarm == CARO_TARGET_WELL) {
         return;
     }
@@ -595,7 +610,7 @@
 /* Prepares the next attempt: not where the last one failed, and from the
    copy of the run if there is one. */
 static void
-turn_away(CaroRelay *r, CaroOutcome outcome)
+turn_away(CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
     CaroPlacingQuery *q = &r->query;
     const CaroTarget *target =
@@ -605,7 +620,7 @@
     if (q->n_tried == CARO_TRIED_MAX) {
         q->n_tried--; /* Those that failed are avoided besides. */
     }
-    if (alarm_of(r, outcome) != CARO_TARGET_WELL ||
+    if (has_run || alarm_of(r, outcome, now) != CARO_TARGET_WELL ||
         outcome == CARO_OUTCOME_FAILED) {
         q->tried[q->n_tried++] = r->target;
     }
@@ -677,15 +692,17 @@
             CaroTime now)
 {
     CaroRelays *all = r->all;
+    bool is_silent = r->target != CARO_NO_HANDLE &&
+                     alarm_of(r, outcome, now) == CARO_TARGET_SILENT;
     if (r->target != CARO_NO_HANDLE) {
         blame_target(r, outcome, now);
         sample_failure(r, outcome, now);
         log_attempt(r, outcome, reason, now);
-        turn_away(r, outcome);
+        turn_away(r, outcome, now);
     }
     CaroHandle left = r->target;
     leave_target(r);
-    if (left != CARO_NO_HANDLE && outcome == CARO_OUTCOME_SILENT) {
+    if (is_silent) {
         CaroRelays_Doubt(all, left, now);
     }
     bool has_budget =
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -693,6 +693,31 @@
     assert_int_equal(f->up.n_seen, 2);
 }
 
+/* An engine that sets one stream aside while others there go on is not
+   silent: the stream goes on elsewhere, and the engine keeps the others. */
+static void
+test_a_stream_that_alone_falls_silent(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_STREAM;
+    f->route.is_resumable = true;
+    script(f, REPLY_KEEP, STREAM("r1") "f\r\nid: 1\ndata: a\n\n\r\n");
+    script(f, REPLY_KEEP, STREAM("r1") "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    request(f, "r1", 3, STEP);
+    for (int i = 0; i < 100 && f->up.n_seen < 2; i++) {
+        CaroTime now = CaroClock_Now();
+        CaroTargets_Heard(f->parts.targets, 0, now);
+        CaroTargets_Heard(f->parts.targets, 1, now);
+        run_for(f, STEP);
+    }
+    wait_for(f, "data: b\n\n\r\n0\r\n\r\n");
+    for (CaroHandle h = 0; h < 2; h++) {
+        const CaroTarget *target = CaroTargets_Peek(f->parts.targets, h);
+        assert_int_equal(target->alarm, CARO_TARGET_WELL);
+        assert_true(CaroTarget_IsUsable(target, CaroClock_Now()));
+    }
+}
+
 static void
 test_a_caller_that_leaves(void **state)
 {
@@ -756,6 +781,7 @@
         RELAY_TEST(test_a_failure_in_place_of_the_rest),
         RELAY_TEST(test_a_stream_that_falls_silent),
         RELAY_TEST(test_a_busy_engine_is_not_left),
+        RELAY_TEST(test_a_stream_that_alone_falls_silent),
         RELAY_TEST(test_a_caller_that_leaves),
         RELAY_TEST(test_a_caller_that_does_not_read),
     };
