--- a/Filters/account.c
+++ b/Filters/account.c
@@ -8,7 +8,7 @@
     if (n->config == NULL) {
         CaroHttp_Problem(c->req, 503, CARO_RUN_NO, "no configuration yet",
                          "VM %s has heard neither the store nor a peer",
-                         n->settings.vm);
+                         n->common.settings->vm);
         return CARO_FILTER_REFUSED;
     }
     if (CaroConfig_Account(n->config, c->account) == NULL) {
--- a/Filters/admission.c
+++ b/Filters/admission.c
@@ -9,7 +9,7 @@
     CaroHttp_Problem(c->req, 503, CARO_RUN_NO, "journals are full",
                      "VM %s holds as many generations as it may; ask "
                      "/v1/addresses for another",
-                     c->node->settings.vm);
+                     c->node->common.settings->vm);
     return CARO_FILTER_REFUSED;
 }
 
@@ -30,13 +30,13 @@
     if (s == NULL) {
         return refuse_full(c);
     }
-    CaroAdmission *a = CaroNode_AdmissionOf(n, c->deployment);
+    CaroAdmission *a = CaroAdmissions_Of(n->admissions, c->deployment);
     CaroVerdict v = {.kind = CARO_REFUSED};
     CaroOffer offer = {.id = s->id,
                        .account = c->account,
                        .class = s->class,
                        .cost = s->cost,
-                       .patience = n->settings.patience_ms * CARO_MS};
+                       .patience = n->common.settings->patience_ms * CARO_MS};
     if (a != NULL) {
         v = CaroAdmission_Offer(a, &offer, now);
     }
@@ -46,7 +46,7 @@
                          "the expected wait of account %s is %lld ms; "
                          "allowed: %lld ms",
                          c->account, (long long)(v.expected_wait / CARO_MS),
-                         (long long)n->settings.patience_ms);
+                         (long long)n->common.settings->patience_ms);
         return CARO_FILTER_REFUSED;
     }
     s->admission = a;
--- a/Filters/drain.c
+++ b/Filters/drain.c
@@ -9,6 +9,6 @@
     }
     CaroHttp_Problem(c->req, 503, CARO_RUN_NO, "this VM is leaving",
                      "VM %s takes no new work; ask /v1/addresses",
-                     c->node->settings.vm);
+                     c->node->common.settings->vm);
     return CARO_FILTER_REFUSED;
 }
--- /dev/null
+++ b/Include/internal/caro_common.h
@@ -0,0 +1,33 @@
+/*
+ * NAME
+ *     caro_common - what the parts of a node stand on
+ *
+ * Lower objects that several parts use and that know none of the parts.
+ * The file that assembles the parts owns them; each part keeps a copy of
+ * these pointers, which outlive it.
+ */
+#ifndef CARO_COMMON_H
+#define CARO_COMMON_H
+
+#include "caro_settings.h"
+#include "internal/caro_counters.h"
+#include "internal/caro_decisions.h"
+#include "internal/caro_membership.h"
+#include "internal/caro_rpc.h"
+#include "internal/caro_upstreams.h"
+
+#include <event2/event.h>
+
+typedef struct {
+    struct event_base *base;
+    const CaroSettings *settings;
+    uint64_t boot; /* Of this process. */
+    uint64_t *rng; /* State of CaroRandom_Next. */
+    CaroRpc *rpc;
+    CaroMembership *membership;
+    CaroUpstreams *upstreams;
+    CaroCounters *counters;
+    CaroDecisions *decisions;
+} CaroCommon;
+
+#endif
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -9,9 +9,10 @@
 #define CARO_NODE_STATE_H
 
 #include "caro_node.h"
-#include "internal/caro_admission.h"
+#include "internal/caro_admissions.h"
 #include "internal/caro_clock.h"
 #include "internal/caro_command.h"
+#include "internal/caro_common.h"
 #include "internal/caro_config.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_decisions.h"
@@ -19,8 +20,10 @@
 #include "internal/caro_generation.h"
 #include "internal/caro_http.h"
 #include "internal/caro_journal.h"
+#include "internal/caro_load_poller.h"
 #include "internal/caro_log.h"
 #include "internal/caro_membership.h"
+#include "internal/caro_order_front.h"
 #include "internal/caro_orders.h"
 #include "internal/caro_rollout.h"
 #include "internal/caro_router.h"
@@ -31,7 +34,6 @@
 #include <uthash.h>
 
 typedef struct CaroSession CaroSession;
-typedef struct CaroOrderWaiter CaroOrderWaiter;
 
 /* A move in work at this node. */
 typedef struct {
@@ -45,39 +47,28 @@
 } CaroMove;
 
 struct CaroNode {
-    struct event_base *base;
-    CaroSettings settings;
-    uint64_t boot;
-    uint64_t rng;
-    CaroRpc *rpc;
+    CaroCommon common;
+    CaroSettings settings; /* common borrows it, */
+    uint64_t rng;          /* this */
+    CaroCounters counters; /* and this. */
     struct evhttp *http;
     struct event *tick_event;
     struct event *flush_event;
     CaroStore *store;
-    CaroMembership *membership;
-    CaroUpstreams *upstreams;
     CaroJournalTable *own;    /* Generations served here. */
     CaroJournalTable *copies; /* Kept for other VMs. */
-    CaroOrders *orders;
-    CaroConfig *config; /* NULL before the first. */
-    CaroAdmission *admissions[CARO_DEPLOYMENTS_MAX]; /* As in config. */
-    char admission_names[CARO_DEPLOYMENTS_MAX][CARO_NAME_SIZE];
-    int n_admissions;
-    CaroCounters counters;
-    CaroDecisions *decisions;
+    CaroOrderDesk *orders;
+    CaroOrderFront *order_front;
+    CaroLoadPoller *poller;
+    CaroAdmissions *admissions;
+    CaroConfig *config;    /* NULL before the first. */
     CaroSession *sessions; /* By generation id. */
     CaroSession *dirty;    /* With tokens to ship; see node_journal.c. */
     bool is_flush_pending;
-    CaroOrderWaiter *order_waiters;
-    int n_orders_running;
 
     CaroTime awake;     /* Clock that stops while the process is stopped. */
     CaroTime last_tick; /* On the monotonic clock. */
     CaroTime next_slow_tick;
-    CaroTime next_poll;
-    CaroTime next_probe;
-    CaroTime heard_upstream[CARO_UPSTREAMS_MAX]; /* Last load report. */
-    bool is_polling[CARO_UPSTREAMS_MAX];
 
     bool is_fetching_config;
     bool is_reading_store;
@@ -192,7 +183,6 @@
 CaroSession *CaroNode_FindSession(CaroNode *n, uint64_t id);
 void CaroNode_TickSessions(CaroNode *n, CaroTime now);
 void CaroNode_AdmitWaiting(CaroNode *n, CaroTime now);
-CaroAdmission *CaroNode_AdmissionOf(CaroNode *n, const char *deployment);
 
 /* node_generate.c: the attempts of a session. */
 void CaroNode_CancelAttempts(CaroSession *s);
@@ -209,21 +199,6 @@
 void CaroNode_FormatEventId(const CaroSession *s, uint32_t index, char *buf,
                             size_t size);
 
-/* node_orders.c: non-idempotent requests. */
-typedef void (*CaroOrderDone)(void *context, const caro_order_outcome *out);
-void CaroNode_RunOrder(CaroNode *n, const caro_order_forward *order,
-                       CaroOrderDone done, void *context, CaroTime now);
-void CaroNode_OrderRequest(CaroNode *n, struct evhttp_request *req,
-                           CaroTime now);
-void CaroNode_OnIntent(CaroNode *n, const caro_order_intent *args,
-                       caro_order_outcome *out, CaroTime now);
-void CaroNode_OnOutcome(CaroNode *n, const caro_order_outcome *args,
-                        CaroTime now);
-void CaroNode_OnDecide(CaroNode *n, const caro_order_decide *args,
-                       caro_order_outcome *out, CaroTime now);
-void CaroNode_OnForward(CaroNode *n, CaroRpcRequest *request,
-                        const caro_order_forward *args, CaroTime now);
-
 /* node_moves.c: moves of traffic between versions. */
 const CaroRolloutPace *CaroNode_Pace(const CaroNode *n);
 void CaroNode_ApplyMoves(CaroNode *n);
@@ -238,12 +213,6 @@
                         int count);
 const CaroMove *CaroNode_FindMove(const CaroNode *n, const char *deployment);
 
-/* node_upstreams.c: load reports and limits. */
-void CaroNode_TickUpstreams(CaroNode *n, CaroTime now);
-void CaroNode_UpdateLimits(CaroNode *n, CaroTime now);
-void CaroNode_HeardLoad(CaroNode *n, CaroHandle h, const CaroEngineLoad *load,
-                        CaroTime now);
-
 /* node_http.c: routes of callers and operators. */
 void CaroNode_OnHttp(struct evhttp_request *req, void *context);
 
--- /dev/null
+++ b/Modules/load_poller.c
@@ -0,0 +1,150 @@
+/*
+ * Load reports of upstreams.
+ *
+ * Reports come with each answer of an engine.  Only an upstream that has
+ * been silent for a while is polled, one a second, and failed ones are
+ * probed more often, so the cost of polling does not grow with the fleet.
+ */
+#include "internal/caro_load_poller.h"
+
+#include "internal/caro_http.h"
+#include "internal/caro_clock.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define PROBE_INTERVAL (250 * CARO_MS)
+#define POLL_INTERVAL (1 * CARO_SECOND)
+#define POLL_SILENCE (5 * CARO_SECOND)
+#define POLL_TIMEOUT (1500 * CARO_MS)
+
+struct CaroLoadPoller {
+    CaroCommon common;
+    CaroTime next_poll;
+    CaroTime next_probe;
+    CaroTime heard[CARO_UPSTREAMS_MAX]; /* Last load report. */
+    bool is_polling[CARO_UPSTREAMS_MAX];
+};
+
+typedef struct {
+    CaroLoadPoller *poller;
+    CaroHandle upstream;
+} Poll;
+
+CaroLoadPoller *
+CaroLoadPoller_Create(const CaroCommon *common)
+{
+    CaroLoadPoller *p = calloc(1, sizeof(*p));
+    if (p != NULL) {
+        p->common = *common;
+    }
+    return p;
+}
+
+void
+CaroLoadPoller_Destroy(CaroLoadPoller *p)
+{
+    free(p);
+}
+
+void
+CaroLoadPoller_Heard(CaroLoadPoller *p, CaroHandle h,
+                     const CaroEngineLoad *load, CaroTime now)
+{
+    CaroUpstreams_Report(p->common.upstreams, h, load->running, load->waiting,
+                         load->capacity, now);
+    p->heard[h] = now;
+}
+
+static void
+on_polled(void *context, int code, int status, const char *body, size_t size,
+          bool is_sent, const struct evkeyvalq *headers)
+{
+    (void)body;
+    (void)size;
+    (void)is_sent;
+    Poll *poll = context;
+    CaroLoadPoller *p = poll->poller;
+    CaroTime now = CaroClock_Now();
+    p->is_polling[poll->upstream] = false;
+    p->heard[poll->upstream] = now;
+    if (code < 0 || status >= 500) {
+        CaroUpstreams_Failed(p->common.upstreams, poll->upstream, now);
+    }
+    else {
+        const char *text =
+            evhttp_find_header(headers, "endpoint-load-metrics");
+        CaroEngineLoad load;
+        CaroUpstreams_Probed(p->common.upstreams, poll->upstream);
+        if (text != NULL && CaroEngine_ParseLoad(text, &load)) {
+            CaroLoadPoller_Heard(p, poll->upstream, &load, now);
+        }
+    }
+    free(poll);
+}
+
+static void
+poll_upstream(CaroLoadPoller *p, CaroHandle h)
+{
+    Poll *poll = calloc(1, sizeof(*poll));
+    if (poll == NULL) {
+        return;
+    }
+    poll->poller = p;
+    poll->upstream = h;
+    p->is_polling[h] = true;
+    CaroCounters_Add(p->common.counters, CARO_COUNT_LOAD_POLLS, 1);
+    CaroHttpCall call = {
+        .address = CaroUpstreams_Get(p->common.upstreams, h)->address,
+        .path = "/v1/load",
+        .method = EVHTTP_REQ_GET,
+        .timeout = POLL_TIMEOUT};
+    CaroHttp_Call(p->common.base, &call, on_polled, poll);
+}
+
+/* A failed upstream that may come back, or no handle. */
+static CaroHandle
+next_to_probe(const CaroLoadPoller *p, CaroTime now)
+{
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(p->common.upstreams); h++) {
+        if (!p->is_polling[h] &&
+            CaroUpstreams_NeedsProbe(p->common.upstreams, h, now)) {
+            return h;
+        }
+    }
+    return CARO_NO_HANDLE;
+}
+
+static CaroHandle
+longest_silent(const CaroLoadPoller *p, CaroTime now)
+{
+    CaroHandle best = CARO_NO_HANDLE;
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(p->common.upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(p->common.upstreams, h);
+        if (u->is_leaving || p->is_polling[h] ||
+            now - p->heard[h] < POLL_SILENCE) {
+            continue;
+        }
+        if (best == CARO_NO_HANDLE || p->heard[h] < p->heard[best]) {
+            best = h;
+        }
+    }
+    return best;
+}
+
+void
+CaroLoadPoller_Tick(CaroLoadPoller *p, CaroTime now)
+{
+    CaroHandle h = CARO_NO_HANDLE;
+    if (now >= p->next_probe) {
+        p->next_probe = now + PROBE_INTERVAL;
+        h = next_to_probe(p, now);
+    }
+    if (h == CARO_NO_HANDLE && now >= p->next_poll) {
+        p->next_poll = now + POLL_INTERVAL;
+        h = longest_silent(p, now);
+    }
+    if (h != CARO_NO_HANDLE) {
+        poll_upstream(p, h);
+    }
+}
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -16,11 +16,7 @@
 #define LINGER (500 * CARO_MS)
 #define COPY_KEEP (120 * CARO_SECOND)
 
-enum {
-    DECISIONS_KEPT = 512,
-    ORDER_RECORDS_MAX = 65536,
-    HEADER_BYTES_MAX = 16384
-};
+enum { DECISIONS_KEPT = 512, HEADER_BYTES_MAX = 16384 };
 
 #define STANDBY_BUDGET_MAX 8.0
 #define STANDBY_BUDGET_PER_TICK 0.04
@@ -31,7 +27,7 @@
 {
     CaroTime passed = now - n->last_tick;
     if (passed > PAUSE_MIN) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_PAUSES, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_PAUSES, 1);
         CaroLog_Warn("node", "This process was stopped. ms=%lld",
                      (long long)(passed / CARO_MS));
         passed = TICK;
@@ -47,12 +43,14 @@
 static void
 slow_tick(CaroNode *n, CaroTime now)
 {
-    CaroTime ticket = n->settings.ticket_ttl_ms * CARO_MS;
-    CaroTime keep = n->settings.journal_keep_ms * CARO_MS;
+    CaroTime ticket = n->common.settings->ticket_ttl_ms * CARO_MS;
+    CaroTime keep = n->common.settings->journal_keep_ms * CARO_MS;
     (void)CaroJournalTable_Expire(n->own, now - keep, now - keep);
     (void)CaroJournalTable_Expire(n->copies, now - keep, now - COPY_KEEP);
-    (void)CaroOrders_Expire(n->orders, now - 2 * ticket);
-    CaroNode_UpdateLimits(n, now);
+    CaroOrderDesk_Expire(n->orders, now - 2 * ticket);
+    CaroAdmissions_UpdateLimits(
+        n->admissions, n->common.upstreams,
+        CaroMembership_CountUsable(n->common.membership), now);
     CaroNode_TickConfig(n, now);
 }
 
@@ -61,7 +59,8 @@
 static bool
 is_drained(CaroNode *n, CaroTime now)
 {
-    bool is_idle = n->sessions == NULL && n->n_orders_running == 0;
+    bool is_idle =
+        n->sessions == NULL && CaroOrderDesk_Running(n->orders) == 0;
     if (!n->is_draining) {
         return false;
     }
@@ -83,11 +82,11 @@
     CaroNode *n = arg;
     CaroTime now = CaroClock_Now();
     advance_clocks(n, now);
-    CaroMembership_Tick(n->membership, now);
+    CaroMembership_Tick(n->common.membership, now);
     CaroNode_SendMembershipEvents(n);
     CaroNode_TickSessions(n, now);
     CaroNode_AdmitWaiting(n, now);
-    CaroNode_TickUpstreams(n, now);
+    CaroLoadPoller_Tick(n->poller, now);
     CaroNode_TickMoves(n, now);
     if (now >= n->next_slow_tick) {
         n->next_slow_tick = now + SLOW_TICK;
@@ -95,7 +94,7 @@
     }
     if (is_drained(n, now)) {
         CaroLog_Info("node", "Drained; the process ends.");
-        event_base_loopbreak(n->base);
+        event_base_loopbreak(n->common.base);
     }
 }
 
@@ -103,15 +102,15 @@
 fill_self(const CaroNode *n, CaroVm *self)
 {
     memset(self, 0, sizeof(*self));
-    CARO_COPY(self->name, n->settings.vm);
-    CARO_COPY(self->http, n->settings.http);
-    CARO_COPY(self->peer, n->settings.peer);
-    CARO_COPY(self->domain, n->settings.domain);
-    CARO_COPY(self->region, n->settings.region);
+    CARO_COPY(self->name, n->common.settings->vm);
+    CARO_COPY(self->http, n->common.settings->http);
+    CARO_COPY(self->peer, n->common.settings->peer);
+    CARO_COPY(self->domain, n->common.settings->domain);
+    CARO_COPY(self->region, n->common.settings->region);
     /* Starts of one VM are ordered by the wall clock; a VM whose clock was
        set back learns its old incarnation from the others and exceeds it. */
     self->incarnation = (uint64_t)CaroClock_WallMs();
-    self->boot = n->boot;
+    self->boot = n->common.boot;
     self->state = CARO_MEMBER_ALIVE;
 }
 
@@ -120,21 +119,34 @@
 {
     CaroVm self;
     fill_self(n, &self);
-    size_t half = (size_t)n->settings.journal_bytes_max / 2;
-    n->membership = CaroMembership_Create(
-        &self, n->settings.heartbeat_ms * CARO_MS, n->rng, now);
-    n->upstreams = CaroUpstreams_Create();
+    size_t half = (size_t)n->common.settings->journal_bytes_max / 2;
+    n->common.membership = CaroMembership_Create(
+        &self, n->common.settings->heartbeat_ms * CARO_MS, n->rng, now);
+    n->common.upstreams = CaroUpstreams_Create();
     n->own = CaroJournalTable_Create(half);
     n->copies = CaroJournalTable_Create(half);
-    n->orders = CaroOrders_Create(ORDER_RECORDS_MAX);
-    n->decisions = CaroDecisions_Create(DECISIONS_KEPT);
-    n->store =
-        n->settings.platform_embedded
-            ? CaroStore_CreateEmbedded(n->base)
-            : CaroStore_CreateClient(n->base, n->settings.platform_store);
-    bool is_good = n->membership != NULL && n->upstreams != NULL &&
-                   n->own != NULL && n->copies != NULL && n->orders != NULL &&
-                   n->decisions != NULL && n->store != NULL;
+    n->common.decisions = CaroDecisions_Create(DECISIONS_KEPT);
+    n->store = n->common.settings->platform_embedded
+                   ? CaroStore_CreateEmbedded(n->common.base)
+                   : CaroStore_CreateClient(
+                         n->common.base, n->common.settings->platform_store);
+    bool is_good = n->common.membership != NULL &&
+                   n->common.upstreams != NULL && n->own != NULL &&
+                   n->copies != NULL && n->common.decisions != NULL &&
+                   n->store != NULL;
+    return is_good ? 0 : CARO_ERR_NOMEM;
+}
+
+/* What needs the RPC as well. */
+static int
+create_parts(CaroNode *n)
+{
+    n->admissions = CaroAdmissions_Create((int)n->settings.queue_max);
+    n->poller = CaroLoadPoller_Create(&n->common);
+    n->orders = CaroOrderDesk_Create(&n->common);
+    n->order_front = CaroOrderFront_Create(&n->common, n->orders);
+    bool is_good = n->admissions != NULL && n->poller != NULL &&
+                   n->orders != NULL && n->order_front != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
@@ -143,17 +155,17 @@
 {
     char host[CARO_ADDRESS_SIZE];
     uint16_t port;
-    const char *address = n->settings.http;
-    n->http = evhttp_new(n->base);
+    const char *address = n->common.settings->http;
+    n->http = evhttp_new(n->common.base);
     if (n->http == NULL) {
         return CaroError_Set(err, CARO_ERR_NOMEM, "http", address,
                              "no memory");
     }
-    evhttp_set_max_body_size(n->http, n->settings.body_bytes_max);
+    evhttp_set_max_body_size(n->http, n->common.settings->body_bytes_max);
     evhttp_set_max_headers_size(n->http, HEADER_BYTES_MAX);
-    struct timeval timeout = {.tv_sec = n->settings.header_timeout_ms / 1000,
-                              .tv_usec =
-                                  n->settings.header_timeout_ms % 1000 * 1000};
+    struct timeval timeout = {
+        .tv_sec = n->common.settings->header_timeout_ms / 1000,
+        .tv_usec = n->common.settings->header_timeout_ms % 1000 * 1000};
     evhttp_set_timeout_tv(n->http, &timeout);
     evhttp_set_gencb(n->http, CaroNode_OnHttp, n);
     if (CaroHttp_SplitAddress(address, host, &port) < 0 ||
@@ -168,7 +180,7 @@
 start_timers(CaroNode *n)
 {
     struct timeval tick = {.tv_usec = TICK};
-    n->tick_event = event_new(n->base, -1, EV_PERSIST, on_tick, n);
+    n->tick_event = event_new(n->common.base, -1, EV_PERSIST, on_tick, n);
     if (n->tick_event == NULL || event_add(n->tick_event, &tick) < 0) {
         return CARO_ERR_NOMEM;
     }
@@ -186,9 +198,12 @@
         return NULL;
     }
     CaroTime now = CaroClock_Now();
-    n->base = base;
     n->settings = *settings;
-    n->boot = CaroClock_Random();
+    n->common.base = base;
+    n->common.settings = &n->settings;
+    n->common.counters = &n->counters;
+    n->common.rng = &n->rng;
+    n->common.boot = CaroClock_Random();
     n->rng = CaroClock_Random();
     n->last_tick = now;
     n->standby_budget = STANDBY_BUDGET_MAX;
@@ -198,20 +213,21 @@
                             "no memory");
         goto error;
     }
-    n->rpc = CaroRpc_Create(base, settings->peer, CaroNode_OnPeerCall, n, err);
-    if (n->rpc == NULL || serve_http(n, err) < 0) {
+    n->common.rpc =
+        CaroRpc_Create(base, settings->peer, CaroNode_OnPeerCall, n, err);
+    if (n->common.rpc == NULL || serve_http(n, err) < 0) {
         goto error;
     }
-    if (start_timers(n) < 0) {
-        (void)CaroError_Set(err, CARO_ERR_NOMEM, "timers", settings->vm,
-                            "no memory");
+    if (create_parts(n) < 0 || start_timers(n) < 0) {
+        (void)CaroError_Set(err, CARO_ERR_NOMEM, "parts and timers",
+                            settings->vm, "no memory");
         goto error;
     }
     CaroNode_JoinSeeds(n);
     CaroNode_TickConfig(n, now);
     CaroLog_Info("node", "Serving. http=%s peer=%s domain=%s boot=%016llx",
                  settings->http, settings->peer, settings->domain,
-                 (unsigned long long)n->boot);
+                 (unsigned long long)n->common.boot);
     return n;
 error:
     CaroNode_Destroy(n);
@@ -226,12 +242,13 @@
     }
     CaroTime now = CaroClock_Now();
     n->is_draining = true;
-    n->drain_until = now + n->settings.drain_ms * CARO_MS;
+    n->drain_until = now + n->common.settings->drain_ms * CARO_MS;
     CaroLog_Info("node", "Draining. most_ms=%lld",
-                 (long long)n->settings.drain_ms);
-    CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "drain",
-                      n->settings.vm, "leaving", "a planned stop was asked");
-    CaroMembership_Leave(n->membership, now);
+                 (long long)n->common.settings->drain_ms);
+    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "drain",
+                      n->common.settings->vm, "leaving",
+                      "a planned stop was asked");
+    CaroMembership_Leave(n->common.membership, now);
     enum { LEAVE_FANOUT = 8 };
     CaroNode_Announce(n, LEAVE_FANOUT);
 }
@@ -257,20 +274,20 @@
     if (n->http != NULL) {
         evhttp_free(n->http);
     }
-    CaroRpc_Destroy(n->rpc);
+    CaroRpc_Destroy(n->common.rpc);
     CaroStore_Destroy(n->store);
-    CaroMembership_Destroy(n->membership);
-    CaroUpstreams_Destroy(n->upstreams);
+    CaroMembership_Destroy(n->common.membership);
+    CaroUpstreams_Destroy(n->common.upstreams);
     CaroJournalTable_Destroy(n->own);
     CaroJournalTable_Destroy(n->copies);
-    CaroOrders_Destroy(n->orders);
-    CaroDecisions_Destroy(n->decisions);
+    CaroOrderFront_Destroy(n->order_front);
+    CaroOrderDesk_Destroy(n->orders);
+    CaroLoadPoller_Destroy(n->poller);
+    CaroAdmissions_Destroy(n->admissions);
+    CaroDecisions_Destroy(n->common.decisions);
     CaroConfig_Destroy(n->config);
     for (int i = 0; i < CARO_MOVES_MAX; i++) {
         CaroRollout_Destroy(n->moves[i].rollout);
     }
-    for (int i = 0; i < n->n_admissions; i++) {
-        CaroAdmission_Destroy(n->admissions[i]);
-    }
     free(n);
 }
--- a/Modules/node_caller.c
+++ b/Modules/node_caller.c
@@ -106,7 +106,7 @@
     struct evhttp_request *req = CaroNode_DetachCaller(s);
     evhttp_send_reply_chunk(req, out);
     evhttp_send_reply_end(req);
-    CaroCounters_Add(&s->node->counters, CARO_COUNT_GENERATIONS_DONE, 1);
+    CaroCounters_Add(s->node->common.counters, CARO_COUNT_GENERATIONS_DONE, 1);
     CaroNode_CloseSession(s, true);
 }
 
@@ -116,7 +116,7 @@
     struct evhttp_connection *c = evhttp_request_get_connection(s->req);
     struct bufferevent *bev = evhttp_connection_get_bufferevent(c);
     size_t unsent = evbuffer_get_length(bufferevent_get_output(bev));
-    return unsent > (size_t)s->node->settings.caller_buffer_max;
+    return unsent > (size_t)s->node->common.settings->caller_buffer_max;
 }
 
 /* Sends the caller what the backup holds.  May close the session. */
@@ -129,7 +129,7 @@
         return;
     }
     if (is_caller_slow(s)) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_CALLERS_SLOW, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_CALLERS_SLOW, 1);
         CaroNode_DropCaller(s);
         return;
     }
@@ -144,7 +144,7 @@
     while (s->sent < s->acked) {
         add_token(s, s->sent, out);
         s->sent++;
-        CaroCounters_Add(&n->counters, CARO_COUNT_TOKENS, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_TOKENS, 1);
     }
     if (is_whole) {
         finish_answer(s, out);
--- a/Modules/node_config.c
+++ b/Modules/node_config.c
@@ -36,35 +36,15 @@
 static void
 apply_upstreams(CaroNode *n)
 {
-    CaroUpstreams_BeginUpdate(n->upstreams);
+    CaroUpstreams_BeginUpdate(n->common.upstreams);
     for (int i = 0; i < n->config->n_upstreams; i++) {
         const CaroUpstream *u = &n->config->upstreams[i];
-        if (CaroUpstreams_Put(n->upstreams, u) == CARO_NO_HANDLE) {
+        if (CaroUpstreams_Put(n->common.upstreams, u) == CARO_NO_HANDLE) {
             CaroLog_Error("config", "The upstream table is full. name=%s",
                           u->name);
         }
     }
-    CaroUpstreams_EndUpdate(n->upstreams);
-}
-
-static void
-apply_accounts(CaroNode *n)
-{
-    for (int i = 0; i < n->config->n_deployments; i++) {
-        const CaroDeployment *d = &n->config->deployments[i];
-        if (d->kind != CARO_UPSTREAM_MODEL) {
-            continue;
-        }
-        CaroAdmission *a = CaroNode_AdmissionOf(n, d->name);
-        for (int j = 0; a != NULL && j < n->config->n_accounts; j++) {
-            const CaroAccount *account = &n->config->accounts[j];
-            if (account->weight_permille != 1000) {
-                CaroAdmission_SetWeight(a, account->name,
-                                        (double)account->weight_permille /
-                                            1000.0);
-            }
-        }
-    }
+    CaroUpstreams_EndUpdate(n->common.upstreams);
 }
 
 int
@@ -81,17 +61,19 @@
     CaroConfig_Destroy(n->config);
     n->config = c;
     apply_upstreams(n);
-    apply_accounts(n);
+    CaroAdmissions_SetWeights(n->admissions, c);
     CaroNode_ApplyMoves(n);
-    CaroCounters_Add(&n->counters, CARO_COUNT_CONFIG_APPLIED, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_CONFIG_APPLIED, 1);
     CaroLog_Info("config",
                  "A configuration is in force. revision=%" PRIu64
                  " upstreams=%d accounts=%d",
                  revision, c->n_upstreams, c->n_accounts);
-    CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "config", "config",
-                      "applied", "revision %" PRIu64 ", change %.32s",
-                      revision, c->change);
-    CaroNode_UpdateLimits(n, CaroClock_Now());
+    CaroDecisions_Add(
+        n->common.decisions, CaroClock_WallMs(), "config", "config", "applied",
+        "revision %" PRIu64 ", change %.32s", revision, c->change);
+    CaroAdmissions_UpdateLimits(
+        n->admissions, n->common.upstreams,
+        CaroMembership_CountUsable(n->common.membership), CaroClock_Now());
     CaroNode_Announce(n, ANNOUNCE_FANOUT);
     return 0;
 }
@@ -129,9 +111,10 @@
     n->is_fetching_config = true;
     caro_heartbeat h;
     memset(&h, 0, sizeof(h));
-    h.sender = n->settings.vm;
+    h.sender = (char *)n->common.settings->vm;
     h.config_revision = CaroNode_ConfigRevision(n);
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
+    CaroRpc_Call(n->common.rpc,
+                 CaroMembership_Get(n->common.membership, vm)->peer,
                  CARO_RPC_TCP, CARO_CONFIG, &h, FETCH_TIMEOUT, on_fetched, n);
 }
 
@@ -147,7 +130,7 @@
     CaroTime half = n->store_backoff / 2;
     n->next_store_read =
         now + half +
-        (CaroTime)(CaroRandom_Next(&n->rng) % (uint64_t)(half + 1));
+        (CaroTime)(CaroRandom_Next(n->common.rng) % (uint64_t)(half + 1));
 }
 
 static void
@@ -157,7 +140,7 @@
     CaroTime now = CaroClock_Now();
     n->is_reading_store = false;
     if (result->code < 0 && result->code != CARO_ERR_GONE) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_STORE_FAILURES, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_FAILURES, 1);
         if (n->store_backoff == 0) {
             CaroLog_Warn("store", "The store does not answer. error=\"%s\"",
                          CaroError_Name(result->code));
@@ -192,7 +175,7 @@
     Refresh *r = context;
     CaroNode *n = r->node;
     if (result->code < 0 && CaroClock_Now() < r->until) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_STORE_CALLS, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
         CaroStore_Get(n->store, CONFIG_KEY, on_refreshed, r);
         return;
     }
@@ -216,7 +199,7 @@
     r->until = CaroClock_Now() + REFRESH_MOST;
     r->done = done;
     r->context = context;
-    CaroCounters_Add(&n->counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
     CaroStore_Get(n->store, CONFIG_KEY, on_refreshed, r);
 }
 
@@ -234,16 +217,16 @@
 static void
 fill_embedded(CaroNode *n)
 {
-    if (!n->settings.platform_embedded ||
-        n->settings.platform_config[0] == '\0') {
+    if (!n->common.settings->platform_embedded ||
+        n->common.settings->platform_config[0] == '\0') {
         return;
     }
     json_error_t at;
-    json_t *root = json_load_file(n->settings.platform_config, 0, &at);
+    json_t *root = json_load_file(n->common.settings->platform_config, 0, &at);
     char *text = json_dumps(root, JSON_COMPACT);
     if (text == NULL) {
         CaroLog_Error("config", "The file is not JSON. file=%s line=%d",
-                      n->settings.platform_config, at.line);
+                      n->common.settings->platform_config, at.line);
     }
     else {
         CaroStore_Put(n->store, CONFIG_KEY, text, strlen(text), 0, 0,
@@ -261,13 +244,13 @@
     if (now < n->next_store_read || n->is_reading_store) {
         return;
     }
-    bool is_reader =
-        CaroMembership_IsChosen(n->membership, "config", READERS_PER_REGION);
+    bool is_reader = CaroMembership_IsChosen(n->common.membership, "config",
+                                             READERS_PER_REGION);
     if (!is_reader && n->config != NULL) {
         return;
     }
     n->is_reading_store = true;
-    CaroCounters_Add(&n->counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
     CaroStore_Get(n->store, CONFIG_KEY, on_store_read, n);
 }
 
@@ -334,7 +317,7 @@
 static void
 read_back(Change *c)
 {
-    CaroCounters_Add(&c->node->counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroCounters_Add(c->node->common.counters, CARO_COUNT_STORE_CALLS, 1);
     CaroStore_Get(c->node->store, CONFIG_KEY, on_read_back, c);
 }
 
@@ -356,7 +339,7 @@
 {
     CaroNode *n = c->node;
     c->tries++;
-    CaroCounters_Add(&n->counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
     CaroStore_Put(n->store, CONFIG_KEY, c->text, strlen(c->text), c->expected,
                   0, on_change_written, c);
 }
@@ -368,7 +351,7 @@
     CaroError err;
     char id[65];
     (void)snprintf(id, sizeof(id), "%s-%016" PRIx64, by,
-                   CaroRandom_Next(&n->rng));
+                   CaroRandom_Next(n->common.rng));
     json_object_set_new(root, "change", json_string(id));
     char *text = json_dumps(root, JSON_COMPACT);
     CaroConfig *checked =
--- a/Modules/node_dump.c
+++ b/Modules/node_dump.c
@@ -8,8 +8,9 @@
 dump_members(CaroNode *n)
 {
     json_t *list = json_array();
-    for (CaroHandle h = 0; h < CaroMembership_Count(n->membership); h++) {
-        const CaroVm *vm = CaroMembership_Get(n->membership, h);
+    for (CaroHandle h = 0; h < CaroMembership_Count(n->common.membership);
+         h++) {
+        const CaroVm *vm = CaroMembership_Get(n->common.membership, h);
         json_array_append_new(
             list, json_pack("{s:s, s:s, s:s, s:s, s:I}", "vm", vm->name,
                             "state", CaroNode_StateWord(vm->state), "domain",
@@ -23,17 +24,18 @@
 dump_upstreams(CaroNode *n, CaroTime now)
 {
     json_t *list = json_array();
-    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->common.upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
         json_array_append_new(
-            list, json_pack("{s:s, s:s, s:s, s:b, s:i, s:f, s:I, s:I}", "name",
-                            u->name, "deployment", u->deployment, "version",
-                            u->version, "usable",
-                            CaroUpstreams_IsUsable(n->upstreams, h, now),
-                            "in_flight", u->in_flight, "load",
-                            CaroUpstreams_Load(n->upstreams, h, now),
-                            "requests", (json_int_t)u->requests_total,
-                            "failures", (json_int_t)u->failures_total));
+            list,
+            json_pack("{s:s, s:s, s:s, s:b, s:i, s:f, s:I, s:I}", "name",
+                      u->name, "deployment", u->deployment, "version",
+                      u->version, "usable",
+                      CaroUpstreams_IsUsable(n->common.upstreams, h, now),
+                      "in_flight", u->in_flight, "load",
+                      CaroUpstreams_Load(n->common.upstreams, h, now),
+                      "requests", (json_int_t)u->requests_total, "failures",
+                      (json_int_t)u->failures_total));
     }
     return list;
 }
@@ -71,15 +73,16 @@
     if (!CaroNode_CheckOperator(n, req, by)) {
         return;
     }
-    json_t *value = json_pack(
-        "{s:s, s:I, s:b, s:o, s:o, s:o, s:I, s:I, s:i, s:I}", "vm",
-        n->settings.vm, "config_revision",
-        (json_int_t)CaroNode_ConfigRevision(n), "draining", n->is_draining,
-        "members", dump_members(n), "upstreams", dump_upstreams(n, now),
-        "sessions", dump_sessions(n), "journal_bytes",
-        (json_int_t)CaroJournalTable_Bytes(n->own), "copy_bytes",
-        (json_int_t)CaroJournalTable_Bytes(n->copies), "order_records",
-        CaroOrders_Count(n->orders), "cpu_us", (json_int_t)CaroClock_Cpu());
+    json_t *value =
+        json_pack("{s:s, s:I, s:b, s:o, s:o, s:o, s:I, s:I, s:i, s:I}", "vm",
+                  n->common.settings->vm, "config_revision",
+                  (json_int_t)CaroNode_ConfigRevision(n), "draining",
+                  n->is_draining, "members", dump_members(n), "upstreams",
+                  dump_upstreams(n, now), "sessions", dump_sessions(n),
+                  "journal_bytes", (json_int_t)CaroJournalTable_Bytes(n->own),
+                  "copy_bytes", (json_int_t)CaroJournalTable_Bytes(n->copies),
+                  "order_records", CaroOrderDesk_Records(n->orders), "cpu_us",
+                  (json_int_t)CaroClock_Cpu());
     CaroHttp_Json(req, HTTP_OK, value);
     json_decref(value);
 }
@@ -98,7 +101,7 @@
     (void)snprintf(text + at, sizeof(text) - at,
                    "udp_bytes %" PRIu64 "\ntcp_peer_bytes %" PRIu64
                    "\ncpu_us %" PRId64 "\n",
-                   CaroRpc_UdpBytes(n->rpc), CaroRpc_TcpBytes(n->rpc),
-                   CaroClock_Cpu());
+                   CaroRpc_UdpBytes(n->common.rpc),
+                   CaroRpc_TcpBytes(n->common.rpc), CaroClock_Cpu());
     CaroHttp_Text(req, HTTP_OK, text);
 }
--- a/Modules/node_generate.c
+++ b/Modules/node_generate.c
@@ -28,9 +28,9 @@
     CaroHandle h =
         CaroGeneration_UpstreamOf(s->generation, s->attempts[i].attempt);
     if (h != CARO_NO_HANDLE) {
-        CaroUpstreams_AddPrefill(s->node->upstreams, h,
+        CaroUpstreams_AddPrefill(s->node->common.upstreams, h,
                                  -s->attempts[i].prefill);
-        CaroUpstreams_Done(s->node->upstreams, h);
+        CaroUpstreams_Done(s->node->common.upstreams, h);
     }
     s->attempts[i].prefill = 0;
     s->attempts[i].attempt = 0;
@@ -64,14 +64,15 @@
     CaroTime gap = CaroGeneration_LastGap(s->generation, attempt);
     if (gap >= 0) {
         CaroNode_SampleGap(s, gap);
-        CaroUpstreams_ObserveGap(n->upstreams, h, gap);
+        CaroUpstreams_ObserveGap(n->common.upstreams, h, gap);
         return;
     }
-    CaroUpstreams_AddPrefill(n->upstreams, h, -s->attempts[i].prefill);
+    CaroUpstreams_AddPrefill(n->common.upstreams, h, -s->attempts[i].prefill);
     s->attempts[i].prefill = 0;
     CaroNode_SampleFirst(s, now - s->attempts[i].started);
-    CaroUpstreams_ObserveFirst(n->upstreams, h, now - s->attempts[i].started);
-    CaroUpstreams_Succeeded(n->upstreams, h);
+    CaroUpstreams_ObserveFirst(n->common.upstreams, h,
+                               now - s->attempts[i].started);
+    CaroUpstreams_Succeeded(n->common.upstreams, h);
 }
 
 static void
@@ -83,13 +84,13 @@
     uint32_t index = s->attempts[i].next_index++;
     if (!CaroGeneration_OnToken(s->generation, attempt, index, now,
                                 n->awake)) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_TOKENS_DROPPED, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_TOKENS_DROPPED, 1);
         return;
     }
-    CaroUpstreams_Heard(n->upstreams, h, now);
+    CaroUpstreams_Heard(n->common.upstreams, h, now);
     if (s->attempts[i].prefill > 0) {
-        CaroJournal_SetUpstream(s->journal,
-                                CaroUpstreams_Get(n->upstreams, h)->name);
+        CaroJournal_SetUpstream(
+            s->journal, CaroUpstreams_Get(n->common.upstreams, h)->name);
     }
     observe_token(s, i, h, now);
     if (CaroJournal_Append(s->journal, text, size, now) < 0) {
@@ -108,13 +109,13 @@
     uint32_t attempt = s->attempts[i].attempt;
     CaroHandle h = CaroGeneration_UpstreamOf(s->generation, attempt);
     if (h != CARO_NO_HANDLE && !is_whole) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
+        const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
         CaroLog_Warn("generate",
                      "An attempt was lost. generation=%016llx upstream=%s "
                      "status=%d tokens=%u",
                      (unsigned long long)s->id, u->name, status,
                      CaroJournal_Count(s->journal));
-        CaroUpstreams_Failed(n->upstreams, h, now);
+        CaroUpstreams_Failed(n->common.upstreams, h, now);
         CaroNode_SampleFailure(s);
     }
     release_attempt(s, i);
@@ -140,7 +141,7 @@
         break;
     case CARO_ENGINE_LOAD:
         if (h != CARO_NO_HANDLE) {
-            CaroNode_HeardLoad(n, h, &event->u.load, now);
+            CaroLoadPoller_Heard(n->poller, h, &event->u.load, now);
         }
         break;
     case CARO_ENGINE_END:
@@ -157,20 +158,21 @@
     CaroRouteQuery q = {.policy = CARO_ROUTE_BOUNDED_AFFINITY,
                         .deployment = s->deployment,
                         .version = s->version[0] == '\0' ? NULL : s->version,
-                        .vm = n->settings.vm,
-                        .subset = (int)n->settings.upstream_subset,
+                        .vm = n->common.settings->vm,
+                        .subset = (int)n->common.settings->upstream_subset,
                         .prefix_hash = s->prefix_hash,
                         .leaves_domain =
                             CaroGeneration_IsLossSilent(s->generation),
                         .is_resume = is_resume};
     q.n_avoid = CaroGeneration_Avoid(s->generation, q.avoid);
-    q.warm =
-        CaroUpstreams_Find(n->upstreams, CaroJournal_Upstream(s->journal));
-    CaroHandle h = CaroRouter_Choose(n->upstreams, &q, now, &n->rng);
+    q.warm = CaroUpstreams_Find(n->common.upstreams,
+                                CaroJournal_Upstream(s->journal));
+    CaroHandle h =
+        CaroRouter_Choose(n->common.upstreams, &q, now, n->common.rng);
     if (h == CARO_NO_HANDLE && q.version != NULL) {
         /* Another version is better than none. */
         q.version = NULL;
-        h = CaroRouter_Choose(n->upstreams, &q, now, &n->rng);
+        h = CaroRouter_Choose(n->common.upstreams, &q, now, n->common.rng);
     }
     return h;
 }
@@ -200,7 +202,7 @@
             bool is_resume)
 {
     CaroNode *n = s->node;
-    const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
+    const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
     CaroEngineRequest r = {.id = s->id,
                            .attempt = attempt,
                            .address = u->address,
@@ -213,7 +215,7 @@
                                priority_of(s, is_resume, prefill_of(s))};
     r.prefix = CaroJournal_Text(s->journal, 0, &r.prefix_size);
     s->attempts[slot].stream =
-        CaroEngine_Open(n->base, &r, on_engine_event, n);
+        CaroEngine_Open(n->common.base, &r, on_engine_event, n);
     if (s->attempts[slot].stream == NULL) {
         return CARO_ERR_IO;
     }
@@ -238,28 +240,30 @@
         CaroGeneration_Deferred(s->generation, now + RETRY_WAIT);
         return;
     }
-    CaroTime floor = n->settings.silence_floor_ms * CARO_MS;
-    CaroTime ceiling = n->settings.silence_ceiling_ms * CARO_MS;
-    CaroTime first = n->settings.first_token_ms * CARO_MS;
+    CaroTime floor = n->common.settings->silence_floor_ms * CARO_MS;
+    CaroTime ceiling = n->common.settings->silence_ceiling_ms * CARO_MS;
+    CaroTime first = n->common.settings->first_token_ms * CARO_MS;
     CaroGeneration_Started(
         s->generation, attempt, h,
-        CaroUpstreams_SilenceAfter(n->upstreams, h, floor, ceiling),
-        CaroUpstreams_FirstTokenAfter(n->upstreams, h, 4 * floor, first), now,
-        n->awake);
-    CaroUpstreams_Started(n->upstreams, h);
+        CaroUpstreams_SilenceAfter(n->common.upstreams, h, floor, ceiling),
+        CaroUpstreams_FirstTokenAfter(n->common.upstreams, h, 4 * floor,
+                                      first),
+        now, n->awake);
+    CaroUpstreams_Started(n->common.upstreams, h);
     s->attempts[slot].prefill = prefill_of(s);
-    CaroUpstreams_AddPrefill(n->upstreams, h, s->attempts[slot].prefill);
+    CaroUpstreams_AddPrefill(n->common.upstreams, h,
+                             s->attempts[slot].prefill);
     if (a->u.start.is_standby) {
-        CaroUpstreams_Doubt(n->upstreams, a->u.start.silent, now);
+        CaroUpstreams_Doubt(n->common.upstreams, a->u.start.silent, now);
         n->standby_budget -= 1.0;
-        CaroCounters_Add(&n->counters, CARO_COUNT_STANDBYS, 1);
+        CaroCounters_Add(n->common.counters, CARO_COUNT_STANDBYS, 1);
     }
     if (!a->u.start.is_resume) {
         return;
     }
-    CaroCounters_Add(&n->counters, CARO_COUNT_RESUMES, 1);
-    CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "resume",
-                      CaroUpstreams_Get(n->upstreams, h)->name,
+    CaroCounters_Add(n->common.counters, CARO_COUNT_RESUMES, 1);
+    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "resume",
+                      CaroUpstreams_Get(n->common.upstreams, h)->name,
                       a->u.start.is_standby ? "standby attempt" : "resumed",
                       "generation %016llx, attempt %u, %u tokens so far",
                       (unsigned long long)s->id, attempt,
@@ -270,7 +274,7 @@
 fail_session(CaroSession *s, int code)
 {
     CaroNode *n = s->node;
-    CaroCounters_Add(&n->counters, CARO_COUNT_GENERATIONS_FAILED, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_GENERATIONS_FAILED, 1);
     if (s->req != NULL && !s->is_answering) {
         struct evhttp_request *req = CaroNode_DetachCaller(s);
         CaroHttp_Problem(req, 503, CARO_RUN_UNKNOWN, "no upstream could serve",
@@ -300,7 +304,8 @@
             int slot = find_attempt(s, a.u.cancel.attempt);
             if (a.u.cancel.is_lost) {
                 CaroNode_SampleFailure(s);
-                CaroUpstreams_Failed(n->upstreams, a.u.cancel.upstream, now);
+                CaroUpstreams_Failed(n->common.upstreams, a.u.cancel.upstream,
+                                     now);
             }
             if (slot >= 0) {
                 cancel_attempt(s, slot);
@@ -333,7 +338,7 @@
             h = CaroGeneration_UpstreamOf(s->generation, attempt);
         }
         if (h != CARO_NO_HANDLE &&
-            CaroUpstreams_IsDoubted(s->node->upstreams, h, now)) {
+            CaroUpstreams_IsDoubted(s->node->common.upstreams, h, now)) {
             CaroGeneration_Suspect(s->generation, attempt);
         }
     }
--- a/Modules/node_http.c
+++ b/Modules/node_http.c
@@ -18,13 +18,14 @@
 list_vms(CaroNode *n, CaroHandle *vms, CaroTime now)
 {
     int count = 0;
-    for (CaroHandle h = 0; h < CaroMembership_Count(n->membership); h++) {
-        if (CaroMembership_IsTrusted(n->membership, h, now)) {
+    for (CaroHandle h = 0; h < CaroMembership_Count(n->common.membership);
+         h++) {
+        if (CaroMembership_IsTrusted(n->common.membership, h, now)) {
             vms[count++] = h;
         }
     }
     for (int i = count - 1; i > 0; i--) {
-        int j = (int)(CaroRandom_Next(&n->rng) % (uint64_t)(i + 1));
+        int j = (int)(CaroRandom_Next(n->common.rng) % (uint64_t)(i + 1));
         CaroHandle swap = vms[i];
         vms[i] = vms[j];
         vms[j] = swap;
@@ -38,8 +39,8 @@
 {
     int front = 0;
     for (int i = 0; i < count; i++) {
-        const CaroVm *vm = CaroMembership_Get(n->membership, vms[i]);
-        if (strcmp(vm->region, n->settings.region) == 0) {
+        const CaroVm *vm = CaroMembership_Get(n->common.membership, vms[i]);
+        if (strcmp(vm->region, n->common.settings->region) == 0) {
             CaroHandle swap = vms[front];
             vms[front] = vms[i];
             vms[i] = swap;
@@ -52,9 +53,9 @@
 static CaroHandle
 backup_of(CaroNode *n, const CaroHandle *vms, int count)
 {
-    const CaroVm *first = CaroMembership_Get(n->membership, vms[0]);
+    const CaroVm *first = CaroMembership_Get(n->common.membership, vms[0]);
     for (int i = 1; i < count; i++) {
-        const CaroVm *vm = CaroMembership_Get(n->membership, vms[i]);
+        const CaroVm *vm = CaroMembership_Get(n->common.membership, vms[i]);
         if (strcmp(vm->domain, first->domain) != 0) {
             return vms[i];
         }
@@ -68,17 +69,19 @@
 {
     CaroTicket t;
     memset(&t, 0, sizeof(t));
-    const CaroVm *vm = CaroMembership_Get(n->membership, vms[0]);
+    const CaroVm *vm = CaroMembership_Get(n->common.membership, vms[0]);
     CaroHandle backup = backup_of(n, vms, count);
     CARO_COPY(t.vm, vm->name);
     t.vm_boot = vm->boot;
     if (backup != CARO_NO_HANDLE) {
-        const CaroVm *b = CaroMembership_Get(n->membership, backup);
+        const CaroVm *b = CaroMembership_Get(n->common.membership, backup);
         CARO_COPY(t.backup, b->name);
         t.backup_boot = b->boot;
     }
-    t.expires_ms = (uint64_t)(CaroClock_WallMs() + n->settings.ticket_ttl_ms);
-    if (CaroTicket_Format(&t, n->settings.fleet_secret, buf, size) < 0) {
+    t.expires_ms =
+        (uint64_t)(CaroClock_WallMs() + n->common.settings->ticket_ttl_ms);
+    if (CaroTicket_Format(&t, n->common.settings->fleet_secret, buf, size) <
+        0) {
         buf[0] = '\0';
     }
 }
@@ -93,15 +96,15 @@
     json_t *list = json_array();
     for (int i = 0; i < count && i < ADDRESSES_MAX; i++) {
         json_array_append_new(
-            list,
-            json_string(CaroMembership_Get(n->membership, vms[i])->http));
+            list, json_string(
+                      CaroMembership_Get(n->common.membership, vms[i])->http));
     }
     if (count > 0) {
         make_ticket(n, vms, count, ticket, sizeof(ticket));
     }
-    json_t *value =
-        json_pack("{s:o, s:I, s:s}", "addresses", list, "ttl_ms",
-                  (json_int_t)n->settings.address_ttl_ms, "ticket", ticket);
+    json_t *value = json_pack("{s:o, s:I, s:s}", "addresses", list, "ttl_ms",
+                              (json_int_t)n->common.settings->address_ttl_ms,
+                              "ticket", ticket);
     CaroHttp_Json(req, HTTP_OK, value);
     json_decref(value);
 }
@@ -131,7 +134,7 @@
         }
     }
     else if (strncmp(path, "/v1/orders/", 11) == 0) {
-        CaroNode_OrderRequest(n, req, now);
+        CaroOrderFront_Take(n->order_front, req, n->config, now);
     }
     else if (strcmp(path, "/v1/addresses") == 0) {
         if (is_method(req, EVHTTP_REQ_GET, "GET")) {
--- a/Modules/node_journal.c
+++ b/Modules/node_journal.c
@@ -32,7 +32,7 @@
 {
     uint32_t count = CaroJournal_Count(s->journal);
     if (count > s->acked) {
-        CaroCounters_Add(&s->node->counters, CARO_COUNT_UNPROTECTED,
+        CaroCounters_Add(s->node->common.counters, CARO_COUNT_UNPROTECTED,
                          count - s->acked);
         s->acked = count;
     }
@@ -43,8 +43,8 @@
 ship_failed(Shipment *m, CaroTime now)
 {
     CaroNode *n = m->node;
-    CaroMembership_Doubt(n->membership, m->backup, now + DOUBT_TIME);
-    CaroMembership_Hint(n->membership, m->backup);
+    CaroMembership_Doubt(n->common.membership, m->backup, now + DOUBT_TIME);
+    CaroMembership_Hint(n->common.membership, m->backup);
     for (int i = 0; i < m->n; i++) {
         CaroSession *s = CaroNode_FindSession(n, m->ids[i]);
         if (s != NULL && s->backup == m->backup) {
@@ -155,20 +155,20 @@
     m->backup = backup;
     m->n = count;
     caro_journal_batch batch;
-    batch.sender = n->settings.vm;
+    batch.sender = (char *)n->common.settings->vm;
     batch.entries.entries_len = (u_int)count;
     batch.entries.entries_val = entries;
     for (int i = 0; i < count; i++) {
         m->ids[i] = sessions[i]->id;
         fill_entry(sessions[i], &entries[i]);
     }
-    uint64_t before = CaroRpc_TcpBytes(n->rpc);
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, backup)->peer,
-                 CARO_RPC_TCP, CARO_JOURNAL, &batch, SHIP_TIMEOUT, on_shipped,
-                 m);
-    CaroCounters_Add(&n->counters, CARO_COUNT_JOURNAL_BATCHES, 1);
-    CaroCounters_Add(&n->counters, CARO_COUNT_JOURNAL_BYTES,
-                     CaroRpc_TcpBytes(n->rpc) - before);
+    uint64_t before = CaroRpc_TcpBytes(n->common.rpc);
+    CaroRpc_Call(
+        n->common.rpc, CaroMembership_Get(n->common.membership, backup)->peer,
+        CARO_RPC_TCP, CARO_JOURNAL, &batch, SHIP_TIMEOUT, on_shipped, m);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_JOURNAL_BATCHES, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_JOURNAL_BYTES,
+                     CaroRpc_TcpBytes(n->common.rpc) - before);
     for (int i = 0; i < count; i++) {
         free(entries[i].ends.ends_val);
     }
@@ -237,9 +237,10 @@
         return;
     }
     if (n->flush_event == NULL) {
-        n->flush_event = evtimer_new(n->base, on_flush, n);
+        n->flush_event = evtimer_new(n->common.base, on_flush, n);
     }
-    struct timeval wait = {.tv_usec = n->settings.journal_flush_ms * CARO_MS};
+    struct timeval wait = {.tv_usec =
+                               n->common.settings->journal_flush_ms * CARO_MS};
     event_add(n->flush_event, &wait);
     n->is_flush_pending = true;
 }
@@ -261,10 +262,10 @@
 CaroNode_ReplaceBackup(CaroSession *s, CaroTime now)
 {
     CaroNode *n = s->node;
-    s->backup = CaroMembership_ChooseBackup(n->membership, s->id, now);
+    s->backup = CaroMembership_ChooseBackup(n->common.membership, s->id, now);
     s->shipped = 0;
     s->is_opened = false;
-    CaroCounters_Add(&n->counters, CARO_COUNT_BACKUPS_REPLACED, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_BACKUPS_REPLACED, 1);
     CaroNode_MarkDirty(s);
 }
 
--- a/Modules/node_moves.c
+++ b/Modules/node_moves.c
@@ -30,7 +30,8 @@
 const CaroRolloutPace *
 CaroNode_Pace(const CaroNode *n)
 {
-    return n->settings.moves_quick ? &CARO_PACE_QUICK : &CARO_PACE_CAREFUL;
+    return n->common.settings->moves_quick ? &CARO_PACE_QUICK
+                                           : &CARO_PACE_CAREFUL;
 }
 
 static uint64_t
@@ -79,9 +80,10 @@
     free_move->id = move_id(d);
     free_move->plan = d->rollout;
     CARO_COPY(free_move->deployment, d->name);
-    CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "rollout", d->name,
-                      "move begun", "from %s to %s, by %" PRId64 " ms",
-                      d->rollout.from, d->rollout.to, d->rollout.by_ms);
+    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "rollout",
+                      d->name, "move begun",
+                      "from %s to %s, by %" PRId64 " ms", d->rollout.from,
+                      d->rollout.to, d->rollout.by_ms);
 }
 
 static void
@@ -117,11 +119,13 @@
 static int
 rank_for(const CaroNode *n, const CaroMove *m)
 {
-    uint64_t own = XXH64(n->settings.vm, strlen(n->settings.vm), m->id);
+    uint64_t own =
+        XXH64(n->common.settings->vm, strlen(n->common.settings->vm), m->id);
     int rank = 0;
-    for (CaroHandle h = 1; h < CaroMembership_Count(n->membership); h++) {
-        const char *name = CaroMembership_Get(n->membership, h)->name;
-        rank += CaroMembership_IsUsable(n->membership, h) &&
+    for (CaroHandle h = 1; h < CaroMembership_Count(n->common.membership);
+         h++) {
+        const char *name = CaroMembership_Get(n->common.membership, h)->name;
+        rank += CaroMembership_IsUsable(n->common.membership, h) &&
                 XXH64(name, strlen(name), m->id) > own;
     }
     return rank;
@@ -144,8 +148,9 @@
     }
     double share = CaroRollout_Share(&m->plan, CaroNode_Pace(n), now_ms);
     double own = CaroRollout_NodeShare(
-        share, rank_for(n, m), CaroMembership_CountUsable(n->membership));
-    double drawn = (double)(CaroRandom_Next(&n->rng) >> 11) * 0x1.0p-53;
+        share, rank_for(n, m),
+        CaroMembership_CountUsable(n->common.membership));
+    double drawn = (double)(CaroRandom_Next(n->common.rng) >> 11) * 0x1.0p-53;
     s->is_new_version = !CaroRollout_IsBad(m->rollout) && drawn < own;
     CARO_COPY(s->version, s->is_new_version ? m->plan.to : m->plan.from);
 }
@@ -282,7 +287,7 @@
                  "A version is taken back. deployment=%s "
                  "version=%s evidence=\"%s\"",
                  m->deployment, m->plan.to, text);
-    CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "rollout",
+    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "rollout",
                       m->deployment, "taken back", "%s: %s", m->plan.to, text);
     CaroNode_Announce(n, FLAG_FANOUT);
 }
@@ -322,7 +327,7 @@
                             json_string(is_done ? "done" : "undone"));
         json_object_set_new(rollout, "reason", json_string(reason));
         n->is_changing = true;
-        CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "rollout",
+        CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "rollout",
                           m->deployment, is_done ? "done" : "undone", "%s",
                           is_done ? "the declared time has come, no fault"
                                   : reason);
@@ -348,7 +353,7 @@
         bool is_over = is_bad || now_ms >= m->plan.by_ms;
         /* Two VMs of a region write the end; the store lets one win. */
         if (is_over && !n->is_changing && now >= n->next_move_write &&
-            CaroMembership_IsChosen(n->membership, "moves", 2)) {
+            CaroMembership_IsChosen(n->common.membership, "moves", 2)) {
             n->next_move_write = now + WRITE_RETRY;
             write_end(n, m, !is_bad);
             return;
--- a/Modules/node_operator.c
+++ b/Modules/node_operator.c
@@ -46,10 +46,11 @@
     if (header != NULL && strncmp(header, scheme, sizeof(scheme) - 1) == 0) {
         hash_token(header + sizeof(scheme) - 1, digits);
     }
-    for (int i = 0; i < n->settings.n_operators; i++) {
-        if (strcmp(n->settings.operators[i].token_sha256, digits) == 0) {
+    for (int i = 0; i < n->common.settings->n_operators; i++) {
+        if (strcmp(n->common.settings->operators[i].token_sha256, digits) ==
+            0) {
             (void)snprintf(name, CARO_NAME_SIZE, "%s",
-                           n->settings.operators[i].name);
+                           n->common.settings->operators[i].name);
             return true;
         }
     }
@@ -89,8 +90,8 @@
 end_pending(Pending *p, const char *verdict, const char *detail)
 {
     CaroReport r;
-    CaroDecisions_Add(p->node->decisions, CaroClock_WallMs(), "operator",
-                      p->subject, verdict, "%s by %s; %s", p->what,
+    CaroDecisions_Add(p->node->common.decisions, CaroClock_WallMs(),
+                      "operator", p->subject, verdict, "%s by %s; %s", p->what,
                       p->operator_name, detail);
     CaroLog_Info("operator", "A command ended. what=\"%s\" by=%s verdict=%s",
                  p->what, p->operator_name, verdict);
@@ -232,7 +233,7 @@
           const char *by)
 {
     char what[64];
-    CaroHandle vm = CaroMembership_Find(n->membership, c->subject);
+    CaroHandle vm = CaroMembership_Find(n->common.membership, c->subject);
     if (vm == CARO_NO_HANDLE) {
         drain_upstream(n, req, c, by);
         return;
@@ -249,10 +250,10 @@
     }
     caro_heartbeat h;
     memset(&h, 0, sizeof(h));
-    h.sender = n->settings.vm;
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
-                 CARO_RPC_TCP, CARO_DRAIN, &h, DRAIN_TIMEOUT, on_drain_answer,
-                 p);
+    h.sender = (char *)n->common.settings->vm;
+    CaroRpc_Call(
+        n->common.rpc, CaroMembership_Get(n->common.membership, vm)->peer,
+        CARO_RPC_TCP, CARO_DRAIN, &h, DRAIN_TIMEOUT, on_drain_answer, p);
 }
 
 /* A command that waits for the configuration. */
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -24,23 +24,23 @@
     static caro_move_news moves[CARO_MOVES_MAX];
     h->moves.moves_val = moves;
     h->moves.moves_len = (u_int)CaroNode_FillMoves(n, moves);
-    h->sender = n->settings.vm;
+    h->sender = (char *)n->common.settings->vm;
     h->config_revision = CaroNode_ConfigRevision(n);
     h->proof_age = -1; /* This interface serves no revocable keys. */
     h->updates.updates_val = updates;
     h->updates.updates_len =
-        (u_int)CaroMembership_Gossip(n->membership, to, updates);
+        (u_int)CaroMembership_Gossip(n->common.membership, to, updates);
 }
 
 static void
 take_heartbeat(CaroNode *n, const caro_heartbeat *h, CaroTime now)
 {
     for (u_int i = 0; i < h->updates.updates_len; i++) {
-        (void)CaroMembership_Apply(n->membership, &h->updates.updates_val[i],
-                                   now);
+        (void)CaroMembership_Apply(n->common.membership,
+                                   &h->updates.updates_val[i], now);
     }
-    CaroMembership_Heard(n->membership, h->sender, now);
-    CaroHandle vm = CaroMembership_Find(n->membership, h->sender);
+    CaroMembership_Heard(n->common.membership, h->sender, now);
+    CaroHandle vm = CaroMembership_Find(n->common.membership, h->sender);
     if (vm > 0) {
         CaroNode_TakeMoves(n, vm, h->moves.moves_val, (int)h->moves.moves_len);
     }
@@ -54,7 +54,8 @@
 {
     caro_member_update updates[CARO_UPDATES_MAX];
     caro_heartbeat reply;
-    fill_heartbeat(n, CaroMembership_Find(n->membership, to), &reply, updates);
+    fill_heartbeat(n, CaroMembership_Find(n->common.membership, to), &reply,
+                   updates);
     CaroRpc_Reply(request, &reply);
 }
 
@@ -97,11 +98,12 @@
     caro_member_update updates[CARO_UPDATES_MAX];
     caro_heartbeat h;
     fill_heartbeat(n, vm, &h, updates);
-    CaroCounters_Add(&n->counters, CARO_COUNT_HEARTBEATS, 1);
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
+    CaroCounters_Add(n->common.counters, CARO_COUNT_HEARTBEATS, 1);
+    CaroRpc_Call(n->common.rpc,
+                 CaroMembership_Get(n->common.membership, vm)->peer,
                  CARO_RPC_UDP, CARO_HEARTBEAT, &h,
-                 n->settings.heartbeat_ms * CARO_MS * 4, on_probe_answer,
-                 new_probe(n, relay));
+                 n->common.settings->heartbeat_ms * CARO_MS * 4,
+                 on_probe_answer, new_probe(n, relay));
 }
 
 static void
@@ -109,12 +111,14 @@
 {
     caro_member_update updates[CARO_UPDATES_MAX];
     caro_indirect args;
-    args.target = (char *)CaroMembership_Get(n->membership, target)->name;
+    args.target =
+        (char *)CaroMembership_Get(n->common.membership, target)->name;
     fill_heartbeat(n, helper, &args.heartbeat, updates);
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, helper)->peer,
+    CaroRpc_Call(n->common.rpc,
+                 CaroMembership_Get(n->common.membership, helper)->peer,
                  CARO_RPC_UDP, CARO_INDIRECT, &args,
-                 n->settings.heartbeat_ms * CARO_MS * 4, on_probe_answer,
-                 new_probe(n, NULL));
+                 n->common.settings->heartbeat_ms * CARO_MS * 4,
+                 on_probe_answer, new_probe(n, NULL));
 }
 
 static const char *
@@ -127,15 +131,15 @@
 static void
 on_member_changed(CaroNode *n, const CaroMembershipEvent *event)
 {
-    const CaroVm *vm = CaroMembership_Get(n->membership, event->vm);
+    const CaroVm *vm = CaroMembership_Get(n->common.membership, event->vm);
     if (vm->state == event->before) {
         return;
     }
     CaroLog_Info("member", "A VM changed state. vm=%s from=%s to=%s", vm->name,
                  state_name(event->before), state_name(vm->state));
-    CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "member", vm->name,
-                      state_name(vm->state), "was %s, incarnation %llu",
-                      state_name(event->before),
+    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "member",
+                      vm->name, state_name(vm->state),
+                      "was %s, incarnation %llu", state_name(event->before),
                       (unsigned long long)vm->incarnation);
 }
 
@@ -143,7 +147,7 @@
 CaroNode_SendMembershipEvents(CaroNode *n)
 {
     CaroMembershipEvent event;
-    while (CaroMembership_Next(n->membership, &event)) {
+    while (CaroMembership_Next(n->common.membership, &event)) {
         switch (event.kind) {
         case CARO_SEND_PROBE:
             send_probe(n, event.vm, NULL);
@@ -161,11 +165,12 @@
 void
 CaroNode_Announce(CaroNode *n, int fanout)
 {
-    int count = CaroMembership_Count(n->membership);
+    int count = CaroMembership_Count(n->common.membership);
     for (int tries = 0; tries < 8 * fanout && fanout > 0; tries++) {
         CaroHandle vm =
-            (CaroHandle)(CaroRandom_Next(&n->rng) % (uint64_t)count);
-        if (vm != CARO_SELF && CaroMembership_IsUsable(n->membership, vm)) {
+            (CaroHandle)(CaroRandom_Next(n->common.rng) % (uint64_t)count);
+        if (vm != CARO_SELF &&
+            CaroMembership_IsUsable(n->common.membership, vm)) {
             send_probe(n, vm, NULL);
             fanout--;
         }
@@ -182,7 +187,8 @@
     }
     const caro_members *all = result;
     for (u_int i = 0; i < all->members.members_len; i++) {
-        CaroMembership_Learn(n->membership, &all->members.members_val[i], now);
+        CaroMembership_Learn(n->common.membership,
+                             &all->members.members_val[i], now);
     }
     CaroNode_SendMembershipEvents(n);
 }
@@ -193,8 +199,8 @@
 {
     enum { JOIN_ASKED = 3 };
     CaroTime now = CaroClock_Now();
-    for (int i = 0; i < n->settings.n_seeds; i++) {
-        const CaroSeed *seed = &n->settings.seeds[i];
+    for (int i = 0; i < n->common.settings->n_seeds; i++) {
+        const CaroSeed *seed = &n->common.settings->seeds[i];
         CaroVm vm;
         memset(&vm, 0, sizeof(vm));
         CARO_COPY(vm.name, seed->name);
@@ -202,18 +208,18 @@
         CARO_COPY(vm.peer, seed->peer);
         CARO_COPY(vm.domain, seed->domain);
         CARO_COPY(vm.region, seed->region);
-        CaroMembership_AddSeed(n->membership, &vm, now);
+        CaroMembership_AddSeed(n->common.membership, &vm, now);
     }
-    int count = CaroMembership_Count(n->membership);
+    int count = CaroMembership_Count(n->common.membership);
     for (int i = 0; i < JOIN_ASKED && count > 1; i++) {
-        CaroHandle vm =
-            1 + (CaroHandle)(CaroRandom_Next(&n->rng) % (uint64_t)(count - 1));
+        CaroHandle vm = 1 + (CaroHandle)(CaroRandom_Next(n->common.rng) %
+                                         (uint64_t)(count - 1));
         caro_member_update updates[CARO_UPDATES_MAX];
         caro_heartbeat h;
         fill_heartbeat(n, vm, &h, updates);
-        CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
-                     CARO_RPC_TCP, CARO_MEMBERS, &h, JOIN_TIMEOUT, on_members,
-                     n);
+        CaroRpc_Call(
+            n->common.rpc, CaroMembership_Get(n->common.membership, vm)->peer,
+            CARO_RPC_TCP, CARO_MEMBERS, &h, JOIN_TIMEOUT, on_members, n);
     }
 }
 
@@ -229,7 +235,7 @@
     caro_members reply;
     reply.members.members_val = updates;
     reply.members.members_len =
-        (u_int)CaroMembership_All(n->membership, updates, CARO_VMS_MAX);
+        (u_int)CaroMembership_All(n->common.membership, updates, CARO_VMS_MAX);
     CaroRpc_Reply(request, &reply);
     free(updates);
 }
@@ -239,7 +245,7 @@
             CaroTime now)
 {
     take_heartbeat(n, &args->heartbeat, now);
-    CaroHandle vm = CaroMembership_Find(n->membership, args->target);
+    CaroHandle vm = CaroMembership_Find(n->common.membership, args->target);
     if (vm <= 0) {
         CaroRpc_Ignore(request);
         return;
@@ -309,18 +315,18 @@
         CaroRpc_Reply(request, &take);
         break;
     case CARO_INTENT:
-        CaroNode_OnIntent(n, args, &outcome, now);
+        CaroOrderDesk_OnIntent(n->orders, args, &outcome, now);
         CaroRpc_Reply(request, &outcome);
         break;
     case CARO_OUTCOME:
-        CaroNode_OnOutcome(n, args, now);
+        CaroOrderDesk_OnOutcome(n->orders, args, now);
         CaroRpc_Reply(request, &outcome);
         break;
     case CARO_FORWARD:
-        CaroNode_OnForward(n, request, args, now);
+        CaroOrderDesk_OnForward(n->orders, request, args, now);
         break;
     case CARO_DECIDE:
-        CaroNode_OnDecide(n, args, &outcome, now);
+        CaroOrderDesk_OnDecide(n->orders, args, &outcome, now);
         CaroRpc_Reply(request, &outcome);
         break;
     case CARO_CONFIG:
--- a/Modules/node_reconnect.c
+++ b/Modules/node_reconnect.c
@@ -36,10 +36,11 @@
 {
     const char *backup = "-";
     if (s->backup != CARO_NO_HANDLE) {
-        backup = CaroMembership_Get(s->node->membership, s->backup)->name;
+        backup =
+            CaroMembership_Get(s->node->common.membership, s->backup)->name;
     }
     (void)snprintf(buf, size, "%016" PRIx64 ".%s.%s.%" PRIu32, s->id,
-                   s->node->settings.vm, backup, index);
+                   s->node->common.settings->vm, backup, index);
 }
 
 static int
@@ -71,7 +72,7 @@
                          s->id, CaroJournal_Count(s->journal), index + 1);
         return;
     }
-    CaroCounters_Add(&s->node->counters, CARO_COUNT_RECONNECTS, 1);
+    CaroCounters_Add(s->node->common.counters, CARO_COUNT_RECONNECTS, 1);
     CaroNode_AttachCaller(s, req, index + 1, now);
 }
 
@@ -109,7 +110,7 @@
         return NULL;
     }
     CaroJournal_SetUpstream(s->journal, r->upstream);
-    s->admission = CaroNode_AdmissionOf(n, s->deployment);
+    s->admission = CaroAdmissions_Of(n->admissions, s->deployment);
     s->class = CARO_CLASS_RESUME;
     return s;
 }
@@ -164,16 +165,17 @@
                                       NULL);
         if (s == NULL) {
             s = open_from(n, &t->event, reply, now);
-            CaroCounters_Add(&n->counters, CARO_COUNT_TAKEOVERS, 1);
-            CaroDecisions_Add(n->decisions, CaroClock_WallMs(), "resume",
-                              t->event.owner, "generation taken over",
+            CaroCounters_Add(n->common.counters, CARO_COUNT_TAKEOVERS, 1);
+            CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(),
+                              "resume", t->event.owner,
+                              "generation taken over",
                               "%016" PRIx64 ", %u tokens from the %s",
                               t->event.id, reply->ends.ends_len,
                               t->has_asked_backup ? "backup" : "owner");
             if (s == NULL) {
-                CaroHttp_Problem(req, 503, CARO_RUN_UNKNOWN,
-                                 "no room for the generation",
-                                 "journals on %s are full", n->settings.vm);
+                CaroHttp_Problem(
+                    req, 503, CARO_RUN_UNKNOWN, "no room for the generation",
+                    "journals on %s are full", n->common.settings->vm);
             }
             else {
                 resume_session(s, req, t->event.index, now);
@@ -190,13 +192,14 @@
 ask(Takeover *t, const char *name)
 {
     CaroNode *n = t->node;
-    CaroHandle vm = CaroMembership_Find(n->membership, name);
-    if (vm <= 0 ||
-        CaroMembership_Get(n->membership, vm)->state == CARO_MEMBER_DEAD) {
+    CaroHandle vm = CaroMembership_Find(n->common.membership, name);
+    if (vm <= 0 || CaroMembership_Get(n->common.membership, vm)->state ==
+                       CARO_MEMBER_DEAD) {
         return false;
     }
     caro_take_args args = {.id = t->event.id};
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
+    CaroRpc_Call(n->common.rpc,
+                 CaroMembership_Get(n->common.membership, vm)->peer,
                  CARO_RPC_TCP, CARO_TAKE, &args, TAKE_TIMEOUT, on_taken, t);
     return true;
 }
@@ -226,7 +229,7 @@
 {
     if (!t->has_asked_backup) {
         t->has_asked_backup = true;
-        if (strcmp(t->event.backup, t->node->settings.vm) == 0) {
+        if (strcmp(t->event.backup, t->node->common.settings->vm) == 0) {
             take_own_copy(t);
             return;
         }
@@ -328,7 +331,7 @@
     t->event = e;
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_caller_left, t);
-    if (strcmp(e.owner, n->settings.vm) == 0 || !ask(t, e.owner)) {
+    if (strcmp(e.owner, n->common.settings->vm) == 0 || !ask(t, e.owner)) {
         ask_next(t);
     }
 }
--- a/Modules/node_reports.c
+++ b/Modules/node_reports.c
@@ -21,10 +21,10 @@
 count_upstreams(CaroNode *n, CaroTime now, bool is_usable)
 {
     int count = 0;
-    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
-        count += !u->is_leaving &&
-                 CaroUpstreams_IsUsable(n->upstreams, h, now) == is_usable;
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->common.upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
+        count += !u->is_leaving && CaroUpstreams_IsUsable(n->common.upstreams,
+                                                          h, now) == is_usable;
     }
     return count;
 }
@@ -33,13 +33,13 @@
 report_status(CaroNode *n, CaroReport *r, CaroTime now)
 {
     const uint64_t *c = n->counters.values;
-    int usable = CaroMembership_CountUsable(n->membership);
-    int all = CaroMembership_Count(n->membership);
+    int usable = CaroMembership_CountUsable(n->common.membership);
+    int all = CaroMembership_Count(n->common.membership);
     int bad = count_upstreams(n, now, false);
     bool is_store_away = n->store_backoff != 0;
     bool is_well = usable == all && bad == 0 && !is_store_away;
     CaroReport_Line(r, "%s  seen by %s", is_well ? "ok" : "LOOK",
-                    n->settings.vm);
+                    n->common.settings->vm);
     CaroReport_Line(r, "vms    %d of %d usable", usable, all);
     CaroReport_Line(r, "up     %d usable, %d avoided",
                     count_upstreams(n, now, true), bad);
@@ -52,12 +52,12 @@
                     c[CARO_COUNT_RESUMES], c[CARO_COUNT_TAKEOVERS]);
     CaroReport_Line(r, "orders %" PRIu64 " done, %" PRIu64 " unknown",
                     c[CARO_COUNT_ORDERS_DONE], c[CARO_COUNT_ORDERS_UNKNOWN]);
-    for (int i = 0; i < n->n_admissions; i++) {
-        CaroReport_Line(r, "%-10.10s %d run of %d, %d wait",
-                        n->admission_names[i],
-                        CaroAdmission_Running(n->admissions[i]),
-                        CaroAdmission_Limit(n->admissions[i]),
-                        CaroAdmission_Waiting(n->admissions[i]));
+    for (int i = 0; i < CaroAdmissions_Count(n->admissions); i++) {
+        const char *name;
+        const CaroAdmission *a = CaroAdmissions_At(n->admissions, i, &name);
+        CaroReport_Line(r, "%-10.10s %d run of %d, %d wait", name,
+                        CaroAdmission_Running(a), CaroAdmission_Limit(a),
+                        CaroAdmission_Waiting(a));
     }
 }
 
@@ -68,8 +68,9 @@
         CARO_MEMBER_DEAD, CARO_MEMBER_SUSPECT, CARO_MEMBER_LEAVING,
         CARO_MEMBER_ALIVE};
     for (int i = 0; i < 4; i++) {
-        for (CaroHandle h = 0; h < CaroMembership_Count(n->membership); h++) {
-            const CaroVm *vm = CaroMembership_Get(n->membership, h);
+        for (CaroHandle h = 0; h < CaroMembership_Count(n->common.membership);
+             h++) {
+            const CaroVm *vm = CaroMembership_Get(n->common.membership, h);
             if (vm->state == order[i]) {
                 CaroReport_Line(r, "%-10.10s %-7s %s", vm->name,
                                 CaroNode_StateWord(vm->state), vm->http);
@@ -83,9 +84,11 @@
                  CaroTime now)
 {
     for (int pass = 0; pass < 2; pass++) {
-        for (CaroHandle h = 0; h < CaroUpstreams_Count(n->upstreams); h++) {
-            const CaroUpstream *u = CaroUpstreams_Get(n->upstreams, h);
-            bool is_usable = CaroUpstreams_IsUsable(n->upstreams, h, now);
+        for (CaroHandle h = 0; h < CaroUpstreams_Count(n->common.upstreams);
+             h++) {
+            const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
+            bool is_usable =
+                CaroUpstreams_IsUsable(n->common.upstreams, h, now);
             bool is_other = deployment[0] != '\0' &&
                             strcmp(u->deployment, deployment) != 0;
             if (is_usable != (pass == 1) || is_other) {
@@ -94,9 +97,10 @@
             const char *word = is_usable       ? "ok"
                                : u->is_leaving ? "leaving"
                                                : "AVOIDED";
-            CaroReport_Line(r, "%-9.9s %-7s %-7.7s %-4.4s %3.0f%%", u->name,
-                            word, u->domain, u->version,
-                            100.0 * CaroUpstreams_Load(n->upstreams, h, now));
+            CaroReport_Line(
+                r, "%-9.9s %-7s %-7.7s %-4.4s %3.0f%%", u->name, word,
+                u->domain, u->version,
+                100.0 * CaroUpstreams_Load(n->common.upstreams, h, now));
         }
     }
 }
@@ -167,7 +171,8 @@
         CaroReport_Line(r, "%-24.24s %5d now", rows[i].account, rows[i].count);
     }
     if (count == 0) {
-        CaroReport_Line(r, "no account has work on %s", n->settings.vm);
+        CaroReport_Line(r, "no account has work on %s",
+                        n->common.settings->vm);
     }
 }
 
--- a/Modules/node_session.c
+++ b/Modules/node_session.c
@@ -23,27 +23,6 @@
     return s;
 }
 
-CaroAdmission *
-CaroNode_AdmissionOf(CaroNode *n, const char *deployment)
-{
-    for (int i = 0; i < n->n_admissions; i++) {
-        if (strcmp(n->admission_names[i], deployment) == 0) {
-            return n->admissions[i];
-        }
-    }
-    if (n->n_admissions == CARO_DEPLOYMENTS_MAX) {
-        return NULL;
-    }
-    CaroAdmission *a = CaroAdmission_Create((int)n->settings.queue_max);
-    if (a != NULL) {
-        enum { LIMIT_START = 64 /* Until the first load reports. */ };
-        CaroAdmission_SetLimit(a, LIMIT_START);
-        CARO_COPY(n->admission_names[n->n_admissions], deployment);
-        n->admissions[n->n_admissions++] = a;
-    }
-    return a;
-}
-
 CaroSession *
 CaroNode_OpenSession(CaroNode *n, uint64_t id, uint32_t epoch, json_t *request,
                      const char *text, size_t size, CaroTime now)
@@ -72,7 +51,7 @@
     size_t prompt_size = strlen(s->prompt);
     s->cost = (double)s->tokens_max + (double)prompt_size / BYTES_PER_TOKEN;
     s->prefix_hash = CaroRouter_PrefixHash(s->prompt, prompt_size);
-    s->backup = CaroMembership_ChooseBackup(n->membership, id, now);
+    s->backup = CaroMembership_ChooseBackup(n->common.membership, id, now);
     s->started = now;
     s->caller_left = now;
     HASH_ADD(hh, n->sessions, id, sizeof(s->id), s);
@@ -85,9 +64,9 @@
 {
     CaroNode *n = s->node;
     CaroGenerationLimits limits = {
-        .silence_floor = n->settings.silence_floor_ms * CARO_MS,
-        .silence_ceiling = n->settings.silence_ceiling_ms * CARO_MS,
-        .first_token = n->settings.first_token_ms * CARO_MS,
+        .silence_floor = n->common.settings->silence_floor_ms * CARO_MS,
+        .silence_ceiling = n->common.settings->silence_ceiling_ms * CARO_MS,
+        .first_token = n->common.settings->first_token_ms * CARO_MS,
         .attempts_max = ATTEMPTS_MAX};
     uint32_t count = CaroJournal_Count(s->journal);
     s->is_admitted = true;
@@ -98,7 +77,7 @@
         CaroNode_CloseSession(s, false);
         return;
     }
-    CaroCounters_Add(&n->counters, CARO_COUNT_GENERATIONS, 1);
+    CaroCounters_Add(n->common.counters, CARO_COUNT_GENERATIONS, 1);
     CaroNode_Advance(s, now);
 }
 
@@ -127,9 +106,11 @@
 void
 CaroNode_AdmitWaiting(CaroNode *n, CaroTime now)
 {
-    for (int i = 0; i < n->n_admissions; i++) {
+    for (int i = 0; i < CaroAdmissions_Count(n->admissions); i++) {
+        const char *deployment;
+        CaroAdmission *a = CaroAdmissions_At(n->admissions, i, &deployment);
         uint64_t id;
-        while (CaroAdmission_Next(n->admissions[i], &id, now)) {
+        while (CaroAdmission_Next(a, &id, now)) {
             CaroSession *s = CaroNode_FindSession(n, id);
             if (s != NULL) {
                 CaroNode_StartSession(s, now);
@@ -141,7 +122,7 @@
 static bool
 is_abandoned(const CaroSession *s, CaroTime now)
 {
-    CaroTime wait = s->node->settings.reconnect_ms * CARO_MS;
+    CaroTime wait = s->node->common.settings->reconnect_ms * CARO_MS;
     return s->req == NULL && now - s->caller_left > wait;
 }
 
@@ -168,7 +149,7 @@
 is_to_be_handed_over(const CaroSession *s, CaroTime now)
 {
     const CaroNode *n = s->node;
-    CaroTime half = n->settings.drain_ms * CARO_MS / 2;
+    CaroTime half = n->common.settings->drain_ms * CARO_MS / 2;
     return n->is_draining && s->is_admitted && !s->is_ended &&
            now >= n->drain_until - half;
 }
--- a/Modules/node_why.c
+++ b/Modules/node_why.c
@@ -53,7 +53,7 @@
     const CaroDecision *d;
     int count = 0;
     for (int age = 0; count < CARO_WHY_MAX; age++) {
-        d = CaroDecisions_Get(n->decisions, age);
+        d = CaroDecisions_Get(n->common.decisions, age);
         if (d == NULL) {
             break;
         }
@@ -77,7 +77,7 @@
         out[i].action = (char *)found[i]->action;
         out[i].cause = (char *)found[i]->cause;
     }
-    caro_why_reply reply = {.vm = n->settings.vm};
+    caro_why_reply reply = {.vm = (char *)n->common.settings->vm};
     reply.decisions.decisions_len = (u_int)count;
     reply.decisions.decisions_val = out;
     CaroRpc_Reply(request, &reply);
@@ -189,13 +189,15 @@
 {
     CaroNode *n = g->node;
     caro_why_args args = {.subject = g->subject};
-    for (CaroHandle h = 1; h < CaroMembership_Count(n->membership); h++) {
+    for (CaroHandle h = 1; h < CaroMembership_Count(n->common.membership);
+         h++) {
         if (g->open == ASKED_MAX) {
             return;
         }
-        if (CaroMembership_IsUsable(n->membership, h)) {
+        if (CaroMembership_IsUsable(n->common.membership, h)) {
             g->open++;
-            CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, h)->peer,
+            CaroRpc_Call(n->common.rpc,
+                         CaroMembership_Get(n->common.membership, h)->peer,
                          CARO_RPC_TCP, CARO_WHY, &args, ASK_TIMEOUT, on_reply,
                          g);
         }
@@ -218,7 +220,7 @@
                                   on_operator_left, g);
     int count = collect_own(n, subject, found);
     for (int i = 0; i < count; i++) {
-        add_row(g, n->settings.vm, found[i]);
+        add_row(g, n->common.settings->vm, found[i]);
     }
     ask_others(g);
     if (g->open == 0) {
--- a/Modules/node_orders.c
+++ b/Modules/order_desk.c
@@ -6,7 +6,13 @@
  * forwards the order to the arbiter; when the arbiter is gone, the backup
  * decides.  docs/design/orders.md has the rules and why each is needed.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_order_desk.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
+#include "internal/caro_log.h"
+#include "internal/caro_orders.h"
+#include "internal/caro_router.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,21 +24,29 @@
 
 enum {
     DISPATCH_TRIES = 3, /* Services tried while none was sent a byte. */
-    DECIDE_TRIES = 12
+    DECIDE_TRIES = 12,
+    RECORDS_MAX = 65536
 };
 
 /* Someone who waits for the outcome of a key. */
-struct CaroOrderWaiter {
+typedef struct Waiter {
     char key[CARO_KEY_SIZE];
     CaroOrderDone done;
     void *context;
-    CaroOrderWaiter *prev;
-    CaroOrderWaiter *next;
+    struct Waiter *prev;
+    struct Waiter *next;
+} Waiter;
+
+struct CaroOrderDesk {
+    CaroCommon common;
+    CaroOrders *orders;
+    Waiter *waiters;
+    int n_running;
 };
 
 /* An order in work at the arbiter. */
 typedef struct {
-    CaroNode *node;
+    CaroOrderDesk *desk;
     char key[CARO_KEY_SIZE];
     char service[CARO_NAME_SIZE];
     char path[256];
@@ -47,7 +61,7 @@
 
 /* An order of a caller whose ticket names another VM. */
 typedef struct {
-    CaroNode *node;
+    CaroOrderDesk *desk;
     char key[CARO_KEY_SIZE];
     CaroTicket ticket;
     uint64_t digest;
@@ -56,6 +70,49 @@
     void *context;
 } Remote;
 
+CaroOrderDesk *
+CaroOrderDesk_Create(const CaroCommon *common)
+{
+    CaroOrderDesk *d = calloc(1, sizeof(*d));
+    if (d == NULL) {
+        return NULL;
+    }
+    d->common = *common;
+    d->orders = CaroOrders_Create(RECORDS_MAX);
+    if (d->orders == NULL) {
+        free(d);
+        return NULL;
+    }
+    return d;
+}
+
+void
+CaroOrderDesk_Destroy(CaroOrderDesk *d)
+{
+    if (d != NULL) {
+        CaroOrders_Destroy(d->orders);
+        free(d);
+    }
+}
+
+void
+CaroOrderDesk_Expire(CaroOrderDesk *d, CaroTime before)
+{
+    (void)CaroOrders_Expire(d->orders, before);
+}
+
+int
+CaroOrderDesk_Running(const CaroOrderDesk *d)
+{
+    return d->n_running;
+}
+
+int
+CaroOrderDesk_Records(const CaroOrderDesk *d)
+{
+    return (int)CaroOrders_Count(d->orders);
+}
+
 static void
 fill_outcome(const CaroOrderRecord *r, caro_order_outcome *out)
 {
@@ -88,17 +145,17 @@
 }
 
 static void
-tell_waiters(CaroNode *n, const CaroOrderRecord *r)
+tell_waiters(CaroOrderDesk *d, const CaroOrderRecord *r)
 {
     caro_order_outcome out;
-    CaroOrderWaiter *w;
-    CaroOrderWaiter *next;
-    DL_FOREACH_SAFE(n->order_waiters, w, next)
+    Waiter *w;
+    Waiter *next;
+    DL_FOREACH_SAFE(d->waiters, w, next)
     {
         if (strcmp(w->key, r->key) != 0) {
             continue;
         }
-        DL_DELETE(n->order_waiters, w);
+        DL_DELETE(d->waiters, w);
         fill_outcome(r, &out);
         w->done(w->context, &out);
         free(w);
@@ -106,9 +163,9 @@
 }
 
 static void
-wait_for(CaroNode *n, const char *key, CaroOrderDone done, void *context)
+wait_for(CaroOrderDesk *d, const char *key, CaroOrderDone done, void *context)
 {
-    CaroOrderWaiter *w = calloc(1, sizeof(*w));
+    Waiter *w = calloc(1, sizeof(*w));
     if (w == NULL) {
         tell(done, context, key, CARO_ORDER_UNKNOWN);
         return;
@@ -116,13 +173,13 @@
     CARO_COPY(w->key, key);
     w->done = done;
     w->context = context;
-    DL_APPEND(n->order_waiters, w);
+    DL_APPEND(d->waiters, w);
 }
 
 static void
 release_order(Order *o)
 {
-    o->node->n_orders_running--;
+    o->desk->n_running--;
     free(o->body);
     free(o);
 }
@@ -132,19 +189,20 @@
 settle(Order *o, CaroRecordState state, int status, const char *body,
        size_t size)
 {
-    CaroNode *n = o->node;
+    CaroOrderDesk *d = o->desk;
     CaroTime now = CaroClock_Now();
-    CaroOrderRecord *r = CaroOrders_Find(n->orders, o->key);
+    CaroOrderRecord *r = CaroOrders_Find(d->orders, o->key);
     if (r != NULL) {
         (void)CaroOrders_SetOutcome(r, state, status, body, size, now);
         if (o->backup != CARO_NO_HANDLE) {
             caro_order_outcome out;
             fill_outcome(r, &out);
             CaroRpc_Call(
-                n->rpc, CaroMembership_Get(n->membership, o->backup)->peer,
+                d->common.rpc,
+                CaroMembership_Get(d->common.membership, o->backup)->peer,
                 CARO_RPC_TCP, CARO_OUTCOME, &out, INTENT_TIMEOUT, NULL, NULL);
         }
-        tell_waiters(n, r);
+        tell_waiters(d, r);
     }
     release_order(o);
 }
@@ -157,19 +215,20 @@
 {
     (void)headers;
     Order *o = context;
-    CaroNode *n = o->node;
-    CaroUpstreams_Done(n->upstreams, o->upstream);
+    CaroOrderDesk *d = o->desk;
+    CaroUpstreams_Done(d->common.upstreams, o->upstream);
     if (code == 0) {
-        CaroUpstreams_Succeeded(n->upstreams, o->upstream);
-        CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS_DONE, 1);
+        CaroUpstreams_Succeeded(d->common.upstreams, o->upstream);
+        CaroCounters_Add(d->common.counters, CARO_COUNT_ORDERS_DONE, 1);
         settle(o, CARO_RECORD_DONE, status, body, size);
         return;
     }
-    CaroUpstreams_Failed(n->upstreams, o->upstream, CaroClock_Now());
+    CaroUpstreams_Failed(d->common.upstreams, o->upstream, CaroClock_Now());
     if (is_sent) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS_UNKNOWN, 1);
-        CaroLog_Warn("orders", "An outcome is lost. key=%s service=%s", o->key,
-                     CaroUpstreams_Get(n->upstreams, o->upstream)->name);
+        CaroCounters_Add(d->common.counters, CARO_COUNT_ORDERS_UNKNOWN, 1);
+        CaroLog_Warn(
+            "orders", "An outcome is lost. key=%s service=%s", o->key,
+            CaroUpstreams_Get(d->common.upstreams, o->upstream)->name);
         settle(o, CARO_RECORD_UNKNOWN, 0, "", 0);
         return;
     }
@@ -179,30 +238,31 @@
 static CaroHandle
 choose_service(Order *o)
 {
-    CaroNode *n = o->node;
+    CaroOrderDesk *d = o->desk;
     CaroRouteQuery q = {.policy = CARO_ROUTE_LEAST_LOADED,
                         .takes_failed = true,
                         .deployment = o->service,
-                        .vm = n->settings.vm,
-                        .subset = (int)n->settings.upstream_subset};
+                        .vm = d->common.settings->vm,
+                        .subset = (int)d->common.settings->upstream_subset};
     for (int i = 0; i < o->n_tried; i++) {
         q.avoid[q.n_avoid++] = o->tried[i];
     }
-    return CaroRouter_Choose(n->upstreams, &q, CaroClock_Now(), &n->rng);
+    return CaroRouter_Choose(d->common.upstreams, &q, CaroClock_Now(),
+                             d->common.rng);
 }
 
 /* Sends the order to a service.  Runs only with the intent recorded. */
 static void
 dispatch(Order *o)
 {
-    CaroNode *n = o->node;
-    CaroOrderRecord *r = CaroOrders_Find(n->orders, o->key);
+    CaroOrderDesk *d = o->desk;
+    CaroOrderRecord *r = CaroOrders_Find(d->orders, o->key);
     CaroHandle h = CARO_NO_HANDLE;
     if (o->n_tried < DISPATCH_TRIES) {
         h = choose_service(o);
     }
     if (r == NULL || h == CARO_NO_HANDLE) {
-        CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
+        CaroCounters_Add(d->common.counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
         if (r != NULL) {
             r->state = CARO_RECORD_INTENT;
         }
@@ -212,17 +272,17 @@
     r->state = CARO_RECORD_DISPATCHED;
     o->upstream = h;
     o->tried[o->n_tried++] = h;
-    CaroUpstreams_Started(n->upstreams, h);
-    CaroHttpCall call = {.address =
-                             CaroUpstreams_Get(n->upstreams, h)->address,
-                         .path = o->path,
-                         .method = EVHTTP_REQ_POST,
-                         .body = o->body,
-                         .size = o->body_size,
-                         .header_name = "Idempotency-Key",
-                         .header_value = o->key,
-                         .timeout = n->settings.order_timeout_ms * CARO_MS};
-    CaroHttp_Call(n->base, &call, on_service_answer, o);
+    CaroUpstreams_Started(d->common.upstreams, h);
+    CaroHttpCall call = {
+        .address = CaroUpstreams_Get(d->common.upstreams, h)->address,
+        .path = o->path,
+        .method = EVHTTP_REQ_POST,
+        .body = o->body,
+        .size = o->body_size,
+        .header_name = "Idempotency-Key",
+        .header_value = o->key,
+        .timeout = d->common.settings->order_timeout_ms * CARO_MS};
+    CaroHttp_Call(d->common.base, &call, on_service_answer, o);
 }
 
 static void
@@ -236,18 +296,19 @@
     }
     /* Without the backup's word the key is never dispatched here, and no
        other VM may dispatch it, so "not run" is true. */
-    CaroCounters_Add(&o->node->counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
+    CaroCounters_Add(o->desk->common.counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
     settle(o, CARO_RECORD_FENCED, 0, "", 0);
 }
 
 static void
 send_intent(Order *o, const CaroTicket *ticket)
 {
-    CaroNode *n = o->node;
+    CaroOrderDesk *d = o->desk;
     caro_order_intent args = {.key = o->key,
                               .digest = o->digest,
                               .backup_boot = ticket->backup_boot};
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, o->backup)->peer,
+    CaroRpc_Call(d->common.rpc,
+                 CaroMembership_Get(d->common.membership, o->backup)->peer,
                  CARO_RPC_TCP, CARO_INTENT, &args, INTENT_TIMEOUT,
                  on_intent_answer, o);
 }
@@ -265,8 +326,9 @@
 
 /* This node is the arbiter and the key is new. */
 static void
-start_order(CaroNode *n, const caro_order_forward *f, const CaroTicket *ticket,
-            uint64_t digest, CaroOrderDone done, void *context, CaroTime now)
+start_order(CaroOrderDesk *d, const caro_order_forward *f,
+            const CaroTicket *ticket, uint64_t digest, CaroOrderDone done,
+            void *context, CaroTime now)
 {
     Order *o = calloc(1, sizeof(*o));
     CaroOrderRecord *r = NULL;
@@ -274,7 +336,7 @@
         o->body = malloc(f->body.body_len + 1);
     }
     if (o != NULL && o->body != NULL) {
-        r = CaroOrders_Open(n->orders, f->key, digest, CARO_RECORD_INTENT,
+        r = CaroOrders_Open(d->orders, f->key, digest, CARO_RECORD_INTENT,
                             now);
     }
     if (r == NULL) {
@@ -285,7 +347,7 @@
         tell(done, context, f->key, CARO_ORDER_UNKNOWN);
         return;
     }
-    o->node = n;
+    o->desk = d;
     o->digest = digest;
     CARO_COPY(o->key, f->key);
     split_path(f->path, o->service, sizeof(o->service), o->path,
@@ -295,16 +357,16 @@
     }
     o->body_size = f->body.body_len;
     o->backup = CARO_NO_HANDLE;
-    n->n_orders_running++;
-    wait_for(n, f->key, done, context);
+    d->n_running++;
+    wait_for(d, f->key, done, context);
     if (ticket->backup[0] == '\0') {
         dispatch(o); /* A node that runs alone has no backup to ask. */
         return;
     }
-    o->backup = CaroMembership_Find(n->membership, ticket->backup);
+    o->backup = CaroMembership_Find(d->common.membership, ticket->backup);
     if (o->backup <= 0) {
         o->backup = CARO_NO_HANDLE;
-        CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
+        CaroCounters_Add(d->common.counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
         settle(o, CARO_RECORD_FENCED, 0, "", 0);
         return;
     }
@@ -330,7 +392,7 @@
 static void
 end_remote_unknown(Remote *m)
 {
-    CaroCounters_Add(&m->node->counters, CARO_COUNT_ORDERS_UNKNOWN, 1);
+    CaroCounters_Add(m->desk->common.counters, CARO_COUNT_ORDERS_UNKNOWN, 1);
     tell(m->done, m->context, m->key, CARO_ORDER_UNKNOWN);
     free(m);
 }
@@ -360,33 +422,34 @@
         return;
     }
     struct timeval wait = {.tv_usec = DECIDE_WAIT};
-    (void)event_base_once(m->node->base, -1, EV_TIMEOUT, on_ask_again, m,
-                          &wait);
+    (void)event_base_once(m->desk->common.base, -1, EV_TIMEOUT, on_ask_again,
+                          m, &wait);
 }
 
 static void
 ask_backup(Remote *m)
 {
-    CaroNode *n = m->node;
+    CaroOrderDesk *d = m->desk;
     caro_order_decide args = {.key = m->key,
                               .digest = m->digest,
                               .backup_boot = m->ticket.backup_boot};
-    if (strcmp(m->ticket.backup, n->settings.vm) == 0 &&
+    if (strcmp(m->ticket.backup, d->common.settings->vm) == 0 &&
         !is_expired(&m->ticket)) {
         caro_order_outcome out;
         memset(&out, 0, sizeof(out));
-        CaroNode_OnDecide(n, &args, &out, CaroClock_Now());
+        CaroOrderDesk_OnDecide(d, &args, &out, CaroClock_Now());
         on_decided(m, 0, &out);
         return;
     }
-    CaroHandle vm = CaroMembership_Find(n->membership, m->ticket.backup);
+    CaroHandle vm =
+        CaroMembership_Find(d->common.membership, m->ticket.backup);
     if (vm <= 0 || is_expired(&m->ticket)) {
         end_remote_unknown(m);
         return;
     }
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
-                 CARO_RPC_TCP, CARO_DECIDE, &args, INTENT_TIMEOUT, on_decided,
-                 m);
+    CaroRpc_Call(
+        d->common.rpc, CaroMembership_Get(d->common.membership, vm)->peer,
+        CARO_RPC_TCP, CARO_DECIDE, &args, INTENT_TIMEOUT, on_decided, m);
 }
 
 static void
@@ -402,7 +465,7 @@
 
 /* The ticket names another VM: it is asked first, then its backup. */
 static void
-forward_order(CaroNode *n, const caro_order_forward *f,
+forward_order(CaroOrderDesk *d, const caro_order_forward *f,
               const CaroTicket *ticket, uint64_t digest, CaroOrderDone done,
               void *context)
 {
@@ -411,44 +474,45 @@
         tell(done, context, f->key, CARO_ORDER_UNKNOWN);
         return;
     }
-    m->node = n;
+    m->desk = d;
     m->ticket = *ticket;
     m->digest = digest;
     m->done = done;
     m->context = context;
     CARO_COPY(m->key, f->key);
-    CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS_FORWARDED, 1);
-    CaroHandle vm = CaroMembership_Find(n->membership, ticket->vm);
+    CaroCounters_Add(d->common.counters, CARO_COUNT_ORDERS_FORWARDED, 1);
+    CaroHandle vm = CaroMembership_Find(d->common.membership, ticket->vm);
     bool is_same_boot =
         vm > 0 &&
-        CaroMembership_Get(n->membership, vm)->boot == ticket->vm_boot;
+        CaroMembership_Get(d->common.membership, vm)->boot == ticket->vm_boot;
     bool is_reachable =
-        is_same_boot &&
-        CaroMembership_Get(n->membership, vm)->state != CARO_MEMBER_DEAD;
+        is_same_boot && CaroMembership_Get(d->common.membership, vm)->state !=
+                            CARO_MEMBER_DEAD;
     if (!is_reachable) {
         ask_backup(m);
         return;
     }
-    CaroRpc_Call(n->rpc, CaroMembership_Get(n->membership, vm)->peer,
-                 CARO_RPC_TCP, CARO_FORWARD, f,
-                 n->settings.order_timeout_ms * CARO_MS + INTENT_TIMEOUT,
-                 on_forwarded, m);
+    CaroRpc_Call(
+        d->common.rpc, CaroMembership_Get(d->common.membership, vm)->peer,
+        CARO_RPC_TCP, CARO_FORWARD, f,
+        d->common.settings->order_timeout_ms * CARO_MS + INTENT_TIMEOUT,
+        on_forwarded, m);
 }
 
 static void
-run_as_arbiter(CaroNode *n, const caro_order_forward *f,
+run_as_arbiter(CaroOrderDesk *d, const caro_order_forward *f,
                const CaroTicket *ticket, uint64_t digest, CaroOrderDone done,
                void *context, CaroTime now)
 {
     caro_order_outcome out;
-    CaroOrderRecord *r = CaroOrders_Find(n->orders, f->key);
+    CaroOrderRecord *r = CaroOrders_Find(d->orders, f->key);
     if (r != NULL && is_settled(r)) {
         fill_outcome(r, &out);
         done(context, &out);
         return;
     }
     if (r != NULL) {
-        wait_for(n, f->key, done, context);
+        wait_for(d, f->key, done, context);
         return;
     }
     if (is_expired(ticket)) {
@@ -456,39 +520,40 @@
         tell(done, context, f->key, CARO_ORDER_UNKNOWN);
         return;
     }
-    start_order(n, f, ticket, digest, done, context, now);
+    start_order(d, f, ticket, digest, done, context, now);
 }
 
 void
-CaroNode_RunOrder(CaroNode *n, const caro_order_forward *f, CaroOrderDone done,
-                  void *context, CaroTime now)
+CaroOrderDesk_Run(CaroOrderDesk *d, const caro_order_forward *f,
+                  CaroOrderDone done, void *context, CaroTime now)
 {
     CaroTicket ticket;
     uint64_t digest = CaroOrders_Digest(f->account, f->path, f->body.body_val,
                                         f->body.body_len);
-    if (CaroTicket_Parse(f->key, n->settings.fleet_secret, &ticket, NULL) <
-        0) {
+    if (CaroTicket_Parse(f->key, d->common.settings->fleet_secret, &ticket,
+                         NULL) < 0) {
         tell(done, context, f->key, CARO_ORDER_FENCED);
         return;
     }
-    if (strcmp(ticket.vm, n->settings.vm) == 0 && ticket.vm_boot == n->boot) {
-        run_as_arbiter(n, f, &ticket, digest, done, context, now);
+    if (strcmp(ticket.vm, d->common.settings->vm) == 0 &&
+        ticket.vm_boot == d->common.boot) {
+        run_as_arbiter(d, f, &ticket, digest, done, context, now);
         return;
     }
-    forward_order(n, f, &ticket, digest, done, context);
+    forward_order(d, f, &ticket, digest, done, context);
 }
 
 void
-CaroNode_OnIntent(CaroNode *n, const caro_order_intent *args,
-                  caro_order_outcome *out, CaroTime now)
+CaroOrderDesk_OnIntent(CaroOrderDesk *d, const caro_order_intent *args,
+                       caro_order_outcome *out, CaroTime now)
 {
-    if (args->backup_boot != n->boot) {
+    if (args->backup_boot != d->common.boot) {
         /* A restarted backup vouches for nothing. */
         out->state = CARO_ORDER_FENCED;
         return;
     }
     CaroOrderRecord *r =
-        CaroOrders_Intent(n->orders, args->key, args->digest, now);
+        CaroOrders_Intent(d->orders, args->key, args->digest, now);
     if (r == NULL) {
         out->state = CARO_ORDER_FENCED; /* Full: the arbiter must not run. */
         return;
@@ -497,9 +562,10 @@
 }
 
 void
-CaroNode_OnOutcome(CaroNode *n, const caro_order_outcome *args, CaroTime now)
+CaroOrderDesk_OnOutcome(CaroOrderDesk *d, const caro_order_outcome *args,
+                        CaroTime now)
 {
-    CaroOrderRecord *r = CaroOrders_Find(n->orders, args->key);
+    CaroOrderRecord *r = CaroOrders_Find(d->orders, args->key);
     if (r == NULL) {
         return;
     }
@@ -515,12 +581,12 @@
 }
 
 void
-CaroNode_OnDecide(CaroNode *n, const caro_order_decide *args,
-                  caro_order_outcome *out, CaroTime now)
+CaroOrderDesk_OnDecide(CaroOrderDesk *d, const caro_order_decide *args,
+                       caro_order_outcome *out, CaroTime now)
 {
     CaroOrderRecord *r = NULL;
-    if (args->backup_boot == n->boot) {
-        r = CaroOrders_Decide(n->orders, args->key, args->digest, now);
+    if (args->backup_boot == d->common.boot) {
+        r = CaroOrders_Decide(d->orders, args->key, args->digest, now);
     }
     if (r == NULL) {
         out->state = CARO_ORDER_UNKNOWN;
@@ -536,17 +602,18 @@
 }
 
 void
-CaroNode_OnForward(CaroNode *n, CaroRpcRequest *request,
-                   const caro_order_forward *args, CaroTime now)
+CaroOrderDesk_OnForward(CaroOrderDesk *d, CaroRpcRequest *request,
+                        const caro_order_forward *args, CaroTime now)
 {
     CaroTicket ticket;
-    bool is_ours = CaroTicket_Parse(args->key, n->settings.fleet_secret,
-                                    &ticket, NULL) == 0 &&
-                   strcmp(ticket.vm, n->settings.vm) == 0 &&
-                   ticket.vm_boot == n->boot;
+    bool is_ours =
+        CaroTicket_Parse(args->key, d->common.settings->fleet_secret, &ticket,
+                         NULL) == 0 &&
+        strcmp(ticket.vm, d->common.settings->vm) == 0 &&
+        ticket.vm_boot == d->common.boot;
     if (!is_ours) {
         CaroRpc_Ignore(request); /* Never forwarded twice. */
         return;
     }
-    CaroNode_RunOrder(n, args, on_forward_done, request, now);
+    CaroOrderDesk_Run(d, args, on_forward_done, request, now);
 }
--- a/Modules/node_order_http.c
+++ b/Modules/order_front.c
@@ -2,7 +2,12 @@
  * The callers' side of order services: orders by POST with a key, and
  * lookups by GET, which are idempotent and retried elsewhere.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_order_front.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
+#include "internal/caro_orders.h"
+#include "internal/caro_router.h"
 
 #include <event2/buffer.h>
 #include <stdio.h>
@@ -14,9 +19,14 @@
 
 enum { LOOKUP_TRIES = 3 };
 
+struct CaroOrderFront {
+    CaroCommon common;
+    CaroOrderDesk *desk;
+};
+
 /* A caller of an order or a lookup. */
 typedef struct {
-    CaroNode *node;
+    CaroOrderFront *front;
     struct evhttp_request *req; /* NULL when the caller left. */
     char key[CARO_KEY_SIZE];
     uint64_t digest;
@@ -28,6 +38,23 @@
     int n_tried;
 } Caller;
 
+CaroOrderFront *
+CaroOrderFront_Create(const CaroCommon *common, CaroOrderDesk *desk)
+{
+    CaroOrderFront *f = calloc(1, sizeof(*f));
+    if (f != NULL) {
+        f->common = *common;
+        f->desk = desk;
+    }
+    return f;
+}
+
+void
+CaroOrderFront_Destroy(CaroOrderFront *f)
+{
+    free(f);
+}
+
 static void
 on_caller_left(struct evhttp_connection *connection, void *arg)
 {
@@ -36,11 +63,11 @@
 }
 
 static Caller *
-new_caller(CaroNode *n, struct evhttp_request *req)
+new_caller(CaroOrderFront *f, struct evhttp_request *req)
 {
     Caller *c = calloc(1, sizeof(*c));
     if (c != NULL) {
-        c->node = n;
+        c->front = f;
         c->req = req;
         evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                       on_caller_left, c);
@@ -131,35 +158,36 @@
  * no node would take is surely not run.
  */
 static CaroRun
-run_before_record(CaroNode *n, struct evhttp_request *req)
+run_before_record(CaroOrderFront *f, struct evhttp_request *req)
 {
     CaroTicket ticket;
     const char *key = CaroHttp_Header(req, "Idempotency-Key");
-    bool is_valid =
-        key != NULL && evhttp_request_get_command(req) == EVHTTP_REQ_POST &&
-        CaroTicket_Parse(key, n->settings.fleet_secret, &ticket, NULL) == 0;
+    bool is_valid = key != NULL &&
+                    evhttp_request_get_command(req) == EVHTTP_REQ_POST &&
+                    CaroTicket_Parse(key, f->common.settings->fleet_secret,
+                                     &ticket, NULL) == 0;
     return is_valid ? CARO_RUN_UNKNOWN : CARO_RUN_NO;
 }
 
 static bool
-check_order(CaroNode *n, struct evhttp_request *req, const char *account,
-            const char *service)
+check_order(CaroOrderFront *f, struct evhttp_request *req,
+            const CaroConfig *config, const char *account, const char *service)
 {
-    CaroRun run = run_before_record(n, req);
-    if (n->config == NULL) {
+    CaroRun run = run_before_record(f, req);
+    if (config == NULL) {
         CaroHttp_Problem(req, 503, run, "no configuration yet",
                          "VM %s has heard neither the store nor a peer",
-                         n->settings.vm);
+                         f->common.settings->vm);
         return false;
     }
-    if (CaroConfig_Account(n->config, account) == NULL) {
+    if (CaroConfig_Account(config, account) == NULL) {
         CaroHttp_Problem(req, 403, run, "unknown account",
                          "query parameter account: found %.40s; allowed: a "
                          "configured account",
                          account);
         return false;
     }
-    const CaroDeployment *d = CaroConfig_Deployment(n->config, service);
+    const CaroDeployment *d = CaroConfig_Deployment(config, service);
     if (d == NULL || d->kind != CARO_UPSTREAM_ORDERS) {
         CaroHttp_Problem(req, 404, run, "unknown order service",
                          "path: found %.40s; allowed: a deployment of kind "
@@ -174,7 +202,7 @@
 run_order(Caller *c, const char *account, CaroTime now)
 {
     struct evhttp_request *req = c->req;
-    CaroNode *n = c->node;
+    CaroOrderFront *f = c->front;
     const char *key = CaroHttp_Header(req, "Idempotency-Key");
     CaroError err;
     CaroTicket ticket;
@@ -188,7 +216,8 @@
         free(c);
         return;
     }
-    if (CaroTicket_Parse(key, n->settings.fleet_secret, &ticket, &err) < 0) {
+    if (CaroTicket_Parse(key, f->common.settings->fleet_secret, &ticket,
+                         &err) < 0) {
         CaroHttp_Problem(take_request(c), 428, CARO_RUN_NO,
                          "the key has no valid ticket",
                          "header Idempotency-Key: %s", err.detail);
@@ -197,18 +226,18 @@
     }
     size_t size;
     const char *body = CaroHttp_Body(req, &size);
-    caro_order_forward f;
-    memset(&f, 0, sizeof(f));
-    f.key = (char *)key;
-    f.path = (char *)evhttp_request_get_uri(req) + strlen(ORDERS_PREFIX);
-    f.account = (char *)account;
-    f.body.body_val = (char *)body;
-    f.body.body_len = (u_int)size;
+    caro_order_forward order;
+    memset(&order, 0, sizeof(order));
+    order.key = (char *)key;
+    order.path = (char *)evhttp_request_get_uri(req) + strlen(ORDERS_PREFIX);
+    order.account = (char *)account;
+    order.body.body_val = (char *)body;
+    order.body.body_len = (u_int)size;
     CARO_COPY(c->key, key);
     c->expires_ms = ticket.expires_ms;
-    c->digest = CaroOrders_Digest(account, f.path, body, size);
-    CaroCounters_Add(&n->counters, CARO_COUNT_ORDERS, 1);
-    CaroNode_RunOrder(n, &f, on_order_done, c, now);
+    c->digest = CaroOrders_Digest(account, order.path, body, size);
+    CaroCounters_Add(f->common.counters, CARO_COUNT_ORDERS, 1);
+    CaroOrderDesk_Run(f->desk, &order, on_order_done, c, now);
 }
 
 static void try_lookup(Caller *c);
@@ -220,38 +249,39 @@
     (void)is_sent;
     (void)headers;
     Caller *c = context;
-    CaroNode *n = c->node;
-    CaroUpstreams_Done(n->upstreams, c->upstream);
+    CaroOrderFront *f = c->front;
+    CaroUpstreams_Done(f->common.upstreams, c->upstream);
     if (c->req == NULL) {
         free(c);
         return;
     }
     if (code == 0 && status < 500) {
-        CaroUpstreams_Succeeded(n->upstreams, c->upstream);
+        CaroUpstreams_Succeeded(f->common.upstreams, c->upstream);
         send_body(take_request(c), status, body, size);
         free(c);
         return;
     }
-    CaroUpstreams_Failed(n->upstreams, c->upstream, CaroClock_Now());
-    CaroCounters_Add(&n->counters, CARO_COUNT_LOOKUP_RETRIES, 1);
+    CaroUpstreams_Failed(f->common.upstreams, c->upstream, CaroClock_Now());
+    CaroCounters_Add(f->common.counters, CARO_COUNT_LOOKUP_RETRIES, 1);
     try_lookup(c);
 }
 
 static void
 try_lookup(Caller *c)
 {
-    CaroNode *n = c->node;
+    CaroOrderFront *f = c->front;
     CaroRouteQuery q = {.policy = CARO_ROUTE_LEAST_LOADED,
                         .takes_failed = true,
                         .deployment = c->service,
-                        .vm = n->settings.vm,
-                        .subset = (int)n->settings.upstream_subset};
+                        .vm = f->common.settings->vm,
+                        .subset = (int)f->common.settings->upstream_subset};
     for (int i = 0; i < c->n_tried; i++) {
         q.avoid[q.n_avoid++] = c->tried[i];
     }
     CaroHandle h = CARO_NO_HANDLE;
     if (c->n_tried < LOOKUP_TRIES) {
-        h = CaroRouter_Choose(n->upstreams, &q, CaroClock_Now(), &n->rng);
+        h = CaroRouter_Choose(f->common.upstreams, &q, CaroClock_Now(),
+                              f->common.rng);
     }
     if (h == CARO_NO_HANDLE) {
         CaroHttp_Problem(take_request(c), 503, CARO_RUN_UNKNOWN,
@@ -262,29 +292,30 @@
     }
     c->upstream = h;
     c->tried[c->n_tried++] = h;
-    CaroUpstreams_Started(n->upstreams, h);
-    CaroHttpCall call = {.address =
-                             CaroUpstreams_Get(n->upstreams, h)->address,
-                         .path = c->path,
-                         .method = EVHTTP_REQ_GET,
-                         .timeout = LOOKUP_TIMEOUT};
-    CaroHttp_Call(n->base, &call, on_lookup_answer, c);
+    CaroUpstreams_Started(f->common.upstreams, h);
+    CaroHttpCall call = {
+        .address = CaroUpstreams_Get(f->common.upstreams, h)->address,
+        .path = c->path,
+        .method = EVHTTP_REQ_GET,
+        .timeout = LOOKUP_TIMEOUT};
+    CaroHttp_Call(f->common.base, &call, on_lookup_answer, c);
 }
 
 void
-CaroNode_OrderRequest(CaroNode *n, struct evhttp_request *req, CaroTime now)
+CaroOrderFront_Take(CaroOrderFront *f, struct evhttp_request *req,
+                    const CaroConfig *config, CaroTime now)
 {
     char account[CARO_NAME_SIZE] = "";
     Caller split;
     memset(&split, 0, sizeof(split));
     split_uri(req, &split);
     (void)CaroHttp_Query(req, "account", account, sizeof(account));
-    if (!check_order(n, req, account, split.service)) {
+    if (!check_order(f, req, config, account, split.service)) {
         return;
     }
-    Caller *c = new_caller(n, req);
+    Caller *c = new_caller(f, req);
     if (c == NULL) {
-        CaroHttp_Problem(req, 503, run_before_record(n, req), "no memory",
+        CaroHttp_Problem(req, 503, run_before_record(f, req), "no memory",
                          "try another VM");
         return;
     }
@@ -292,7 +323,7 @@
     CARO_COPY(c->path, split.path);
     switch (evhttp_request_get_command(req)) {
     case EVHTTP_REQ_GET:
-        CaroCounters_Add(&n->counters, CARO_COUNT_LOOKUPS, 1);
+        CaroCounters_Add(f->common.counters, CARO_COUNT_LOOKUPS, 1);
         try_lookup(c);
         break;
     case EVHTTP_REQ_POST:
