--- a/Filters/account.c
+++ b/Filters/account.c
@@ -5,13 +5,14 @@
 CaroFilter_Account(CaroCompletion *c)
 {
     const CaroNode *n = c->node;
-    if (n->config == NULL) {
+    if (CaroConfigKeeper_Get(n->keeper) == NULL) {
         CaroHttp_Problem(c->req, 503, CARO_RUN_NO, "no configuration yet",
                          "VM %s has heard neither the store nor a peer",
                          n->common.settings->vm);
         return CARO_FILTER_REFUSED;
     }
-    if (CaroConfig_Account(n->config, c->account) == NULL) {
+    if (CaroConfig_Account(CaroConfigKeeper_Get(n->keeper), c->account) ==
+        NULL) {
         CaroHttp_Problem(c->req, 403, CARO_RUN_NO, "unknown account",
                          "$.account: found %.40s; allowed: a configured "
                          "account",
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -13,7 +13,7 @@
 #include "internal/caro_clock.h"
 #include "internal/caro_command.h"
 #include "internal/caro_common.h"
-#include "internal/caro_config.h"
+#include "internal/caro_config_keeper.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_decisions.h"
 #include "internal/caro_engine.h"
@@ -25,27 +25,15 @@
 #include "internal/caro_membership.h"
 #include "internal/caro_order_front.h"
 #include "internal/caro_orders.h"
-#include "internal/caro_rollout.h"
 #include "internal/caro_router.h"
 #include "internal/caro_rpc.h"
-#include "internal/caro_store.h"
 #include "internal/caro_upstreams.h"
+#include "internal/caro_version_moves.h"
 
 #include <uthash.h>
 
 typedef struct CaroSession CaroSession;
 
-/* A move in work at this node. */
-typedef struct {
-    uint64_t id; /* Names the move in heartbeats; 0 when free. */
-    char deployment[CARO_NAME_SIZE];
-    CaroRolloutPlan plan;
-    CaroRollout *rollout;
-    double first_ms; /* Usual wait for a first token, of the old version. */
-    double gap_ms;   /* Usual gap between tokens, of the old version. */
-    bool is_told;    /* The flag was logged. */
-} CaroMove;
-
 struct CaroNode {
     CaroCommon common;
     CaroSettings settings; /* common borrows it, */
@@ -54,14 +42,14 @@
     struct evhttp *http;
     struct event *tick_event;
     struct event *flush_event;
-    CaroStore *store;
     CaroJournalTable *own;    /* Generations served here. */
     CaroJournalTable *copies; /* Kept for other VMs. */
     CaroOrderDesk *orders;
     CaroOrderFront *order_front;
     CaroLoadPoller *poller;
     CaroAdmissions *admissions;
-    CaroConfig *config;    /* NULL before the first. */
+    CaroConfigKeeper *keeper;
+    CaroVersionMoves *moves;
     CaroSession *sessions; /* By generation id. */
     CaroSession *dirty;    /* With tokens to ship; see node_journal.c. */
     bool is_flush_pending;
@@ -70,17 +58,6 @@
     CaroTime last_tick; /* On the monotonic clock. */
     CaroTime next_slow_tick;
 
-    bool is_fetching_config;
-    bool is_reading_store;
-    CaroTime next_store_read;
-    CaroTime store_backoff;
-    CaroTime store_heard;    /* Last good answer of the store. */
-    bool has_unknown_change; /* The store may hold one made here. */
-
-    CaroMove moves[CARO_MOVES_MAX];
-    bool is_changing; /* A move's end is being written. */
-    CaroTime next_move_write;
-
     bool is_draining;
     CaroTime drain_until;
     CaroTime idle_since;   /* While draining; 0 when it has work. */
@@ -99,11 +76,7 @@
     const char *account;
     const char *deployment;
     const char *prompt;
-    char version[CARO_NAME_SIZE]; /* Of its attempts; empty for any. */
-    bool is_new_version;          /* Of a move that was in work. */
-    bool is_sampled;              /* It gave its sample to the move. */
-    double gap_sum_ms;
-    uint32_t gaps;
+    CaroVersionChoice choice;
     uint32_t tokens_max;
     CaroClass class;
     uint64_t prefix_hash;
@@ -137,30 +110,6 @@
 void CaroNode_Announce(CaroNode *n, int fanout);
 void CaroNode_JoinSeeds(CaroNode *n);
 
-/* node_config.c: reading, spreading and changing the configuration. */
-void CaroNode_TickConfig(CaroNode *n, CaroTime now);
-void CaroNode_FetchConfig(CaroNode *n, CaroHandle vm);
-int CaroNode_ApplyConfig(CaroNode *n, const char *text, size_t size,
-                         uint64_t revision, CaroError *err);
-uint64_t CaroNode_ConfigRevision(const CaroNode *n);
-/*
- * Writes a configuration, which stays the caller's.  "done" gets 0 and
- * the revision; CARO_ERR_STATE when another change came first,
- * CARO_ERR_INPUT with the reason, or CARO_ERR_TIMEOUT when it may or may
- * not take effect.  It may run before the call returns.
- */
-typedef void (*CaroChangeDone)(void *context, int code, uint64_t revision,
-                               const char *text);
-void CaroNode_ChangeConfig(CaroNode *n, json_t *root, const char *by,
-                           CaroChangeDone done, void *context);
-/*
- * Brings the configuration up to the store's before a change, when an
- * earlier change of this VM may have taken effect unseen.  "done" gets 0
- * or CARO_ERR_TIMEOUT; it may run before the call returns.
- */
-typedef void (*CaroRefreshDone)(void *context, int code);
-void CaroNode_RefreshConfig(CaroNode *n, CaroRefreshDone done, void *context);
-
 /* node_journal.c: copies of journals at backups. */
 void CaroNode_MarkDirty(CaroSession *s);
 void CaroNode_Unmark(CaroSession *s);
@@ -199,20 +148,6 @@
 void CaroNode_FormatEventId(const CaroSession *s, uint32_t index, char *buf,
                             size_t size);
 
-/* node_moves.c: moves of traffic between versions. */
-const CaroRolloutPace *CaroNode_Pace(const CaroNode *n);
-void CaroNode_ApplyMoves(CaroNode *n);
-void CaroNode_TickMoves(CaroNode *n, CaroTime now);
-void CaroNode_PickVersion(CaroSession *s, int64_t now_ms);
-void CaroNode_CheckVersion(CaroSession *s);
-void CaroNode_SampleFirst(CaroSession *s, CaroTime wait);
-void CaroNode_SampleGap(CaroSession *s, CaroTime gap);
-void CaroNode_SampleFailure(CaroSession *s);
-int CaroNode_FillMoves(CaroNode *n, caro_move_news *news);
-void CaroNode_TakeMoves(CaroNode *n, CaroHandle vm, const caro_move_news *news,
-                        int count);
-const CaroMove *CaroNode_FindMove(const CaroNode *n, const char *deployment);
-
 /* node_http.c: routes of callers and operators. */
 void CaroNode_OnHttp(struct evhttp_request *req, void *context);
 
--- a/Modules/node_config.c
+++ b/Modules/config_keeper.c
@@ -10,7 +10,11 @@
  * answer is lost, the key is read back: the id tells whether it took
  * effect.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_config_keeper.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_log.h"
+#include "internal/caro_router.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -25,65 +29,124 @@
 /* As long as a caller of a command waits without a doubt. */
 #define REFRESH_MOST (3 * CARO_SECOND)
 
-enum { READERS_PER_REGION = 2, ANNOUNCE_FANOUT = 4, CHANGE_TRIES = 4 };
+enum { READERS_PER_REGION = 2, CHANGE_TRIES = 4 };
+
+struct CaroConfigKeeper {
+    CaroCommon common;
+    CaroConfigApplied applied;
+    void *context;
+    CaroStore *store;
+    CaroConfig *config; /* NULL before the first. */
+    char file[sizeof(((CaroSettings *)0)->platform_config)]; /* To fill an
+                                               embedded store from; empty
+                                               when done. */
+    bool is_fetching;
+    bool is_reading;
+    CaroTime next_read;
+    CaroTime backoff;
+    CaroTime heard;          /* Last good answer of the store. */
+    bool has_unknown_change; /* The store may hold one made here. */
+};
+
+CaroConfigKeeper *
+CaroConfigKeeper_Create(const CaroCommon *common, CaroConfigApplied applied,
+                        void *context, CaroTime now)
+{
+    CaroConfigKeeper *k = calloc(1, sizeof(*k));
+    if (k == NULL) {
+        return NULL;
+    }
+    k->common = *common;
+    k->applied = applied;
+    k->context = context;
+    k->heard = now;
+    CARO_COPY(k->file, common->settings->platform_config);
+    k->store = common->settings->platform_embedded
+                   ? CaroStore_CreateEmbedded(common->base)
+                   : CaroStore_CreateClient(common->base,
+                                            common->settings->platform_store);
+    if (k->store == NULL) {
+        free(k);
+        return NULL;
+    }
+    return k;
+}
+
+void
+CaroConfigKeeper_Destroy(CaroConfigKeeper *k)
+{
+    if (k != NULL) {
+        CaroStore_Destroy(k->store);
+        CaroConfig_Destroy(k->config);
+        free(k);
+    }
+}
+
+const CaroConfig *
+CaroConfigKeeper_Get(const CaroConfigKeeper *k)
+{
+    return k->config;
+}
 
 uint64_t
-CaroNode_ConfigRevision(const CaroNode *n)
+CaroConfigKeeper_Revision(const CaroConfigKeeper *k)
+{
+    return k->config == NULL ? 0 : k->config->revision;
+}
+
+bool
+CaroConfigKeeper_IsStoreAway(const CaroConfigKeeper *k)
 {
-    return n->config == NULL ? 0 : n->config->revision;
+    return k->backoff != 0;
 }
 
 static void
-apply_upstreams(CaroNode *n)
+apply_upstreams(CaroConfigKeeper *k)
 {
-    CaroUpstreams_BeginUpdate(n->common.upstreams);
-    for (int i = 0; i < n->config->n_upstreams; i++) {
-        const CaroUpstream *u = &n->config->upstreams[i];
-        if (CaroUpstreams_Put(n->common.upstreams, u) == CARO_NO_HANDLE) {
+    CaroUpstreams_BeginUpdate(k->common.upstreams);
+    for (int i = 0; i < k->config->n_upstreams; i++) {
+        const CaroUpstream *u = &k->config->upstreams[i];
+        if (CaroUpstreams_Put(k->common.upstreams, u) == CARO_NO_HANDLE) {
             CaroLog_Error("config", "The upstream table is full. name=%s",
                           u->name);
         }
     }
-    CaroUpstreams_EndUpdate(n->common.upstreams);
+    CaroUpstreams_EndUpdate(k->common.upstreams);
 }
 
-int
-CaroNode_ApplyConfig(CaroNode *n, const char *text, size_t size,
-                     uint64_t revision, CaroError *err)
+static int
+apply(CaroConfigKeeper *k, const char *text, size_t size, uint64_t revision,
+      CaroError *err)
 {
-    if (revision <= CaroNode_ConfigRevision(n)) {
+    if (revision <= CaroConfigKeeper_Revision(k)) {
         return 0;
     }
     CaroConfig *c = CaroConfig_Parse(text, size, revision, err);
     if (c == NULL) {
         return CARO_ERR_INPUT;
     }
-    CaroConfig_Destroy(n->config);
-    n->config = c;
-    apply_upstreams(n);
-    CaroAdmissions_SetWeights(n->admissions, c);
-    CaroNode_ApplyMoves(n);
-    CaroCounters_Add(n->common.counters, CARO_COUNT_CONFIG_APPLIED, 1);
+    CaroConfig_Destroy(k->config);
+    k->config = c;
+    apply_upstreams(k);
+    CaroCounters_Add(k->common.counters, CARO_COUNT_CONFIG_APPLIED, 1);
     CaroLog_Info("config",
                  "A configuration is in force. revision=%" PRIu64
                  " upstreams=%d accounts=%d",
                  revision, c->n_upstreams, c->n_accounts);
     CaroDecisions_Add(
-        n->common.decisions, CaroClock_WallMs(), "config", "config", "applied",
+        k->common.decisions, CaroClock_WallMs(), "config", "config", "applied",
         "revision %" PRIu64 ", change %.32s", revision, c->change);
-    CaroAdmissions_UpdateLimits(
-        n->admissions, n->common.upstreams,
-        CaroMembership_CountUsable(n->common.membership), CaroClock_Now());
-    CaroNode_Announce(n, ANNOUNCE_FANOUT);
+    k->applied(k->context, c, CaroClock_Now());
     return 0;
 }
 
 static void
-apply_or_log(CaroNode *n, const char *text, size_t size, uint64_t revision)
+apply_or_log(CaroConfigKeeper *k, const char *text, size_t size,
+             uint64_t revision)
 {
     CaroError err;
     char line[400];
-    if (CaroNode_ApplyConfig(n, text, size, revision, &err) < 0) {
+    if (apply(k, text, size, revision, &err) < 0) {
         CaroLog_Error("config",
                       "A configuration was refused. revision=%" PRIu64
                       " error=\"%s\"",
@@ -94,76 +157,75 @@
 static void
 on_fetched(void *context, int code, const void *result)
 {
-    CaroNode *n = context;
-    n->is_fetching_config = false;
+    CaroConfigKeeper *k = context;
+    k->is_fetching = false;
     const caro_config *c = result;
     if (code == 0 && c->revision > 0) {
-        apply_or_log(n, c->text.text_val, c->text.text_len, c->revision);
+        apply_or_log(k, c->text.text_val, c->text.text_len, c->revision);
     }
 }
 
 void
-CaroNode_FetchConfig(CaroNode *n, CaroHandle vm)
+CaroConfigKeeper_Fetch(CaroConfigKeeper *k, CaroHandle vm)
 {
-    if (n->is_fetching_config) {
+    if (k->is_fetching) {
         return;
     }
-    n->is_fetching_config = true;
+    k->is_fetching = true;
     caro_heartbeat h;
     memset(&h, 0, sizeof(h));
-    h.sender = (char *)n->common.settings->vm;
-    h.config_revision = CaroNode_ConfigRevision(n);
-    CaroRpc_Call(n->common.rpc,
-                 CaroMembership_Get(n->common.membership, vm)->peer,
-                 CARO_RPC_TCP, CARO_CONFIG, &h, FETCH_TIMEOUT, on_fetched, n);
+    h.sender = (char *)k->common.settings->vm;
+    h.config_revision = CaroConfigKeeper_Revision(k);
+    CaroRpc_Call(k->common.rpc,
+                 CaroMembership_Get(k->common.membership, vm)->peer,
+                 CARO_RPC_TCP, CARO_CONFIG, &h, FETCH_TIMEOUT, on_fetched, k);
 }
 
 /* Doubles the wait, and spreads the nodes over it. */
 static void
-back_off(CaroNode *n, CaroTime now)
+back_off(CaroConfigKeeper *k, CaroTime now)
 {
-    n->store_backoff =
-        n->store_backoff == 0 ? BACKOFF_FIRST : 2 * n->store_backoff;
-    if (n->store_backoff > BACKOFF_MOST) {
-        n->store_backoff = BACKOFF_MOST;
+    k->backoff = k->backoff == 0 ? BACKOFF_FIRST : 2 * k->backoff;
+    if (k->backoff > BACKOFF_MOST) {
+        k->backoff = BACKOFF_MOST;
     }
-    CaroTime half = n->store_backoff / 2;
-    n->next_store_read =
+    CaroTime half = k->backoff / 2;
+    k->next_read =
         now + half +
-        (CaroTime)(CaroRandom_Next(n->common.rng) % (uint64_t)(half + 1));
+        (CaroTime)(CaroRandom_Next(k->common.rng) % (uint64_t)(half + 1));
 }
 
 static void
 on_store_read(void *context, const CaroStoreResult *result)
 {
-    CaroNode *n = context;
+    CaroConfigKeeper *k = context;
     CaroTime now = CaroClock_Now();
-    n->is_reading_store = false;
+    k->is_reading = false;
     if (result->code < 0 && result->code != CARO_ERR_GONE) {
-        CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_FAILURES, 1);
-        if (n->store_backoff == 0) {
+        CaroCounters_Add(k->common.counters, CARO_COUNT_STORE_FAILURES, 1);
+        if (k->backoff == 0) {
             CaroLog_Warn("store", "The store does not answer. error=\"%s\"",
                          CaroError_Name(result->code));
         }
-        back_off(n, now);
+        back_off(k, now);
         return;
     }
-    if (n->store_backoff != 0) {
+    if (k->backoff != 0) {
         CaroLog_Info("store", "The store answers again. away_ms=%lld",
-                     (long long)((now - n->store_heard) / CARO_MS));
+                     (long long)((now - k->heard) / CARO_MS));
     }
-    n->store_backoff = 0;
-    n->store_heard = now;
-    n->next_store_read = now + READ_INTERVAL;
+    k->backoff = 0;
+    k->heard = now;
+    k->next_read = now + READ_INTERVAL;
     if (result->code == 0) {
-        apply_or_log(n, result->value, result->size, result->revision);
-        n->has_unknown_change = false;
+        apply_or_log(k, result->value, result->size, result->revision);
+        k->has_unknown_change = false;
     }
 }
 
 /* A read that a change waits for. */
 typedef struct {
-    CaroNode *node;
+    CaroConfigKeeper *keeper;
     CaroTime until;
     CaroRefreshDone done;
     void *context;
@@ -173,41 +235,42 @@
 on_refreshed(void *context, const CaroStoreResult *result)
 {
     Refresh *r = context;
-    CaroNode *n = r->node;
+    CaroConfigKeeper *k = r->keeper;
     if (result->code < 0 && CaroClock_Now() < r->until) {
-        CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
-        CaroStore_Get(n->store, CONFIG_KEY, on_refreshed, r);
+        CaroCounters_Add(k->common.counters, CARO_COUNT_STORE_CALLS, 1);
+        CaroStore_Get(k->store, CONFIG_KEY, on_refreshed, r);
         return;
     }
     if (result->code == 0) {
-        apply_or_log(n, result->value, result->size, result->revision);
-        n->has_unknown_change = false;
+        apply_or_log(k, result->value, result->size, result->revision);
+        k->has_unknown_change = false;
     }
     r->done(r->context, result->code == 0 ? 0 : CARO_ERR_TIMEOUT);
     free(r);
 }
 
 void
-CaroNode_RefreshConfig(CaroNode *n, CaroRefreshDone done, void *context)
+CaroConfigKeeper_Refresh(CaroConfigKeeper *k, CaroRefreshDone done,
+                         void *context)
 {
-    Refresh *r = n->has_unknown_change ? calloc(1, sizeof(*r)) : NULL;
+    Refresh *r = k->has_unknown_change ? calloc(1, sizeof(*r)) : NULL;
     if (r == NULL) {
-        done(context, n->has_unknown_change ? CARO_ERR_TIMEOUT : 0);
+        done(context, k->has_unknown_change ? CARO_ERR_TIMEOUT : 0);
         return;
     }
-    r->node = n;
+    r->keeper = k;
     r->until = CaroClock_Now() + REFRESH_MOST;
     r->done = done;
     r->context = context;
-    CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
-    CaroStore_Get(n->store, CONFIG_KEY, on_refreshed, r);
+    CaroCounters_Add(k->common.counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroStore_Get(k->store, CONFIG_KEY, on_refreshed, r);
 }
 
 static void
 on_filled(void *context, const CaroStoreResult *result)
 {
-    CaroNode *n = context;
-    n->next_store_read = 0;
+    CaroConfigKeeper *k = context;
+    k->next_read = 0;
     if (result->code < 0) {
         CaroLog_Error("store", "The embedded store was not filled.");
     }
@@ -215,48 +278,47 @@
 
 /* Fills an embedded store from the file that the settings name. */
 static void
-fill_embedded(CaroNode *n)
+fill_embedded(CaroConfigKeeper *k)
 {
-    if (!n->common.settings->platform_embedded ||
-        n->common.settings->platform_config[0] == '\0') {
+    if (!k->common.settings->platform_embedded || k->file[0] == '\0') {
         return;
     }
     json_error_t at;
-    json_t *root = json_load_file(n->common.settings->platform_config, 0, &at);
+    json_t *root = json_load_file(k->file, 0, &at);
     char *text = json_dumps(root, JSON_COMPACT);
     if (text == NULL) {
         CaroLog_Error("config", "The file is not JSON. file=%s line=%d",
-                      n->common.settings->platform_config, at.line);
+                      k->file, at.line);
     }
     else {
-        CaroStore_Put(n->store, CONFIG_KEY, text, strlen(text), 0, 0,
-                      on_filled, n);
+        CaroStore_Put(k->store, CONFIG_KEY, text, strlen(text), 0, 0,
+                      on_filled, k);
     }
     free(text);
     json_decref(root);
-    n->settings.platform_config[0] = '\0';
+    k->file[0] = '\0';
 }
 
 void
-CaroNode_TickConfig(CaroNode *n, CaroTime now)
+CaroConfigKeeper_Tick(CaroConfigKeeper *k, CaroTime now)
 {
-    fill_embedded(n);
-    if (now < n->next_store_read || n->is_reading_store) {
+    fill_embedded(k);
+    if (now < k->next_read || k->is_reading) {
         return;
     }
-    bool is_reader = CaroMembership_IsChosen(n->common.membership, "config",
+    bool is_reader = CaroMembership_IsChosen(k->common.membership, "config",
                                              READERS_PER_REGION);
-    if (!is_reader && n->config != NULL) {
+    if (!is_reader && k->config != NULL) {
         return;
     }
-    n->is_reading_store = true;
-    CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
-    CaroStore_Get(n->store, CONFIG_KEY, on_store_read, n);
+    k->is_reading = true;
+    CaroCounters_Add(k->common.counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroStore_Get(k->store, CONFIG_KEY, on_store_read, k);
 }
 
 /* A change on its way. */
 typedef struct {
-    CaroNode *node;
+    CaroConfigKeeper *keeper;
     char id[65];
     char *text;
     uint64_t expected; /* Revision that the change replaces. */
@@ -269,10 +331,10 @@
 end_change(Change *c, int code, uint64_t revision, const char *why)
 {
     if (code == 0) {
-        apply_or_log(c->node, c->text, strlen(c->text), revision);
+        apply_or_log(c->keeper, c->text, strlen(c->text), revision);
     }
     else if (code == CARO_ERR_TIMEOUT) {
-        c->node->has_unknown_change = true;
+        c->keeper->has_unknown_change = true;
     }
     c->done(c->context, code, revision, why);
     free(c->text);
@@ -317,8 +379,8 @@
 static void
 read_back(Change *c)
 {
-    CaroCounters_Add(c->node->common.counters, CARO_COUNT_STORE_CALLS, 1);
-    CaroStore_Get(c->node->store, CONFIG_KEY, on_read_back, c);
+    CaroCounters_Add(c->keeper->common.counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroStore_Get(c->keeper->store, CONFIG_KEY, on_read_back, c);
 }
 
 static void
@@ -337,21 +399,21 @@
 static void
 write_change(Change *c)
 {
-    CaroNode *n = c->node;
+    CaroConfigKeeper *k = c->keeper;
     c->tries++;
-    CaroCounters_Add(n->common.counters, CARO_COUNT_STORE_CALLS, 1);
-    CaroStore_Put(n->store, CONFIG_KEY, c->text, strlen(c->text), c->expected,
+    CaroCounters_Add(k->common.counters, CARO_COUNT_STORE_CALLS, 1);
+    CaroStore_Put(k->store, CONFIG_KEY, c->text, strlen(c->text), c->expected,
                   0, on_change_written, c);
 }
 
 void
-CaroNode_ChangeConfig(CaroNode *n, json_t *root, const char *by,
-                      CaroChangeDone done, void *context)
+CaroConfigKeeper_Change(CaroConfigKeeper *k, json_t *root, const char *by,
+                        CaroChangeDone done, void *context)
 {
     CaroError err;
     char id[65];
     (void)snprintf(id, sizeof(id), "%s-%016" PRIx64, by,
-                   CaroRandom_Next(n->common.rng));
+                   CaroRandom_Next(k->common.rng));
     json_object_set_new(root, "change", json_string(id));
     char *text = json_dumps(root, JSON_COMPACT);
     CaroConfig *checked =
@@ -371,11 +433,24 @@
         done(context, CARO_ERR_NOMEM, 0, "no memory");
         return;
     }
-    c->node = n;
+    c->keeper = k;
     c->text = text;
     c->done = done;
     c->context = context;
     CARO_COPY(c->id, id);
-    c->expected = CaroNode_ConfigRevision(n);
+    c->expected = CaroConfigKeeper_Revision(k);
     write_change(c);
 }
+
+void
+CaroConfigKeeper_Answer(const CaroConfigKeeper *k, CaroRpcRequest *request)
+{
+    caro_config reply;
+    memset(&reply, 0, sizeof(reply));
+    reply.revision = CaroConfigKeeper_Revision(k);
+    if (k->config != NULL) {
+        reply.text.text_val = k->config->text;
+        reply.text.text_len = (u_int)k->config->text_size;
+    }
+    CaroRpc_Reply(request, &reply);
+}
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -40,6 +40,14 @@
     }
 }
 
+static void
+update_limits(CaroNode *n, CaroTime now)
+{
+    CaroAdmissions_UpdateLimits(
+        n->admissions, n->common.upstreams,
+        CaroMembership_CountUsable(n->common.membership), now);
+}
+
 static void
 slow_tick(CaroNode *n, CaroTime now)
 {
@@ -48,10 +56,8 @@
     (void)CaroJournalTable_Expire(n->own, now - keep, now - keep);
     (void)CaroJournalTable_Expire(n->copies, now - keep, now - COPY_KEEP);
     CaroOrderDesk_Expire(n->orders, now - 2 * ticket);
-    CaroAdmissions_UpdateLimits(
-        n->admissions, n->common.upstreams,
-        CaroMembership_CountUsable(n->common.membership), now);
-    CaroNode_TickConfig(n, now);
+    update_limits(n, now);
+    CaroConfigKeeper_Tick(n->keeper, now);
 }
 
 /* An idle node lingers, so that its last words leave the sockets and other
@@ -87,7 +93,7 @@
     CaroNode_TickSessions(n, now);
     CaroNode_AdmitWaiting(n, now);
     CaroLoadPoller_Tick(n->poller, now);
-    CaroNode_TickMoves(n, now);
+    CaroVersionMoves_Tick(n->moves, now);
     if (now >= n->next_slow_tick) {
         n->next_slow_tick = now + SLOW_TICK;
         slow_tick(n, now);
@@ -126,26 +132,44 @@
     n->own = CaroJournalTable_Create(half);
     n->copies = CaroJournalTable_Create(half);
     n->common.decisions = CaroDecisions_Create(DECISIONS_KEPT);
-    n->store = n->common.settings->platform_embedded
-                   ? CaroStore_CreateEmbedded(n->common.base)
-                   : CaroStore_CreateClient(
-                         n->common.base, n->common.settings->platform_store);
     bool is_good = n->common.membership != NULL &&
                    n->common.upstreams != NULL && n->own != NULL &&
-                   n->copies != NULL && n->common.decisions != NULL &&
-                   n->store != NULL;
+                   n->copies != NULL && n->common.decisions != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
+/* A newer configuration: the parts take from it what is theirs. */
+static void
+on_config(void *context, const CaroConfig *config, CaroTime now)
+{
+    enum { CONFIG_FANOUT = 4 };
+    CaroNode *n = context;
+    CaroAdmissions_SetWeights(n->admissions, config);
+    CaroVersionMoves_Apply(n->moves, config);
+    update_limits(n, now);
+    CaroNode_Announce(n, CONFIG_FANOUT);
+}
+
+static void
+on_version_flagged(void *context)
+{
+    enum { FLAG_FANOUT = 4 };
+    CaroNode_Announce(context, FLAG_FANOUT);
+}
+
 /* What needs the RPC as well. */
 static int
-create_parts(CaroNode *n)
+create_parts(CaroNode *n, CaroTime now)
 {
+    n->keeper = CaroConfigKeeper_Create(&n->common, on_config, n, now);
+    n->moves =
+        CaroVersionMoves_Create(&n->common, n->keeper, on_version_flagged, n);
     n->admissions = CaroAdmissions_Create((int)n->settings.queue_max);
     n->poller = CaroLoadPoller_Create(&n->common);
     n->orders = CaroOrderDesk_Create(&n->common);
     n->order_front = CaroOrderFront_Create(&n->common, n->orders);
-    bool is_good = n->admissions != NULL && n->poller != NULL &&
+    bool is_good = n->keeper != NULL && n->moves != NULL &&
+                   n->admissions != NULL && n->poller != NULL &&
                    n->orders != NULL && n->order_front != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
@@ -207,7 +231,6 @@
     n->rng = CaroClock_Random();
     n->last_tick = now;
     n->standby_budget = STANDBY_BUDGET_MAX;
-    n->store_heard = now;
     if (create_tables(n, now) < 0) {
         (void)CaroError_Set(err, CARO_ERR_NOMEM, "tables", settings->vm,
                             "no memory");
@@ -218,13 +241,13 @@
     if (n->common.rpc == NULL || serve_http(n, err) < 0) {
         goto error;
     }
-    if (create_parts(n) < 0 || start_timers(n) < 0) {
+    if (create_parts(n, now) < 0 || start_timers(n) < 0) {
         (void)CaroError_Set(err, CARO_ERR_NOMEM, "parts and timers",
                             settings->vm, "no memory");
         goto error;
     }
     CaroNode_JoinSeeds(n);
-    CaroNode_TickConfig(n, now);
+    CaroConfigKeeper_Tick(n->keeper, now);
     CaroLog_Info("node", "Serving. http=%s peer=%s domain=%s boot=%016llx",
                  settings->http, settings->peer, settings->domain,
                  (unsigned long long)n->common.boot);
@@ -275,7 +298,7 @@
         evhttp_free(n->http);
     }
     CaroRpc_Destroy(n->common.rpc);
-    CaroStore_Destroy(n->store);
+    CaroConfigKeeper_Destroy(n->keeper);
     CaroMembership_Destroy(n->common.membership);
     CaroUpstreams_Destroy(n->common.upstreams);
     CaroJournalTable_Destroy(n->own);
@@ -285,9 +308,6 @@
     CaroLoadPoller_Destroy(n->poller);
     CaroAdmissions_Destroy(n->admissions);
     CaroDecisions_Destroy(n->common.decisions);
-    CaroConfig_Destroy(n->config);
-    for (int i = 0; i < CARO_MOVES_MAX; i++) {
-        CaroRollout_Destroy(n->moves[i].rollout);
-    }
+    CaroVersionMoves_Destroy(n->moves);
     free(n);
 }
--- a/Modules/node_dump.c
+++ b/Modules/node_dump.c
@@ -76,7 +76,7 @@
     json_t *value =
         json_pack("{s:s, s:I, s:b, s:o, s:o, s:o, s:I, s:I, s:i, s:I}", "vm",
                   n->common.settings->vm, "config_revision",
-                  (json_int_t)CaroNode_ConfigRevision(n), "draining",
+                  (json_int_t)CaroConfigKeeper_Revision(n->keeper), "draining",
                   n->is_draining, "members", dump_members(n), "upstreams",
                   dump_upstreams(n, now), "sessions", dump_sessions(n),
                   "journal_bytes", (json_int_t)CaroJournalTable_Bytes(n->own),
--- a/Modules/node_generate.c
+++ b/Modules/node_generate.c
@@ -63,13 +63,16 @@
     uint32_t attempt = s->attempts[i].attempt;
     CaroTime gap = CaroGeneration_LastGap(s->generation, attempt);
     if (gap >= 0) {
-        CaroNode_SampleGap(s, gap);
+        CaroVersionMoves_SampleGap(
+            n->moves, s->deployment, s->account, &s->choice, gap,
+            CaroJournal_Count(s->journal) + 1 >= s->tokens_max);
         CaroUpstreams_ObserveGap(n->common.upstreams, h, gap);
         return;
     }
     CaroUpstreams_AddPrefill(n->common.upstreams, h, -s->attempts[i].prefill);
     s->attempts[i].prefill = 0;
-    CaroNode_SampleFirst(s, now - s->attempts[i].started);
+    CaroVersionMoves_SampleFirst(n->moves, s->deployment, s->account,
+                                 &s->choice, now - s->attempts[i].started);
     CaroUpstreams_ObserveFirst(n->common.upstreams, h,
                                now - s->attempts[i].started);
     CaroUpstreams_Succeeded(n->common.upstreams, h);
@@ -116,7 +119,8 @@
                      (unsigned long long)s->id, u->name, status,
                      CaroJournal_Count(s->journal));
         CaroUpstreams_Failed(n->common.upstreams, h, now);
-        CaroNode_SampleFailure(s);
+        CaroVersionMoves_SampleFailure(n->moves, s->deployment, s->account,
+                                       &s->choice);
     }
     release_attempt(s, i);
     CaroGeneration_OnClosed(s->generation, attempt, is_whole, now);
@@ -155,15 +159,15 @@
 choose_upstream(CaroSession *s, bool is_resume, CaroTime now)
 {
     CaroNode *n = s->node;
-    CaroRouteQuery q = {.policy = CARO_ROUTE_BOUNDED_AFFINITY,
-                        .deployment = s->deployment,
-                        .version = s->version[0] == '\0' ? NULL : s->version,
-                        .vm = n->common.settings->vm,
-                        .subset = (int)n->common.settings->upstream_subset,
-                        .prefix_hash = s->prefix_hash,
-                        .leaves_domain =
-                            CaroGeneration_IsLossSilent(s->generation),
-                        .is_resume = is_resume};
+    CaroRouteQuery q = {
+        .policy = CARO_ROUTE_BOUNDED_AFFINITY,
+        .deployment = s->deployment,
+        .version = s->choice.version[0] == '\0' ? NULL : s->choice.version,
+        .vm = n->common.settings->vm,
+        .subset = (int)n->common.settings->upstream_subset,
+        .prefix_hash = s->prefix_hash,
+        .leaves_domain = CaroGeneration_IsLossSilent(s->generation),
+        .is_resume = is_resume};
     q.n_avoid = CaroGeneration_Avoid(s->generation, q.avoid);
     q.warm = CaroUpstreams_Find(n->common.upstreams,
                                 CaroJournal_Upstream(s->journal));
@@ -233,7 +237,7 @@
     uint32_t attempt = a->u.start.attempt;
     int slot = find_attempt(s, 0);
     bool is_resume = a->u.start.is_resume || s->class == CARO_CLASS_RESUME;
-    CaroNode_CheckVersion(s);
+    CaroVersionMoves_Check(n->moves, s->deployment, &s->choice);
     CaroHandle h = choose_upstream(s, is_resume, now);
     if (h == CARO_NO_HANDLE || slot < 0 ||
         open_stream(s, slot, attempt, h, is_resume) < 0) {
@@ -303,7 +307,8 @@
         case CARO_ACT_CANCEL: {
             int slot = find_attempt(s, a.u.cancel.attempt);
             if (a.u.cancel.is_lost) {
-                CaroNode_SampleFailure(s);
+                CaroVersionMoves_SampleFailure(n->moves, s->deployment,
+                                               s->account, &s->choice);
                 CaroUpstreams_Failed(n->common.upstreams, a.u.cancel.upstream,
                                      now);
             }
--- a/Modules/node_http.c
+++ b/Modules/node_http.c
@@ -134,7 +134,8 @@
         }
     }
     else if (strncmp(path, "/v1/orders/", 11) == 0) {
-        CaroOrderFront_Take(n->order_front, req, n->config, now);
+        CaroOrderFront_Take(n->order_front, req,
+                            CaroConfigKeeper_Get(n->keeper), now);
     }
     else if (strcmp(path, "/v1/addresses") == 0) {
         if (is_method(req, EVHTTP_REQ_GET, "GET")) {
--- a/Modules/node_operator.c
+++ b/Modules/node_operator.c
@@ -127,10 +127,11 @@
 static json_t *
 load_config(const CaroNode *n)
 {
-    if (n->config == NULL) {
+    if (CaroConfigKeeper_Get(n->keeper) == NULL) {
         return NULL;
     }
-    return json_loadb(n->config->text, n->config->text_size, 0, NULL);
+    return json_loadb(CaroConfigKeeper_Get(n->keeper)->text,
+                      CaroConfigKeeper_Get(n->keeper)->text_size, 0, NULL);
 }
 
 static void
@@ -189,7 +190,7 @@
     }
     Pending *p = new_pending(n, req, by, c->subject, what);
     if (p != NULL) {
-        CaroNode_ChangeConfig(n, root, by, on_config_changed, p);
+        CaroConfigKeeper_Change(n->keeper, root, by, on_config_changed, p);
     }
     json_decref(root);
 }
@@ -223,7 +224,7 @@
     (void)snprintf(what, sizeof(what), "drain %.31s", c->subject);
     Pending *p = new_pending(n, req, by, c->subject, what);
     if (p != NULL) {
-        CaroNode_ChangeConfig(n, root, by, on_config_changed, p);
+        CaroConfigKeeper_Change(n->keeper, root, by, on_config_changed, p);
     }
     json_decref(root);
 }
@@ -298,7 +299,7 @@
     w->req = req;
     w->command = *command;
     CARO_COPY(w->by, by);
-    CaroNode_RefreshConfig(n, on_refreshed, w);
+    CaroConfigKeeper_Refresh(n->keeper, on_refreshed, w);
 }
 
 void
@@ -343,9 +344,9 @@
 send_config(CaroNode *n, struct evhttp_request *req)
 {
     json_t *root = load_config(n);
-    json_t *value =
-        json_pack("{s:I, s:o*}", "revision",
-                  (json_int_t)CaroNode_ConfigRevision(n), "config", root);
+    json_t *value = json_pack("{s:I, s:o*}", "revision",
+                              (json_int_t)CaroConfigKeeper_Revision(n->keeper),
+                              "config", root);
     CaroHttp_Json(req, HTTP_OK, value);
     json_decref(value);
 }
@@ -369,7 +370,8 @@
                          "line %d column %d: %s", at.line, at.column, at.text);
         return;
     }
-    if (config != NULL && revision != (json_int_t)CaroNode_ConfigRevision(n)) {
+    if (config != NULL &&
+        revision != (json_int_t)CaroConfigKeeper_Revision(n->keeper)) {
         CaroHttp_Text(req, HTTP_OK,
                       "not done: put config\n"
                       "  made from another revision; get again\n");
@@ -378,8 +380,8 @@
     }
     Pending *p = new_pending(n, req, by, "config", "put config");
     if (p != NULL) {
-        CaroNode_ChangeConfig(n, config != NULL ? config : root, by,
-                              on_config_changed, p);
+        CaroConfigKeeper_Change(n->keeper, config != NULL ? config : root, by,
+                                on_config_changed, p);
     }
     json_decref(root);
 }
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -23,9 +23,9 @@
     /* One loop on one thread: a heartbeat is encoded before the next. */
     static caro_move_news moves[CARO_MOVES_MAX];
     h->moves.moves_val = moves;
-    h->moves.moves_len = (u_int)CaroNode_FillMoves(n, moves);
+    h->moves.moves_len = (u_int)CaroVersionMoves_Fill(n->moves, moves);
     h->sender = (char *)n->common.settings->vm;
-    h->config_revision = CaroNode_ConfigRevision(n);
+    h->config_revision = CaroConfigKeeper_Revision(n->keeper);
     h->proof_age = -1; /* This interface serves no revocable keys. */
     h->updates.updates_val = updates;
     h->updates.updates_len =
@@ -42,10 +42,11 @@
     CaroMembership_Heard(n->common.membership, h->sender, now);
     CaroHandle vm = CaroMembership_Find(n->common.membership, h->sender);
     if (vm > 0) {
-        CaroNode_TakeMoves(n, vm, h->moves.moves_val, (int)h->moves.moves_len);
+        CaroVersionMoves_Take(n->moves, vm, h->moves.moves_val,
+                              (int)h->moves.moves_len);
     }
-    if (vm > 0 && h->config_revision > CaroNode_ConfigRevision(n)) {
-        CaroNode_FetchConfig(n, vm);
+    if (vm > 0 && h->config_revision > CaroConfigKeeper_Revision(n->keeper)) {
+        CaroConfigKeeper_Fetch(n->keeper, vm);
     }
 }
 
@@ -270,19 +271,6 @@
     free(acks.acks.acks_val);
 }
 
-static void
-answer_config(CaroNode *n, CaroRpcRequest *request)
-{
-    caro_config reply;
-    memset(&reply, 0, sizeof(reply));
-    reply.revision = CaroNode_ConfigRevision(n);
-    if (n->config != NULL) {
-        reply.text.text_val = n->config->text;
-        reply.text.text_len = (u_int)n->config->text_size;
-    }
-    CaroRpc_Reply(request, &reply);
-}
-
 void
 CaroNode_OnPeerCall(void *context, CaroRpcRequest *request, uint32_t procedure,
                     void *args)
@@ -330,7 +318,7 @@
         CaroRpc_Reply(request, &outcome);
         break;
     case CARO_CONFIG:
-        answer_config(n, request);
+        CaroConfigKeeper_Answer(n->keeper, request);
         break;
     case CARO_DRAIN:
         CaroNode_Drain(n);
--- a/Modules/node_reports.c
+++ b/Modules/node_reports.c
@@ -36,7 +36,7 @@
     int usable = CaroMembership_CountUsable(n->common.membership);
     int all = CaroMembership_Count(n->common.membership);
     int bad = count_upstreams(n, now, false);
-    bool is_store_away = n->store_backoff != 0;
+    bool is_store_away = CaroConfigKeeper_IsStoreAway(n->keeper);
     bool is_well = usable == all && bad == 0 && !is_store_away;
     CaroReport_Line(r, "%s  seen by %s", is_well ? "ok" : "LOOK",
                     n->common.settings->vm);
@@ -44,7 +44,8 @@
     CaroReport_Line(r, "up     %d usable, %d avoided",
                     count_upstreams(n, now, true), bad);
     CaroReport_Line(r, "store  %s", is_store_away ? "AWAY" : "answers");
-    CaroReport_Line(r, "config rev %" PRIu64, CaroNode_ConfigRevision(n));
+    CaroReport_Line(r, "config rev %" PRIu64,
+                    CaroConfigKeeper_Revision(n->keeper));
     CaroReport_Line(r, "gen    %u now, %" PRIu64 " done, %" PRIu64 " failed",
                     HASH_COUNT(n->sessions), c[CARO_COUNT_GENERATIONS_DONE],
                     c[CARO_COUNT_GENERATIONS_FAILED]);
@@ -109,19 +110,22 @@
 report_deployments(CaroNode *n, CaroReport *r)
 {
     static const char *const words[] = {"", "moving", "done", "UNDONE"};
-    for (int i = 0; n->config != NULL && i < n->config->n_deployments; i++) {
-        const CaroDeployment *d = &n->config->deployments[i];
+    for (int i = 0; CaroConfigKeeper_Get(n->keeper) != NULL &&
+                    i < CaroConfigKeeper_Get(n->keeper)->n_deployments;
+         i++) {
+        const CaroDeployment *d =
+            &CaroConfigKeeper_Get(n->keeper)->deployments[i];
         const CaroRolloutPlan *p = &d->rollout;
         CaroReport_Line(r, "%-14.14s %-10.10s %s", d->name, d->version,
                         words[p->state]);
         if (p->state != CARO_ROLLOUT_NONE) {
             CaroReport_Line(r, "  %.12s to %.12s", p->from, p->to);
         }
-        const CaroMove *move = CaroNode_FindMove(n, d->name);
+        const CaroVersionMove *move = CaroVersionMoves_Find(n->moves, d->name);
         if (p->state == CARO_ROLLOUT_MOVING && move != NULL) {
             char text[96];
-            double share =
-                CaroRollout_Share(p, CaroNode_Pace(n), CaroClock_WallMs());
+            double share = CaroRollout_Share(
+                p, CaroVersionMoves_Pace(n->moves), CaroClock_WallMs());
             bool is_bad = CaroRollout_IsBad(move->rollout);
             CaroReport_Line(r, "  share %.1f%%%s", is_bad ? 0.0 : 100 * share,
                             is_bad ? ", taken back" : "");
--- a/Modules/node_session.c
+++ b/Modules/node_session.c
@@ -70,7 +70,8 @@
         .attempts_max = ATTEMPTS_MAX};
     uint32_t count = CaroJournal_Count(s->journal);
     s->is_admitted = true;
-    CaroNode_PickVersion(s, CaroClock_WallMs());
+    CaroVersionMoves_Pick(n->moves, s->deployment, &s->choice,
+                          CaroClock_WallMs());
     s->generation = CaroGeneration_Create(&limits, count, s->tokens_max,
                                           now + GENERATION_DEADLINE, now);
     if (s->generation == NULL) {
--- a/Modules/node_moves.c
+++ b/Modules/version_moves.c
@@ -1,5 +1,5 @@
 /*
- * Moves of traffic between versions at this node.
+ * Moves of deployments between versions at this VM.
  *
  * Every node computes the share from the declared times, gives samples of
  * both versions to the test, and exchanges what it saw in heartbeats.  A
@@ -7,7 +7,11 @@
  * sets and rides on heartbeats too; no node sends new work there once it
  * knows the flag.  The store is needed only to write the end down.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_version_moves.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_log.h"
+#include "internal/caro_router.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -27,10 +31,46 @@
 
 enum { GAPS_JUDGED = 32 /* Gaps of a generation that are one sample. */ };
 
+struct CaroVersionMoves {
+    CaroCommon common;
+    CaroConfigKeeper *keeper;
+    CaroVersionFlagged flagged;
+    void *context;
+    CaroVersionMove moves[CARO_MOVES_MAX];
+    bool is_changing; /* A move's end is being written. */
+    CaroTime next_write;
+};
+
+CaroVersionMoves *
+CaroVersionMoves_Create(const CaroCommon *common, CaroConfigKeeper *keeper,
+                        CaroVersionFlagged flagged, void *context)
+{
+    CaroVersionMoves *v = calloc(1, sizeof(*v));
+    if (v != NULL) {
+        v->common = *common;
+        v->keeper = keeper;
+        v->flagged = flagged;
+        v->context = context;
+    }
+    return v;
+}
+
+void
+CaroVersionMoves_Destroy(CaroVersionMoves *v)
+{
+    if (v == NULL) {
+        return;
+    }
+    for (int i = 0; i < CARO_MOVES_MAX; i++) {
+        CaroRollout_Destroy(v->moves[i].rollout);
+    }
+    free(v);
+}
+
 const CaroRolloutPace *
-CaroNode_Pace(const CaroNode *n)
+CaroVersionMoves_Pace(const CaroVersionMoves *v)
 {
-    return n->common.settings->moves_quick ? &CARO_PACE_QUICK
+    return v->common.settings->moves_quick ? &CARO_PACE_QUICK
                                            : &CARO_PACE_CAREFUL;
 }
 
@@ -42,11 +82,11 @@
     return XXH64(&d->rollout.start_ms, sizeof(d->rollout.start_ms), h) | 1;
 }
 
-static CaroMove *
-find_move(CaroNode *n, const char *deployment)
+static CaroVersionMove *
+find_move(CaroVersionMoves *v, const char *deployment)
 {
     for (int i = 0; i < CARO_MOVES_MAX; i++) {
-        CaroMove *m = &n->moves[i];
+        CaroVersionMove *m = &v->moves[i];
         if (m->id != 0 && strcmp(m->deployment, deployment) == 0) {
             return m;
         }
@@ -54,18 +94,18 @@
     return NULL;
 }
 
-const CaroMove *
-CaroNode_FindMove(const CaroNode *n, const char *deployment)
+const CaroVersionMove *
+CaroVersionMoves_Find(const CaroVersionMoves *v, const char *deployment)
 {
-    return find_move((CaroNode *)n, deployment);
+    return find_move((CaroVersionMoves *)v, deployment);
 }
 
 static void
-begin_move(CaroNode *n, const CaroDeployment *d)
+begin_move(CaroVersionMoves *v, const CaroDeployment *d)
 {
-    CaroMove *free_move = NULL;
+    CaroVersionMove *free_move = NULL;
     for (int i = 0; i < CARO_MOVES_MAX && free_move == NULL; i++) {
-        free_move = n->moves[i].id == 0 ? &n->moves[i] : NULL;
+        free_move = v->moves[i].id == 0 ? &v->moves[i] : NULL;
     }
     if (free_move == NULL) {
         CaroLog_Error("rollout", "Too many moves at once. deployment=%s",
@@ -80,101 +120,102 @@
     free_move->id = move_id(d);
     free_move->plan = d->rollout;
     CARO_COPY(free_move->deployment, d->name);
-    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "rollout",
+    CaroDecisions_Add(v->common.decisions, CaroClock_WallMs(), "rollout",
                       d->name, "move begun",
                       "from %s to %s, by %" PRId64 " ms", d->rollout.from,
                       d->rollout.to, d->rollout.by_ms);
 }
 
 static void
-end_move(CaroMove *m)
+end_move(CaroVersionMove *m)
 {
     CaroRollout_Destroy(m->rollout);
     memset(m, 0, sizeof(*m));
 }
 
 void
-CaroNode_ApplyMoves(CaroNode *n)
+CaroVersionMoves_Apply(CaroVersionMoves *v, const CaroConfig *config)
 {
     for (int i = 0; i < CARO_MOVES_MAX; i++) {
-        CaroMove *m = &n->moves[i];
+        CaroVersionMove *m = &v->moves[i];
         const CaroDeployment *d =
-            m->id == 0 ? NULL
-                       : CaroConfig_Deployment(n->config, m->deployment);
+            m->id == 0 ? NULL : CaroConfig_Deployment(config, m->deployment);
         bool is_same = d != NULL && d->rollout.state == CARO_ROLLOUT_MOVING &&
                        move_id(d) == m->id;
         if (m->id != 0 && !is_same) {
             end_move(m);
         }
     }
-    for (int i = 0; i < n->config->n_deployments; i++) {
-        const CaroDeployment *d = &n->config->deployments[i];
+    for (int i = 0; i < config->n_deployments; i++) {
+        const CaroDeployment *d = &config->deployments[i];
         if (d->rollout.state == CARO_ROLLOUT_MOVING &&
-            find_move(n, d->name) == NULL) {
-            begin_move(n, d);
+            find_move(v, d->name) == NULL) {
+            begin_move(v, d);
         }
     }
 }
 
 static int
-rank_for(const CaroNode *n, const CaroMove *m)
+rank_for(const CaroVersionMoves *v, const CaroVersionMove *m)
 {
     uint64_t own =
-        XXH64(n->common.settings->vm, strlen(n->common.settings->vm), m->id);
+        XXH64(v->common.settings->vm, strlen(v->common.settings->vm), m->id);
     int rank = 0;
-    for (CaroHandle h = 1; h < CaroMembership_Count(n->common.membership);
+    for (CaroHandle h = 1; h < CaroMembership_Count(v->common.membership);
          h++) {
-        const char *name = CaroMembership_Get(n->common.membership, h)->name;
-        rank += CaroMembership_IsUsable(n->common.membership, h) &&
+        const char *name = CaroMembership_Get(v->common.membership, h)->name;
+        rank += CaroMembership_IsUsable(v->common.membership, h) &&
                 XXH64(name, strlen(name), m->id) > own;
     }
     return rank;
 }
 
-/* The version that a new session is served by. */
 void
-CaroNode_PickVersion(CaroSession *s, int64_t now_ms)
+CaroVersionMoves_Pick(CaroVersionMoves *v, const char *deployment,
+                      CaroVersionChoice *choice, int64_t now_ms)
 {
-    CaroNode *n = s->node;
-    const CaroDeployment *d = CaroConfig_Deployment(n->config, s->deployment);
-    const CaroMove *m = find_move(n, s->deployment);
-    s->is_new_version = false;
+    const CaroConfig *config = CaroConfigKeeper_Get(v->keeper);
+    const CaroDeployment *d = CaroConfig_Deployment(config, deployment);
+    const CaroVersionMove *m = find_move(v, deployment);
+    choice->is_new = false;
     if (d == NULL) {
         return;
     }
-    CARO_COPY(s->version, d->version);
+    CARO_COPY(choice->version, d->version);
     if (m == NULL) {
         return;
     }
-    double share = CaroRollout_Share(&m->plan, CaroNode_Pace(n), now_ms);
+    double share =
+        CaroRollout_Share(&m->plan, CaroVersionMoves_Pace(v), now_ms);
     double own = CaroRollout_NodeShare(
-        share, rank_for(n, m),
-        CaroMembership_CountUsable(n->common.membership));
-    double drawn = (double)(CaroRandom_Next(n->common.rng) >> 11) * 0x1.0p-53;
-    s->is_new_version = !CaroRollout_IsBad(m->rollout) && drawn < own;
-    CARO_COPY(s->version, s->is_new_version ? m->plan.to : m->plan.from);
+        share, rank_for(v, m),
+        CaroMembership_CountUsable(v->common.membership));
+    double drawn = (double)(CaroRandom_Next(v->common.rng) >> 11) * 0x1.0p-53;
+    choice->is_new = !CaroRollout_IsBad(m->rollout) && drawn < own;
+    CARO_COPY(choice->version, choice->is_new ? m->plan.to : m->plan.from);
 }
 
-/* A resume stays with its version unless that was taken back. */
 void
-CaroNode_CheckVersion(CaroSession *s)
+CaroVersionMoves_Check(CaroVersionMoves *v, const char *deployment,
+                       CaroVersionChoice *choice)
 {
-    const CaroMove *m = find_move(s->node, s->deployment);
-    if (m != NULL && s->is_new_version && CaroRollout_IsBad(m->rollout)) {
-        CARO_COPY(s->version, m->plan.from);
-        s->is_new_version = false;
+    const CaroVersionMove *m = find_move(v, deployment);
+    if (m != NULL && choice->is_new && CaroRollout_IsBad(m->rollout)) {
+        CARO_COPY(choice->version, m->plan.from);
+        choice->is_new = false;
     }
 }
 
 static void
-give_sample(CaroSession *s, CaroMove *m, bool is_bad)
+give_sample(CaroVersionMove *m, const char *account, CaroVersionChoice *choice,
+            bool is_bad)
 {
-    if (s->is_sampled) {
+    if (choice->is_sampled) {
         return;
     }
-    s->is_sampled = true;
-    uint64_t route = XXH64(s->account, strlen(s->account), 0);
-    CaroRollout_Sample(m->rollout, s->is_new_version, route, is_bad,
+    choice->is_sampled = true;
+    uint64_t route = XXH64(account, strlen(account), 0);
+    CaroRollout_Sample(m->rollout, choice->is_new, route, is_bad,
                        CaroClock_WallMs());
 }
 
@@ -185,60 +226,65 @@
 }
 
 void
-CaroNode_SampleFirst(CaroSession *s, CaroTime wait)
+CaroVersionMoves_SampleFirst(CaroVersionMoves *v, const char *deployment,
+                             const char *account, CaroVersionChoice *choice,
+                             CaroTime wait)
 {
-    CaroMove *m = find_move(s->node, s->deployment);
+    CaroVersionMove *m = find_move(v, deployment);
     double ms = (double)wait / CARO_MS;
     if (m == NULL) {
         return;
     }
     bool is_slow =
         m->first_ms > 0.0 && ms > SLOW_FACTOR * m->first_ms + SLOW_FIRST_MS;
-    if (!s->is_new_version && !is_slow) {
+    if (!choice->is_new && !is_slow) {
         learn_usual(&m->first_ms, ms);
     }
     if (is_slow) {
-        give_sample(s, m, true);
+        give_sample(m, account, choice, true);
     }
 }
 
 void
-CaroNode_SampleGap(CaroSession *s, CaroTime gap)
+CaroVersionMoves_SampleGap(CaroVersionMoves *v, const char *deployment,
+                           const char *account, CaroVersionChoice *choice,
+                           CaroTime gap, bool is_last)
 {
-    CaroMove *m = find_move(s->node, s->deployment);
-    if (m == NULL || s->is_sampled) {
+    CaroVersionMove *m = find_move(v, deployment);
+    if (m == NULL || choice->is_sampled) {
         return;
     }
-    s->gap_sum_ms += (double)gap / CARO_MS;
-    s->gaps++;
-    bool is_last = CaroJournal_Count(s->journal) + 1 >= s->tokens_max;
-    if (s->gaps < GAPS_JUDGED && !is_last) {
+    choice->gap_sum_ms += (double)gap / CARO_MS;
+    choice->gaps++;
+    if (choice->gaps < GAPS_JUDGED && !is_last) {
         return;
     }
-    double mean = s->gap_sum_ms / s->gaps;
+    double mean = choice->gap_sum_ms / choice->gaps;
     bool is_slow =
         m->gap_ms > 0.0 && mean > SLOW_FACTOR * m->gap_ms + SLOW_GAP_MS;
-    if (!s->is_new_version && !is_slow) {
+    if (!choice->is_new && !is_slow) {
         learn_usual(&m->gap_ms, mean);
     }
-    give_sample(s, m, is_slow);
+    give_sample(m, account, choice, is_slow);
 }
 
 void
-CaroNode_SampleFailure(CaroSession *s)
+CaroVersionMoves_SampleFailure(CaroVersionMoves *v, const char *deployment,
+                               const char *account, CaroVersionChoice *choice)
 {
-    CaroMove *m = find_move(s->node, s->deployment);
+    CaroVersionMove *m = find_move(v, deployment);
     if (m != NULL) {
-        give_sample(s, m, true);
+        give_sample(m, account, choice, true);
     }
 }
 
 int
-CaroNode_FillMoves(CaroNode *n, caro_move_news *news)
+CaroVersionMoves_Fill(const CaroVersionMoves *v,
+                      caro_move_news news[CARO_MOVES_MAX])
 {
     int count = 0;
     for (int i = 0; i < CARO_MOVES_MAX; i++) {
-        const CaroMove *m = &n->moves[i];
+        const CaroVersionMove *m = &v->moves[i];
         if (m->id == 0) {
             continue;
         }
@@ -255,12 +301,12 @@
 }
 
 void
-CaroNode_TakeMoves(CaroNode *n, CaroHandle vm, const caro_move_news *news,
-                   int count)
+CaroVersionMoves_Take(CaroVersionMoves *v, CaroHandle vm,
+                      const caro_move_news *news, int count)
 {
     for (int i = 0; i < count; i++) {
         for (int j = 0; j < CARO_MOVES_MAX; j++) {
-            CaroMove *m = &n->moves[j];
+            CaroVersionMove *m = &v->moves[j];
             if (m->id == 0 || m->id != news[i].move) {
                 continue;
             }
@@ -277,9 +323,8 @@
 
 /* Logs the flag once and passes it on at once. */
 static void
-tell_flag(CaroNode *n, CaroMove *m)
+tell_flag(CaroVersionMoves *v, CaroVersionMove *m)
 {
-    enum { FLAG_FANOUT = 4 };
     char text[96];
     m->is_told = true;
     (void)CaroRollout_Evidence(m->rollout, text, sizeof(text));
@@ -287,16 +332,16 @@
                  "A version is taken back. deployment=%s "
                  "version=%s evidence=\"%s\"",
                  m->deployment, m->plan.to, text);
-    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "rollout",
+    CaroDecisions_Add(v->common.decisions, CaroClock_WallMs(), "rollout",
                       m->deployment, "taken back", "%s: %s", m->plan.to, text);
-    CaroNode_Announce(n, FLAG_FANOUT);
+    v->flagged(v->context);
 }
 
 static void
 on_end_written(void *context, int code, uint64_t revision, const char *text)
 {
-    CaroNode *n = context;
-    n->is_changing = false;
+    CaroVersionMoves *v = context;
+    v->is_changing = false;
     if (code < 0) {
         CaroLog_Warn("rollout",
                      "The end of a move is not written. "
@@ -310,9 +355,10 @@
 
 /* Writes "done" or "undone" into the configuration. */
 static void
-write_end(CaroNode *n, CaroMove *m, bool is_done)
+write_end(CaroVersionMoves *v, CaroVersionMove *m, bool is_done)
 {
-    json_t *root = json_loadb(n->config->text, n->config->text_size, 0, NULL);
+    const CaroConfig *config = CaroConfigKeeper_Get(v->keeper);
+    json_t *root = json_loadb(config->text, config->text_size, 0, NULL);
     json_t *d = CaroConfig_FindJson(root, "deployments", m->deployment);
     json_t *rollout = json_object_get(d, "rollout");
     if (rollout != NULL) {
@@ -326,36 +372,36 @@
         json_object_set_new(rollout, "state",
                             json_string(is_done ? "done" : "undone"));
         json_object_set_new(rollout, "reason", json_string(reason));
-        n->is_changing = true;
-        CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "rollout",
+        v->is_changing = true;
+        CaroDecisions_Add(v->common.decisions, CaroClock_WallMs(), "rollout",
                           m->deployment, is_done ? "done" : "undone", "%s",
                           is_done ? "the declared time has come, no fault"
                                   : reason);
-        CaroNode_ChangeConfig(n, root, "rollout", on_end_written, n);
+        CaroConfigKeeper_Change(v->keeper, root, "rollout", on_end_written, v);
     }
     json_decref(root);
 }
 
 void
-CaroNode_TickMoves(CaroNode *n, CaroTime now)
+CaroVersionMoves_Tick(CaroVersionMoves *v, CaroTime now)
 {
     int64_t now_ms = CaroClock_WallMs();
     for (int i = 0; i < CARO_MOVES_MAX; i++) {
-        CaroMove *m = &n->moves[i];
+        CaroVersionMove *m = &v->moves[i];
         if (m->id == 0) {
             continue;
         }
         CaroRollout_Tick(m->rollout, now_ms);
         bool is_bad = CaroRollout_IsBad(m->rollout);
         if (is_bad && !m->is_told) {
-            tell_flag(n, m);
+            tell_flag(v, m);
         }
         bool is_over = is_bad || now_ms >= m->plan.by_ms;
         /* Two VMs of a region write the end; the store lets one win. */
-        if (is_over && !n->is_changing && now >= n->next_move_write &&
-            CaroMembership_IsChosen(n->common.membership, "moves", 2)) {
-            n->next_move_write = now + WRITE_RETRY;
-            write_end(n, m, !is_bad);
+        if (is_over && !v->is_changing && now >= v->next_write &&
+            CaroMembership_IsChosen(v->common.membership, "moves", 2)) {
+            v->next_write = now + WRITE_RETRY;
+            write_end(v, m, !is_bad);
             return;
         }
     }
