--- a/Filters/account.c
+++ b/Filters/account.c
@@ -4,14 +4,14 @@
 CaroFilterVerdict
 CaroFilter_Account(CaroCompletion *c)
 {
-    const CaroNode *n = c->node;
-    if (CaroConfigKeeper_Get(n->keeper) == NULL) {
+    const CaroFilterParts *parts = c->parts;
+    if (CaroConfigKeeper_Get(parts->keeper) == NULL) {
         CaroHttp_Problem(c->req, 503, CARO_RUN_NO, "no configuration yet",
                          "VM %s has heard neither the store nor a peer",
-                         n->common.settings->vm);
+                         parts->common->settings->vm);
         return CARO_FILTER_REFUSED;
     }
-    if (CaroConfig_Account(CaroConfigKeeper_Get(n->keeper), c->account) ==
+    if (CaroConfig_Account(CaroConfigKeeper_Get(parts->keeper), c->account) ==
         NULL) {
         CaroHttp_Problem(c->req, 403, CARO_RUN_NO, "unknown account",
                          "$.account: found %.40s; allowed: a configured "
--- a/Filters/caro_filters.h
+++ b/Filters/caro_filters.h
@@ -8,7 +8,9 @@
 #ifndef CARO_FILTERS_H
 #define CARO_FILTERS_H
 
-#include "internal/caro_node_state.h"
+#include "internal/caro_config_keeper.h"
+#include "internal/caro_http.h"
+#include "internal/caro_sessions.h"
 
 typedef enum {
     CARO_FILTER_PASS,
@@ -16,9 +18,17 @@
     CARO_FILTER_TAKEN    /* The request is served or waits. */
 } CaroFilterVerdict;
 
+/* The parts that a completion meets; borrowed. */
+typedef struct {
+    const CaroCommon *common;
+    const CaroConfigKeeper *keeper;
+    CaroSessions *sessions;
+    bool is_draining; /* This VM takes no new work. */
+} CaroFilterParts;
+
 /* What the filters learn of a request. */
 typedef struct {
-    CaroNode *node;
+    const CaroFilterParts *parts;
     struct evhttp_request *req;
     json_t *body; /* Owned by the chain. */
     const char *account;
@@ -33,6 +43,7 @@
 CaroFilterVerdict CaroFilter_Admission(CaroCompletion *c, CaroTime now);
 
 /* Passes a completion through the chain. */
-void CaroFilters_Run(CaroNode *n, struct evhttp_request *req, CaroTime now);
+void CaroFilters_Run(const CaroFilterParts *parts, struct evhttp_request *req,
+                     CaroTime now);
 
 #endif
--- a/Filters/chain.c
+++ b/Filters/chain.c
@@ -31,14 +31,15 @@
 }
 
 void
-CaroFilters_Run(CaroNode *n, struct evhttp_request *req, CaroTime now)
+CaroFilters_Run(const CaroFilterParts *parts, struct evhttp_request *req,
+                CaroTime now)
 {
-    CaroCompletion c = {.node = n, .req = req};
-    CaroCounters_Add(n->common.counters, CARO_COUNT_REQUESTS, 1);
+    CaroCompletion c = {.parts = parts, .req = req};
+    CaroCounters_Add(parts->common->counters, CARO_COUNT_REQUESTS, 1);
     for (int stage = 0; stage < STAGES; stage++) {
         CaroFilterVerdict v = run_stage((Stage)stage, &c, now);
         if (v == CARO_FILTER_REFUSED) {
-            CaroCounters_Add(n->common.counters, CARO_COUNT_REFUSED, 1);
+            CaroCounters_Add(parts->common->counters, CARO_COUNT_REFUSED, 1);
         }
         if (v != CARO_FILTER_PASS) {
             break;
--- a/Filters/reconnect.c
+++ b/Filters/reconnect.c
@@ -8,6 +8,6 @@
     if (id == NULL) {
         return CARO_FILTER_PASS;
     }
-    CaroNode_Reconnect(c->node, c->req, id, now);
+    CaroSessions_Reconnect(c->parts->sessions, c->req, id, now);
     return CARO_FILTER_TAKEN;
 }
--- /dev/null
+++ b/Include/internal/caro_sessions.h
@@ -0,0 +1,93 @@
+/*
+ * NAME
+ *     caro_sessions - generations in service at a VM
+ *
+ * A session joins a caller, attempts at engines and a journal whose copy
+ * another VM keeps.  Modules/session*.c are one part; its files share
+ * internal/caro_session.h, which nothing else includes.
+ */
+#ifndef CARO_SESSIONS_H
+#define CARO_SESSIONS_H
+
+#include "internal/caro_admissions.h"
+#include "internal/caro_common.h"
+#include "internal/caro_load_poller.h"
+#include "internal/caro_version_moves.h"
+
+#include <event2/http.h>
+#include <jansson.h>
+
+typedef struct CaroSessions CaroSessions;
+
+/* The other parts that sessions use; borrowed. */
+typedef struct {
+    CaroAdmissions *admissions;
+    CaroLoadPoller *poller;
+    CaroVersionMoves *moves;
+} CaroSessionParts;
+
+/* A session as operators see it; borrowed. */
+typedef struct {
+    uint64_t id;
+    const char *account;
+    const char *deployment;
+    uint32_t tokens; /* In the journal. */
+    uint32_t acked;  /* Tokens that the backup holds. */
+    uint32_t sent;   /* Tokens that the caller was sent. */
+    bool is_admitted;
+    bool has_caller;
+} CaroSessionView;
+
+typedef enum {
+    CARO_SESSION_TAKEN,   /* It is served or waits its turn. */
+    CARO_SESSION_NO_ROOM, /* The journals are full. */
+    CARO_SESSION_REFUSED  /* Too much work waits. */
+} CaroSessionVerdict;
+
+CaroSessions *CaroSessions_Create(const CaroCommon *common,
+                                  const CaroSessionParts *parts);
+void CaroSessions_Destroy(CaroSessions *all);
+
+/* Closes all, as a stop of the process does. */
+void CaroSessions_CloseAll(CaroSessions *all);
+
+/*
+ * Begins a generation.  "body" is the checked request and "text" its
+ * bytes; the caller's request is the session's only when it is taken.
+ * *expected_wait is set when it is refused.
+ */
+CaroSessionVerdict CaroSessions_Begin(CaroSessions *all,
+                                      struct evhttp_request *req, json_t *body,
+                                      const char *text, size_t size,
+                                      CaroTime *expected_wait, CaroTime now);
+
+/* A caller comes back with the id of the last event it has.  It is always
+   answered. */
+void CaroSessions_Reconnect(CaroSessions *all, struct evhttp_request *req,
+                            const char *event_id, CaroTime now);
+
+/* "awake" is a clock that stops while the process is stopped. */
+void CaroSessions_Tick(CaroSessions *all, CaroTime awake, CaroTime now);
+
+/* Forgets journals that are kept long enough. */
+void CaroSessions_Expire(CaroSessions *all, CaroTime now);
+
+/* This VM leaves at that time: long generations go elsewhere before. */
+void CaroSessions_Drain(CaroSessions *all, CaroTime until);
+
+/* Calls of other VMs: journals to keep, a generation they take over. */
+void CaroSessions_TakeBatch(CaroSessions *all, const caro_journal_batch *batch,
+                            caro_journal_acks *acks, CaroTime now);
+void CaroSessions_TakeOver(CaroSessions *all, uint64_t id,
+                           caro_take_reply *reply);
+
+int CaroSessions_Count(const CaroSessions *all);
+void CaroSessions_Each(const CaroSessions *all,
+                       void (*visit)(void *context,
+                                     const CaroSessionView *view),
+                       void *context);
+/* Bytes of journals of sessions here, and of copies for other VMs. */
+size_t CaroSessions_JournalBytes(const CaroSessions *all);
+size_t CaroSessions_CopyBytes(const CaroSessions *all);
+
+#endif
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -14,13 +14,9 @@
 #define SLOW_TICK (500 * CARO_MS)
 #define PAUSE_MIN (250 * CARO_MS) /* A longer tick means we were stopped. */
 #define LINGER (500 * CARO_MS)
-#define COPY_KEEP (120 * CARO_SECOND)
 
 enum { DECISIONS_KEPT = 512, HEADER_BYTES_MAX = 16384 };
 
-#define STANDBY_BUDGET_MAX 8.0
-#define STANDBY_BUDGET_PER_TICK 0.04
-
 /* The awake clock gains no more in one tick than a late tick would. */
 static void
 advance_clocks(CaroNode *n, CaroTime now)
@@ -34,10 +30,6 @@
     }
     n->awake += passed;
     n->last_tick = now;
-    n->standby_budget += STANDBY_BUDGET_PER_TICK;
-    if (n->standby_budget > STANDBY_BUDGET_MAX) {
-        n->standby_budget = STANDBY_BUDGET_MAX;
-    }
 }
 
 static void
@@ -52,9 +44,7 @@
 slow_tick(CaroNode *n, CaroTime now)
 {
     CaroTime ticket = n->common.settings->ticket_ttl_ms * CARO_MS;
-    CaroTime keep = n->common.settings->journal_keep_ms * CARO_MS;
-    (void)CaroJournalTable_Expire(n->own, now - keep, now - keep);
-    (void)CaroJournalTable_Expire(n->copies, now - keep, now - COPY_KEEP);
+    CaroSessions_Expire(n->sessions, now);
     CaroOrderDesk_Expire(n->orders, now - 2 * ticket);
     update_limits(n, now);
     CaroConfigKeeper_Tick(n->keeper, now);
@@ -65,8 +55,8 @@
 static bool
 is_drained(CaroNode *n, CaroTime now)
 {
-    bool is_idle =
-        n->sessions == NULL && CaroOrderDesk_Running(n->orders) == 0;
+    bool is_idle = CaroSessions_Count(n->sessions) == 0 &&
+                   CaroOrderDesk_Running(n->orders) == 0;
     if (!n->is_draining) {
         return false;
     }
@@ -90,8 +80,7 @@
     advance_clocks(n, now);
     CaroMembership_Tick(n->common.membership, now);
     CaroNode_SendMembershipEvents(n);
-    CaroNode_TickSessions(n, now);
-    CaroNode_AdmitWaiting(n, now);
+    CaroSessions_Tick(n->sessions, n->awake, now);
     CaroLoadPoller_Tick(n->poller, now);
     CaroVersionMoves_Tick(n->moves, now);
     if (now >= n->next_slow_tick) {
@@ -125,16 +114,12 @@
 {
     CaroVm self;
     fill_self(n, &self);
-    size_t half = (size_t)n->common.settings->journal_bytes_max / 2;
     n->common.membership = CaroMembership_Create(
         &self, n->common.settings->heartbeat_ms * CARO_MS, n->rng, now);
     n->common.upstreams = CaroUpstreams_Create();
-    n->own = CaroJournalTable_Create(half);
-    n->copies = CaroJournalTable_Create(half);
     n->common.decisions = CaroDecisions_Create(DECISIONS_KEPT);
     bool is_good = n->common.membership != NULL &&
-                   n->common.upstreams != NULL && n->own != NULL &&
-                   n->copies != NULL && n->common.decisions != NULL;
+                   n->common.upstreams != NULL && n->common.decisions != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
@@ -168,9 +153,13 @@
     n->poller = CaroLoadPoller_Create(&n->common);
     n->orders = CaroOrderDesk_Create(&n->common);
     n->order_front = CaroOrderFront_Create(&n->common, n->orders);
-    bool is_good = n->keeper != NULL && n->moves != NULL &&
-                   n->admissions != NULL && n->poller != NULL &&
-                   n->orders != NULL && n->order_front != NULL;
+    CaroSessionParts parts = {
+        .admissions = n->admissions, .poller = n->poller, .moves = n->moves};
+    n->sessions = CaroSessions_Create(&n->common, &parts);
+    bool is_good = n->sessions != NULL && n->keeper != NULL &&
+                   n->moves != NULL && n->admissions != NULL &&
+                   n->poller != NULL && n->orders != NULL &&
+                   n->order_front != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
@@ -230,7 +219,6 @@
     n->common.boot = CaroClock_Random();
     n->rng = CaroClock_Random();
     n->last_tick = now;
-    n->standby_budget = STANDBY_BUDGET_MAX;
     if (create_tables(n, now) < 0) {
         (void)CaroError_Set(err, CARO_ERR_NOMEM, "tables", settings->vm,
                             "no memory");
@@ -271,6 +259,7 @@
     CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "drain",
                       n->common.settings->vm, "leaving",
                       "a planned stop was asked");
+    CaroSessions_Drain(n->sessions, n->drain_until);
     CaroMembership_Leave(n->common.membership, now);
     enum { LEAVE_FANOUT = 8 };
     CaroNode_Announce(n, LEAVE_FANOUT);
@@ -282,32 +271,24 @@
     if (n == NULL) {
         return;
     }
-    CaroSession *s;
-    CaroSession *next;
-    HASH_ITER(hh, n->sessions, s, next)
-    {
-        CaroNode_CloseSession(s, false);
-    }
     if (n->tick_event != NULL) {
         event_free(n->tick_event);
     }
-    if (n->flush_event != NULL) {
-        event_free(n->flush_event);
-    }
+    /* Calls that are open fail when the RPC goes, which the parts hear. */
+    CaroSessions_CloseAll(n->sessions);
     if (n->http != NULL) {
         evhttp_free(n->http);
     }
     CaroRpc_Destroy(n->common.rpc);
-    CaroConfigKeeper_Destroy(n->keeper);
-    CaroMembership_Destroy(n->common.membership);
-    CaroUpstreams_Destroy(n->common.upstreams);
-    CaroJournalTable_Destroy(n->own);
-    CaroJournalTable_Destroy(n->copies);
+    CaroSessions_Destroy(n->sessions);
     CaroOrderFront_Destroy(n->order_front);
     CaroOrderDesk_Destroy(n->orders);
+    CaroVersionMoves_Destroy(n->moves);
+    CaroConfigKeeper_Destroy(n->keeper);
     CaroLoadPoller_Destroy(n->poller);
     CaroAdmissions_Destroy(n->admissions);
+    CaroMembership_Destroy(n->common.membership);
+    CaroUpstreams_Destroy(n->common.upstreams);
     CaroDecisions_Destroy(n->common.decisions);
-    CaroVersionMoves_Destroy(n->moves);
     free(n);
 }
--- a/Modules/node_dump.c
+++ b/Modules/node_dump.c
@@ -40,30 +40,22 @@
     return list;
 }
 
-static json_t *
-dump_sessions(CaroNode *n)
+static void
+dump_session(void *context, const CaroSessionView *view)
 {
     enum { SHOWN = 1000 };
-    json_t *list = json_array();
-    CaroSession *s;
-    CaroSession *next;
-    int shown = 0;
-    HASH_ITER(hh, n->sessions, s, next)
-    {
-        char id[20];
-        if (shown++ == SHOWN) {
-            break;
-        }
-        (void)snprintf(id, sizeof(id), "%016" PRIx64, s->id);
-        json_array_append_new(
-            list,
-            json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:b}", "id", id,
-                      "account", s->account, "deployment", s->deployment,
-                      "tokens", (int)CaroJournal_Count(s->journal), "acked",
-                      (int)s->acked, "sent", (int)s->sent, "admitted",
-                      s->is_admitted, "caller", s->req != NULL));
+    json_t *list = context;
+    char id[20];
+    if (json_array_size(list) == SHOWN) {
+        return;
     }
-    return list;
+    (void)snprintf(id, sizeof(id), "%016" PRIx64, view->id);
+    json_array_append_new(
+        list, json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:b}", "id", id,
+                        "account", view->account, "deployment",
+                        view->deployment, "tokens", (int)view->tokens, "acked",
+                        (int)view->acked, "sent", (int)view->sent, "admitted",
+                        view->is_admitted, "caller", view->has_caller));
 }
 
 void
@@ -73,16 +65,18 @@
     if (!CaroNode_CheckOperator(n, req, by)) {
         return;
     }
-    json_t *value =
-        json_pack("{s:s, s:I, s:b, s:o, s:o, s:o, s:I, s:I, s:i, s:I}", "vm",
-                  n->common.settings->vm, "config_revision",
-                  (json_int_t)CaroConfigKeeper_Revision(n->keeper), "draining",
-                  n->is_draining, "members", dump_members(n), "upstreams",
-                  dump_upstreams(n, now), "sessions", dump_sessions(n),
-                  "journal_bytes", (json_int_t)CaroJournalTable_Bytes(n->own),
-                  "copy_bytes", (json_int_t)CaroJournalTable_Bytes(n->copies),
-                  "order_records", CaroOrderDesk_Records(n->orders), "cpu_us",
-                  (json_int_t)CaroClock_Cpu());
+    json_t *sessions = json_array();
+    CaroSessions_Each(n->sessions, dump_session, sessions);
+    json_t *value = json_pack(
+        "{s:s, s:I, s:b, s:o, s:o, s:o, s:I, s:I, s:i, s:I}", "vm",
+        n->common.settings->vm, "config_revision",
+        (json_int_t)CaroConfigKeeper_Revision(n->keeper), "draining",
+        n->is_draining, "members", dump_members(n), "upstreams",
+        dump_upstreams(n, now), "sessions", sessions, "journal_bytes",
+        (json_int_t)CaroSessions_JournalBytes(n->sessions), "copy_bytes",
+        (json_int_t)CaroSessions_CopyBytes(n->sessions), "order_records",
+        CaroOrderDesk_Records(n->orders), "cpu_us",
+        (json_int_t)CaroClock_Cpu());
     CaroHttp_Json(req, HTTP_OK, value);
     json_decref(value);
 }
--- a/Modules/node_http.c
+++ b/Modules/node_http.c
@@ -6,6 +6,7 @@
  * the first of them as arbiter, with a backup in another domain.
  */
 #include "../Filters/caro_filters.h"
+#include "internal/caro_node_state.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -130,7 +131,11 @@
     path = path == NULL ? "" : path;
     if (strcmp(path, "/v1/completions") == 0) {
         if (is_method(req, EVHTTP_REQ_POST, "POST")) {
-            CaroFilters_Run(n, req, now);
+            CaroFilterParts parts = {.common = &n->common,
+                                     .keeper = n->keeper,
+                                     .sessions = n->sessions,
+                                     .is_draining = n->is_draining};
+            CaroFilters_Run(&parts, req, now);
         }
     }
     else if (strncmp(path, "/v1/orders/", 11) == 0) {
--- a/Modules/node_peer.c
+++ b/Modules/node_peer.c
@@ -266,7 +266,7 @@
         CaroRpc_Ignore(request);
         return;
     }
-    CaroNode_TakeBatch(n, batch, &acks, now);
+    CaroSessions_TakeBatch(n->sessions, batch, &acks, now);
     CaroRpc_Reply(request, &acks);
     free(acks.acks.acks_val);
 }
@@ -299,7 +299,8 @@
         answer_journal(n, request, args, now);
         break;
     case CARO_TAKE:
-        CaroNode_TakeOver(n, ((caro_take_args *)args)->id, &take, now);
+        CaroSessions_TakeOver(n->sessions, ((caro_take_args *)args)->id,
+                              &take);
         CaroRpc_Reply(request, &take);
         break;
     case CARO_INTENT:
--- a/Modules/node_reports.c
+++ b/Modules/node_reports.c
@@ -8,6 +8,7 @@
 
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 const char *
@@ -47,7 +48,8 @@
     CaroReport_Line(r, "config rev %" PRIu64,
                     CaroConfigKeeper_Revision(n->keeper));
     CaroReport_Line(r, "gen    %u now, %" PRIu64 " done, %" PRIu64 " failed",
-                    HASH_COUNT(n->sessions), c[CARO_COUNT_GENERATIONS_DONE],
+                    (unsigned)CaroSessions_Count(n->sessions),
+                    c[CARO_COUNT_GENERATIONS_DONE],
                     c[CARO_COUNT_GENERATIONS_FAILED]);
     CaroReport_Line(r, "resume %" PRIu64 ", taken over %" PRIu64,
                     c[CARO_COUNT_RESUMES], c[CARO_COUNT_TAKEOVERS]);
@@ -139,42 +141,53 @@
     }
 }
 
+enum { TOP_SHOWN = 12 };
+
+/* Accounts and their sessions. */
+typedef struct {
+    char account[CARO_NAME_SIZE];
+    int count;
+} TopRow;
+
+typedef struct {
+    TopRow rows[TOP_SHOWN];
+    int n;
+} Top;
+
 static void
-report_top(CaroNode *n, CaroReport *r)
+count_account(void *context, const CaroSessionView *view)
 {
-    enum { SHOWN = 12 };
-    typedef struct {
-        const char *account;
-        int count;
-    } Row;
-    Row rows[SHOWN];
-    int count = 0;
-    CaroSession *s;
-    CaroSession *next;
-    HASH_ITER(hh, n->sessions, s, next)
-    {
-        int i = 0;
-        while (i < count && strcmp(rows[i].account, s->account) != 0) {
-            i++;
-        }
-        if (i < count) {
-            rows[i].count++;
-        }
-        else if (count < SHOWN) {
-            rows[count++] = (Row){s->account, 1};
-        }
+    Top *top = context;
+    int i = 0;
+    while (i < top->n && strcmp(top->rows[i].account, view->account) != 0) {
+        i++;
     }
-    for (int i = 0; i < count; i++) {
-        for (int j = i + 1; j < count; j++) {
-            if (rows[j].count > rows[i].count) {
-                Row swap = rows[i];
-                rows[i] = rows[j];
-                rows[j] = swap;
-            }
-        }
-        CaroReport_Line(r, "%-24.24s %5d now", rows[i].account, rows[i].count);
+    if (i < top->n) {
+        top->rows[i].count++;
+    }
+    else if (top->n < TOP_SHOWN) {
+        CARO_COPY(top->rows[top->n].account, view->account);
+        top->rows[top->n++].count = 1;
+    }
+}
+
+static int
+compare_counts(const void *a, const void *b)
+{
+    return ((const TopRow *)b)->count - ((const TopRow *)a)->count;
+}
+
+static void
+report_top(CaroNode *n, CaroReport *r)
+{
+    Top top = {.n = 0};
+    CaroSessions_Each(n->sessions, count_account, &top);
+    qsort(top.rows, (size_t)top.n, sizeof(top.rows[0]), compare_counts);
+    for (int i = 0; i < top.n; i++) {
+        CaroReport_Line(r, "%-24.24s %5d now", top.rows[i].account,
+                        top.rows[i].count);
     }
-    if (count == 0) {
+    if (top.n == 0) {
         CaroReport_Line(r, "no account has work on %s",
                         n->common.settings->vm);
     }
--- a/Modules/node_generate.c
+++ b/Modules/session_attempts.c
@@ -2,7 +2,11 @@
  * The attempts of a session: the pure decisions of CaroGeneration joined to
  * the engine client and the journal.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_session.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_log.h"
+#include "internal/caro_router.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -28,9 +32,9 @@
     CaroHandle h =
         CaroGeneration_UpstreamOf(s->generation, s->attempts[i].attempt);
     if (h != CARO_NO_HANDLE) {
-        CaroUpstreams_AddPrefill(s->node->common.upstreams, h,
+        CaroUpstreams_AddPrefill(s->all->common.upstreams, h,
                                  -s->attempts[i].prefill);
-        CaroUpstreams_Done(s->node->common.upstreams, h);
+        CaroUpstreams_Done(s->all->common.upstreams, h);
     }
     s->attempts[i].prefill = 0;
     s->attempts[i].attempt = 0;
@@ -47,7 +51,7 @@
 }
 
 void
-CaroNode_CancelAttempts(CaroSession *s)
+CaroSession_CancelAttempts(CaroSession *s)
 {
     for (int i = 0; i < 2; i++) {
         if (s->attempts[i].attempt != 0) {
@@ -59,81 +63,82 @@
 static void
 observe_token(CaroSession *s, int i, CaroHandle h, CaroTime now)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     uint32_t attempt = s->attempts[i].attempt;
     CaroTime gap = CaroGeneration_LastGap(s->generation, attempt);
     if (gap >= 0) {
         CaroVersionMoves_SampleGap(
-            n->moves, s->deployment, s->account, &s->choice, gap,
+            all->parts.moves, s->deployment, s->account, &s->choice, gap,
             CaroJournal_Count(s->journal) + 1 >= s->tokens_max);
-        CaroUpstreams_ObserveGap(n->common.upstreams, h, gap);
+        CaroUpstreams_ObserveGap(all->common.upstreams, h, gap);
         return;
     }
-    CaroUpstreams_AddPrefill(n->common.upstreams, h, -s->attempts[i].prefill);
+    CaroUpstreams_AddPrefill(all->common.upstreams, h,
+                             -s->attempts[i].prefill);
     s->attempts[i].prefill = 0;
-    CaroVersionMoves_SampleFirst(n->moves, s->deployment, s->account,
+    CaroVersionMoves_SampleFirst(all->parts.moves, s->deployment, s->account,
                                  &s->choice, now - s->attempts[i].started);
-    CaroUpstreams_ObserveFirst(n->common.upstreams, h,
+    CaroUpstreams_ObserveFirst(all->common.upstreams, h,
                                now - s->attempts[i].started);
-    CaroUpstreams_Succeeded(n->common.upstreams, h);
+    CaroUpstreams_Succeeded(all->common.upstreams, h);
 }
 
 static void
 on_token(CaroSession *s, int i, const char *text, size_t size, CaroTime now)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     uint32_t attempt = s->attempts[i].attempt;
     CaroHandle h = CaroGeneration_UpstreamOf(s->generation, attempt);
     uint32_t index = s->attempts[i].next_index++;
     if (!CaroGeneration_OnToken(s->generation, attempt, index, now,
-                                n->awake)) {
-        CaroCounters_Add(n->common.counters, CARO_COUNT_TOKENS_DROPPED, 1);
+                                all->awake)) {
+        CaroCounters_Add(all->common.counters, CARO_COUNT_TOKENS_DROPPED, 1);
         return;
     }
-    CaroUpstreams_Heard(n->common.upstreams, h, now);
+    CaroUpstreams_Heard(all->common.upstreams, h, now);
     if (s->attempts[i].prefill > 0) {
         CaroJournal_SetUpstream(
-            s->journal, CaroUpstreams_Get(n->common.upstreams, h)->name);
+            s->journal, CaroUpstreams_Get(all->common.upstreams, h)->name);
     }
     observe_token(s, i, h, now);
     if (CaroJournal_Append(s->journal, text, size, now) < 0) {
         CaroLog_Error("generate", "A journal is full. generation=%016llx",
                       (unsigned long long)s->id);
-        CaroNode_CloseSession(s, false);
+        s->all->events->on_full(s);
         return;
     }
-    CaroNode_MarkDirty(s);
+    CaroSession_MarkDirty(s);
 }
 
 static void
 on_end(CaroSession *s, int i, bool is_whole, int status, CaroTime now)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     uint32_t attempt = s->attempts[i].attempt;
     CaroHandle h = CaroGeneration_UpstreamOf(s->generation, attempt);
     if (h != CARO_NO_HANDLE && !is_whole) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
+        const CaroUpstream *u = CaroUpstreams_Get(all->common.upstreams, h);
         CaroLog_Warn("generate",
                      "An attempt was lost. generation=%016llx upstream=%s "
                      "status=%d tokens=%u",
                      (unsigned long long)s->id, u->name, status,
                      CaroJournal_Count(s->journal));
-        CaroUpstreams_Failed(n->common.upstreams, h, now);
-        CaroVersionMoves_SampleFailure(n->moves, s->deployment, s->account,
-                                       &s->choice);
+        CaroUpstreams_Failed(all->common.upstreams, h, now);
+        CaroVersionMoves_SampleFailure(all->parts.moves, s->deployment,
+                                       s->account, &s->choice);
     }
     release_attempt(s, i);
     CaroGeneration_OnClosed(s->generation, attempt, is_whole, now);
-    CaroNode_Advance(s, now);
+    CaroSession_Advance(s, now);
 }
 
 static void
 on_engine_event(void *context, uint64_t id, uint32_t attempt,
                 const CaroEngineEvent *event)
 {
-    CaroNode *n = context;
+    CaroSessions *all = context;
     CaroTime now = CaroClock_Now();
-    CaroSession *s = CaroNode_FindSession(n, id);
+    CaroSession *s = CaroSession_Find(all, id);
     int i = s == NULL ? -1 : find_attempt(s, attempt);
     if (i < 0) {
         return;
@@ -145,7 +150,7 @@
         break;
     case CARO_ENGINE_LOAD:
         if (h != CARO_NO_HANDLE) {
-            CaroLoadPoller_Heard(n->poller, h, &event->u.load, now);
+            CaroLoadPoller_Heard(all->parts.poller, h, &event->u.load, now);
         }
         break;
     case CARO_ENGINE_END:
@@ -158,25 +163,25 @@
 static CaroHandle
 choose_upstream(CaroSession *s, bool is_resume, CaroTime now)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     CaroRouteQuery q = {
         .policy = CARO_ROUTE_BOUNDED_AFFINITY,
         .deployment = s->deployment,
         .version = s->choice.version[0] == '\0' ? NULL : s->choice.version,
-        .vm = n->common.settings->vm,
-        .subset = (int)n->common.settings->upstream_subset,
+        .vm = all->common.settings->vm,
+        .subset = (int)all->common.settings->upstream_subset,
         .prefix_hash = s->prefix_hash,
         .leaves_domain = CaroGeneration_IsLossSilent(s->generation),
         .is_resume = is_resume};
     q.n_avoid = CaroGeneration_Avoid(s->generation, q.avoid);
-    q.warm = CaroUpstreams_Find(n->common.upstreams,
+    q.warm = CaroUpstreams_Find(all->common.upstreams,
                                 CaroJournal_Upstream(s->journal));
     CaroHandle h =
-        CaroRouter_Choose(n->common.upstreams, &q, now, n->common.rng);
+        CaroRouter_Choose(all->common.upstreams, &q, now, all->common.rng);
     if (h == CARO_NO_HANDLE && q.version != NULL) {
         /* Another version is better than none. */
         q.version = NULL;
-        h = CaroRouter_Choose(n->common.upstreams, &q, now, n->common.rng);
+        h = CaroRouter_Choose(all->common.upstreams, &q, now, all->common.rng);
     }
     return h;
 }
@@ -205,8 +210,8 @@
 open_stream(CaroSession *s, int slot, uint32_t attempt, CaroHandle h,
             bool is_resume)
 {
-    CaroNode *n = s->node;
-    const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
+    CaroSessions *all = s->all;
+    const CaroUpstream *u = CaroUpstreams_Get(all->common.upstreams, h);
     CaroEngineRequest r = {.id = s->id,
                            .attempt = attempt,
                            .address = u->address,
@@ -219,7 +224,7 @@
                                priority_of(s, is_resume, prefill_of(s))};
     r.prefix = CaroJournal_Text(s->journal, 0, &r.prefix_size);
     s->attempts[slot].stream =
-        CaroEngine_Open(n->common.base, &r, on_engine_event, n);
+        CaroEngine_Open(all->common.base, &r, on_engine_event, all);
     if (s->attempts[slot].stream == NULL) {
         return CARO_ERR_IO;
     }
@@ -233,71 +238,56 @@
 static void
 start_attempt(CaroSession *s, const CaroAction *a, CaroTime now)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     uint32_t attempt = a->u.start.attempt;
     int slot = find_attempt(s, 0);
     bool is_resume = a->u.start.is_resume || s->class == CARO_CLASS_RESUME;
-    CaroVersionMoves_Check(n->moves, s->deployment, &s->choice);
+    CaroVersionMoves_Check(all->parts.moves, s->deployment, &s->choice);
     CaroHandle h = choose_upstream(s, is_resume, now);
     if (h == CARO_NO_HANDLE || slot < 0 ||
         open_stream(s, slot, attempt, h, is_resume) < 0) {
         CaroGeneration_Deferred(s->generation, now + RETRY_WAIT);
         return;
     }
-    CaroTime floor = n->common.settings->silence_floor_ms * CARO_MS;
-    CaroTime ceiling = n->common.settings->silence_ceiling_ms * CARO_MS;
-    CaroTime first = n->common.settings->first_token_ms * CARO_MS;
+    CaroTime floor = all->common.settings->silence_floor_ms * CARO_MS;
+    CaroTime ceiling = all->common.settings->silence_ceiling_ms * CARO_MS;
+    CaroTime first = all->common.settings->first_token_ms * CARO_MS;
     CaroGeneration_Started(
         s->generation, attempt, h,
-        CaroUpstreams_SilenceAfter(n->common.upstreams, h, floor, ceiling),
-        CaroUpstreams_FirstTokenAfter(n->common.upstreams, h, 4 * floor,
+        CaroUpstreams_SilenceAfter(all->common.upstreams, h, floor, ceiling),
+        CaroUpstreams_FirstTokenAfter(all->common.upstreams, h, 4 * floor,
                                       first),
-        now, n->awake);
-    CaroUpstreams_Started(n->common.upstreams, h);
+        now, all->awake);
+    CaroUpstreams_Started(all->common.upstreams, h);
     s->attempts[slot].prefill = prefill_of(s);
-    CaroUpstreams_AddPrefill(n->common.upstreams, h,
+    CaroUpstreams_AddPrefill(all->common.upstreams, h,
                              s->attempts[slot].prefill);
     if (a->u.start.is_standby) {
-        CaroUpstreams_Doubt(n->common.upstreams, a->u.start.silent, now);
-        n->standby_budget -= 1.0;
-        CaroCounters_Add(n->common.counters, CARO_COUNT_STANDBYS, 1);
+        CaroUpstreams_Doubt(all->common.upstreams, a->u.start.silent, now);
+        all->standby_budget -= 1.0;
+        CaroCounters_Add(all->common.counters, CARO_COUNT_STANDBYS, 1);
     }
     if (!a->u.start.is_resume) {
         return;
     }
-    CaroCounters_Add(n->common.counters, CARO_COUNT_RESUMES, 1);
-    CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(), "resume",
-                      CaroUpstreams_Get(n->common.upstreams, h)->name,
+    CaroCounters_Add(all->common.counters, CARO_COUNT_RESUMES, 1);
+    CaroDecisions_Add(all->common.decisions, CaroClock_WallMs(), "resume",
+                      CaroUpstreams_Get(all->common.upstreams, h)->name,
                       a->u.start.is_standby ? "standby attempt" : "resumed",
                       "generation %016llx, attempt %u, %u tokens so far",
                       (unsigned long long)s->id, attempt,
                       CaroJournal_Count(s->journal));
 }
 
-static void
-fail_session(CaroSession *s, int code)
-{
-    CaroNode *n = s->node;
-    CaroCounters_Add(n->common.counters, CARO_COUNT_GENERATIONS_FAILED, 1);
-    if (s->req != NULL && !s->is_answering) {
-        struct evhttp_request *req = CaroNode_DetachCaller(s);
-        CaroHttp_Problem(req, 503, CARO_RUN_UNKNOWN, "no upstream could serve",
-                         "deployment %s: %s after %u attempts", s->deployment,
-                         CaroError_Name(code),
-                         CaroGeneration_Stats(s->generation)->attempts);
-    }
-    CaroNode_CloseSession(s, true);
-}
-
 /* Carries out decisions until none is left.  May close the session. */
 void
-CaroNode_Advance(CaroSession *s, CaroTime now)
+CaroSession_Advance(CaroSession *s, CaroTime now)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     enum { ACTIONS_MAX = 16 };
     for (int i = 0; i < ACTIONS_MAX; i++) {
         CaroAction a = CaroGeneration_Decide(
-            s->generation, n->standby_budget >= 1.0, now, n->awake);
+            s->generation, all->standby_budget >= 1.0, now, all->awake);
         switch (a.kind) {
         case CARO_ACT_NONE:
             return;
@@ -307,10 +297,10 @@
         case CARO_ACT_CANCEL: {
             int slot = find_attempt(s, a.u.cancel.attempt);
             if (a.u.cancel.is_lost) {
-                CaroVersionMoves_SampleFailure(n->moves, s->deployment,
+                CaroVersionMoves_SampleFailure(all->parts.moves, s->deployment,
                                                s->account, &s->choice);
-                CaroUpstreams_Failed(n->common.upstreams, a.u.cancel.upstream,
-                                     now);
+                CaroUpstreams_Failed(all->common.upstreams,
+                                     a.u.cancel.upstream, now);
             }
             if (slot >= 0) {
                 cancel_attempt(s, slot);
@@ -322,11 +312,11 @@
             if (!s->is_ended) {
                 s->is_ended = true;
                 CaroJournal_Finish(s->journal);
-                CaroNode_MarkDirty(s);
+                CaroSession_MarkDirty(s);
             }
             return;
         case CARO_ACT_FAIL:
-            fail_session(s, a.u.fail.code);
+            s->all->events->on_failed(s, a.u.fail.code);
             return;
         }
     }
@@ -334,7 +324,7 @@
 
 /* Silence of an upstream towards one generation warns the others. */
 void
-CaroNode_SuspectAttempts(CaroSession *s, CaroTime now)
+CaroSession_Suspect(CaroSession *s, CaroTime now)
 {
     for (int i = 0; i < 2; i++) {
         uint32_t attempt = s->attempts[i].attempt;
@@ -343,7 +333,7 @@
             h = CaroGeneration_UpstreamOf(s->generation, attempt);
         }
         if (h != CARO_NO_HANDLE &&
-            CaroUpstreams_IsDoubted(s->node->common.upstreams, h, now)) {
+            CaroUpstreams_IsDoubted(s->all->common.upstreams, h, now)) {
             CaroGeneration_Suspect(s->generation, attempt);
         }
     }
--- a/Modules/node_caller.c
+++ b/Modules/session_caller.c
@@ -2,17 +2,21 @@
  * The caller's side of a session: server-sent events out, and connections
  * that come and go.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_session.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_event_id.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <stdio.h>
 #include <stdlib.h>
 
 enum { SSE_LINE_MAX = 256 };
 
 /* Takes the request from the session, which no longer hears of it. */
 struct evhttp_request *
-CaroNode_DetachCaller(CaroSession *s)
+CaroSession_Detach(CaroSession *s)
 {
     struct evhttp_request *req = s->req;
     evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
@@ -31,17 +35,15 @@
     s->req = NULL;
     s->is_answering = false;
     s->caller_left = CaroClock_Now();
-    if (!s->is_admitted) {
-        CaroNode_CloseSession(s, CaroJournal_Count(s->journal) > 0);
-    }
+    s->all->events->on_caller_left(s);
 }
 
 /* Closes the caller's connection in the middle of an answer. */
 void
-CaroNode_DropCaller(CaroSession *s)
+CaroSession_DropCaller(CaroSession *s)
 {
     if (s->req != NULL) {
-        struct evhttp_request *req = CaroNode_DetachCaller(s);
+        struct evhttp_request *req = CaroSession_Detach(s);
         evhttp_connection_free(evhttp_request_get_connection(req));
     }
 }
@@ -61,10 +63,10 @@
 }
 
 void
-CaroNode_AttachCaller(CaroSession *s, struct evhttp_request *req,
-                      uint32_t from, CaroTime now)
+CaroSession_Attach(CaroSession *s, struct evhttp_request *req, uint32_t from,
+                   CaroTime now)
 {
-    CaroNode_DropCaller(s);
+    CaroSession_DropCaller(s);
     s->req = req;
     s->sent = from;
     struct evhttp_connection *c = evhttp_request_get_connection(req);
@@ -74,7 +76,20 @@
     evhttp_connection_set_timeout(c, ANSWER_TIMEOUT_S);
     /* evhttp stops reading while it answers; a close is seen by reading. */
     bufferevent_enable(evhttp_connection_get_bufferevent(c), EV_READ);
-    CaroNode_Deliver(s, now);
+    CaroSession_Deliver(s, now);
+}
+
+static void
+format_id(const CaroSession *s, uint32_t index, char *buf, size_t size)
+{
+    CaroEventId e = {.id = s->id, .index = index};
+    CARO_COPY(e.owner, s->all->common.settings->vm);
+    if (s->backup != CARO_NO_HANDLE) {
+        CARO_COPY(
+            e.backup,
+            CaroMembership_Get(s->all->common.membership, s->backup)->name);
+    }
+    CaroEventId_Format(&e, buf, size);
 }
 
 static void
@@ -85,7 +100,7 @@
     const char *text = CaroJournal_Token(s->journal, index, &size);
     json_t *string = json_stringn_nocheck(text, size);
     char *quoted = json_dumps(string, JSON_ENCODE_ANY);
-    CaroNode_FormatEventId(s, index, id, sizeof(id));
+    format_id(s, index, id, sizeof(id));
     evbuffer_add_printf(out,
                         "id: %s\ndata: {\"choices\":[{\"index\":0,"
                         "\"text\":%s}]}\n\n",
@@ -103,11 +118,11 @@
                         "\"finish_reason\":\"length\"}],\"usage\":"
                         "{\"completion_tokens\":%u}}\n\ndata: [DONE]\n\n",
                         count);
-    struct evhttp_request *req = CaroNode_DetachCaller(s);
+    struct evhttp_request *req = CaroSession_Detach(s);
     evhttp_send_reply_chunk(req, out);
     evhttp_send_reply_end(req);
-    CaroCounters_Add(s->node->common.counters, CARO_COUNT_GENERATIONS_DONE, 1);
-    CaroNode_CloseSession(s, true);
+    CaroCounters_Add(s->all->common.counters, CARO_COUNT_GENERATIONS_DONE, 1);
+    s->all->events->on_answered(s);
 }
 
 static bool
@@ -116,21 +131,21 @@
     struct evhttp_connection *c = evhttp_request_get_connection(s->req);
     struct bufferevent *bev = evhttp_connection_get_bufferevent(c);
     size_t unsent = evbuffer_get_length(bufferevent_get_output(bev));
-    return unsent > (size_t)s->node->common.settings->caller_buffer_max;
+    return unsent > (size_t)s->all->common.settings->caller_buffer_max;
 }
 
 /* Sends the caller what the backup holds.  May close the session. */
 void
-CaroNode_Deliver(CaroSession *s, CaroTime now)
+CaroSession_Deliver(CaroSession *s, CaroTime now)
 {
     (void)now;
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     if (s->req == NULL) {
         return;
     }
     if (is_caller_slow(s)) {
-        CaroCounters_Add(n->common.counters, CARO_COUNT_CALLERS_SLOW, 1);
-        CaroNode_DropCaller(s);
+        CaroCounters_Add(all->common.counters, CARO_COUNT_CALLERS_SLOW, 1);
+        CaroSession_DropCaller(s);
         return;
     }
     struct evbuffer *out = evbuffer_new();
@@ -144,7 +159,7 @@
     while (s->sent < s->acked) {
         add_token(s, s->sent, out);
         s->sent++;
-        CaroCounters_Add(n->common.counters, CARO_COUNT_TOKENS, 1);
+        CaroCounters_Add(all->common.counters, CARO_COUNT_TOKENS, 1);
     }
     if (is_whole) {
         finish_answer(s, out);
@@ -157,7 +172,7 @@
 
 /* Ends the answer in good order and tells the caller to come back. */
 void
-CaroNode_SendReconnect(CaroSession *s)
+CaroSession_SendReconnect(CaroSession *s)
 {
     if (s->req == NULL) {
         return;
@@ -166,7 +181,7 @@
         start_answer(s);
     }
     struct evbuffer *out = evbuffer_new();
-    struct evhttp_request *req = CaroNode_DetachCaller(s);
+    struct evhttp_request *req = CaroSession_Detach(s);
     evbuffer_add_printf(out, "event: reconnect\ndata: {}\n\n");
     evhttp_send_reply_chunk(req, out);
     evhttp_send_reply_end(req);
--- a/Modules/node_journal.c
+++ b/Modules/session_journal.c
@@ -8,7 +8,10 @@
  * the whole journal; until it answers, the tokens wait.  Without any other
  * VM the tokens go out unprotected and are counted.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_session.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_log.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,7 +24,7 @@
 
 /* One message on its way. */
 typedef struct {
-    CaroNode *node;
+    CaroSessions *all;
     CaroHandle backup;
     int n;
     uint64_t ids[SHIP_MAX];
@@ -32,36 +35,27 @@
 {
     uint32_t count = CaroJournal_Count(s->journal);
     if (count > s->acked) {
-        CaroCounters_Add(s->node->common.counters, CARO_COUNT_UNPROTECTED,
+        CaroCounters_Add(s->all->common.counters, CARO_COUNT_UNPROTECTED,
                          count - s->acked);
         s->acked = count;
     }
-    CaroNode_Deliver(s, now);
+    s->all->events->on_acked(s, now);
 }
 
 static void
 ship_failed(Shipment *m, CaroTime now)
 {
-    CaroNode *n = m->node;
-    CaroMembership_Doubt(n->common.membership, m->backup, now + DOUBT_TIME);
-    CaroMembership_Hint(n->common.membership, m->backup);
+    CaroSessions *all = m->all;
+    CaroMembership_Doubt(all->common.membership, m->backup, now + DOUBT_TIME);
+    CaroMembership_Hint(all->common.membership, m->backup);
     for (int i = 0; i < m->n; i++) {
-        CaroSession *s = CaroNode_FindSession(n, m->ids[i]);
+        CaroSession *s = CaroSession_Find(all, m->ids[i]);
         if (s != NULL && s->backup == m->backup) {
-            CaroNode_ReplaceBackup(s, now);
+            CaroSession_ReplaceBackup(s, now);
         }
     }
 }
 
-/* A newer owner serves the generation; this one must not go on. */
-static void
-on_fenced(CaroSession *s)
-{
-    CaroLog_Info("journal", "A newer owner took over. generation=%016llx",
-                 (unsigned long long)s->id);
-    CaroNode_CloseSession(s, true);
-}
-
 static void
 take_ack(CaroSession *s, const caro_journal_ack *ack, CaroTime now)
 {
@@ -71,19 +65,19 @@
             ack->count <= CaroJournal_Count(s->journal)) {
             s->acked = ack->count;
         }
-        CaroNode_Deliver(s, now);
+        s->all->events->on_acked(s, now);
         break;
     case CARO_ERR_FENCED:
-        on_fenced(s);
+        s->all->events->on_fenced(s);
         break;
     case CARO_ERR_STATE:
         /* The backup started anew; it gets the whole journal again. */
         s->shipped = 0;
         s->is_opened = false;
-        CaroNode_MarkDirty(s);
+        CaroSession_MarkDirty(s);
         break;
     default:
-        CaroNode_ReplaceBackup(s, now);
+        CaroSession_ReplaceBackup(s, now);
         break;
     }
 }
@@ -92,7 +86,7 @@
 on_shipped(void *context, int code, const void *result)
 {
     Shipment *m = context;
-    CaroNode *n = m->node;
+    CaroSessions *all = m->all;
     CaroTime now = CaroClock_Now();
     const caro_journal_acks *acks = result;
     if (code < 0) {
@@ -101,7 +95,7 @@
         return;
     }
     for (u_int i = 0; i < acks->acks.acks_len; i++) {
-        CaroSession *s = CaroNode_FindSession(n, acks->acks.acks_val[i].id);
+        CaroSession *s = CaroSession_Find(all, acks->acks.acks_val[i].id);
         if (s != NULL && s->backup == m->backup) {
             take_ack(s, &acks->acks.acks_val[i], now);
         }
@@ -144,31 +138,33 @@
 
 /* Ships up to SHIP_MAX dirty sessions of one backup. */
 static void
-ship_to(CaroNode *n, CaroHandle backup, CaroSession **sessions, int count)
+ship_to(CaroSessions *all, CaroHandle backup, CaroSession **sessions,
+        int count)
 {
     caro_journal_entry *entries = calloc((size_t)count, sizeof(*entries));
     Shipment *m = calloc(1, sizeof(*m));
     if (entries == NULL || m == NULL) {
         abort(); /* A node without memory for a message cannot go on. */
     }
-    m->node = n;
+    m->all = all;
     m->backup = backup;
     m->n = count;
     caro_journal_batch batch;
-    batch.sender = (char *)n->common.settings->vm;
+    batch.sender = (char *)all->common.settings->vm;
     batch.entries.entries_len = (u_int)count;
     batch.entries.entries_val = entries;
     for (int i = 0; i < count; i++) {
         m->ids[i] = sessions[i]->id;
         fill_entry(sessions[i], &entries[i]);
     }
-    uint64_t before = CaroRpc_TcpBytes(n->common.rpc);
-    CaroRpc_Call(
-        n->common.rpc, CaroMembership_Get(n->common.membership, backup)->peer,
-        CARO_RPC_TCP, CARO_JOURNAL, &batch, SHIP_TIMEOUT, on_shipped, m);
-    CaroCounters_Add(n->common.counters, CARO_COUNT_JOURNAL_BATCHES, 1);
-    CaroCounters_Add(n->common.counters, CARO_COUNT_JOURNAL_BYTES,
-                     CaroRpc_TcpBytes(n->common.rpc) - before);
+    uint64_t before = CaroRpc_TcpBytes(all->common.rpc);
+    CaroRpc_Call(all->common.rpc,
+                 CaroMembership_Get(all->common.membership, backup)->peer,
+                 CARO_RPC_TCP, CARO_JOURNAL, &batch, SHIP_TIMEOUT, on_shipped,
+                 m);
+    CaroCounters_Add(all->common.counters, CARO_COUNT_JOURNAL_BATCHES, 1);
+    CaroCounters_Add(all->common.counters, CARO_COUNT_JOURNAL_BYTES,
+                     CaroRpc_TcpBytes(all->common.rpc) - before);
     for (int i = 0; i < count; i++) {
         free(entries[i].ends.ends_val);
     }
@@ -177,10 +173,10 @@
 
 /* Takes the sessions of one backup out of the list of dirty ones. */
 static int
-take_dirty_of(CaroNode *n, CaroHandle backup, CaroSession **out)
+take_dirty_of(CaroSessions *all, CaroHandle backup, CaroSession **out)
 {
     int count = 0;
-    CaroSession **link = &n->dirty;
+    CaroSession **link = &all->dirty;
     while (*link != NULL && count < SHIP_MAX) {
         CaroSession *s = *link;
         if (s->backup != backup) {
@@ -200,15 +196,15 @@
 {
     (void)fd;
     (void)what;
-    CaroNode *n = arg;
+    CaroSessions *all = arg;
     CaroSession *sessions[SHIP_MAX];
     CaroTime now = CaroClock_Now();
-    n->is_flush_pending = false;
-    while (n->dirty != NULL) {
-        CaroHandle backup = n->dirty->backup;
-        int count = take_dirty_of(n, backup, sessions);
+    all->is_flush_pending = false;
+    while (all->dirty != NULL) {
+        CaroHandle backup = all->dirty->backup;
+        int count = take_dirty_of(all, backup, sessions);
         if (backup != CARO_NO_HANDLE) {
-            ship_to(n, backup, sessions, count);
+            ship_to(all, backup, sessions, count);
             continue;
         }
         uint64_t ids[SHIP_MAX];
@@ -216,7 +212,7 @@
             ids[i] = sessions[i]->id;
         }
         for (int i = 0; i < count; i++) {
-            CaroSession *s = CaroNode_FindSession(n, ids[i]);
+            CaroSession *s = CaroSession_Find(all, ids[i]);
             if (s != NULL) {
                 unprotect(s, now);
             }
@@ -225,30 +221,30 @@
 }
 
 void
-CaroNode_MarkDirty(CaroSession *s)
+CaroSession_MarkDirty(CaroSession *s)
 {
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     if (!s->is_dirty) {
         s->is_dirty = true;
-        s->next_dirty = n->dirty;
-        n->dirty = s;
+        s->next_dirty = all->dirty;
+        all->dirty = s;
     }
-    if (n->is_flush_pending) {
+    if (all->is_flush_pending) {
         return;
     }
-    if (n->flush_event == NULL) {
-        n->flush_event = evtimer_new(n->common.base, on_flush, n);
+    if (all->flush_event == NULL) {
+        all->flush_event = evtimer_new(all->common.base, on_flush, all);
     }
-    struct timeval wait = {.tv_usec =
-                               n->common.settings->journal_flush_ms * CARO_MS};
-    event_add(n->flush_event, &wait);
-    n->is_flush_pending = true;
+    struct timeval wait = {.tv_usec = all->common.settings->journal_flush_ms *
+                                      CARO_MS};
+    event_add(all->flush_event, &wait);
+    all->is_flush_pending = true;
 }
 
 void
-CaroNode_Unmark(CaroSession *s)
+CaroSession_Unmark(CaroSession *s)
 {
-    CaroSession **link = &s->node->dirty;
+    CaroSession **link = &s->all->dirty;
     while (*link != NULL && *link != s) {
         link = &(*link)->next_dirty;
     }
@@ -259,26 +255,27 @@
 }
 
 void
-CaroNode_ReplaceBackup(CaroSession *s, CaroTime now)
+CaroSession_ReplaceBackup(CaroSession *s, CaroTime now)
 {
-    CaroNode *n = s->node;
-    s->backup = CaroMembership_ChooseBackup(n->common.membership, s->id, now);
+    CaroSessions *all = s->all;
+    s->backup =
+        CaroMembership_ChooseBackup(all->common.membership, s->id, now);
     s->shipped = 0;
     s->is_opened = false;
-    CaroCounters_Add(n->common.counters, CARO_COUNT_BACKUPS_REPLACED, 1);
-    CaroNode_MarkDirty(s);
+    CaroCounters_Add(all->common.counters, CARO_COUNT_BACKUPS_REPLACED, 1);
+    CaroSession_MarkDirty(s);
 }
 
 static int
-take_entry(CaroNode *n, const char *owner, const caro_journal_entry *e,
+take_entry(CaroSessions *all, const char *owner, const caro_journal_entry *e,
            uint32_t *count, CaroTime now)
 {
-    CaroJournal *j = CaroJournalTable_Find(n->copies, e->id);
+    CaroJournal *j = CaroJournalTable_Find(all->copies, e->id);
     if (j == NULL) {
         if (e->request.request_len == 0) {
             return CARO_ERR_STATE;
         }
-        j = CaroJournalTable_Open(n->copies, e->id, e->epoch,
+        j = CaroJournalTable_Open(all->copies, e->id, e->epoch,
                                   e->request.request_val,
                                   e->request.request_len, now);
         if (j == NULL) {
@@ -299,15 +296,15 @@
 }
 
 void
-CaroNode_TakeBatch(CaroNode *n, const caro_journal_batch *batch,
-                   caro_journal_acks *acks, CaroTime now)
+CaroSessions_TakeBatch(CaroSessions *all, const caro_journal_batch *batch,
+                       caro_journal_acks *acks, CaroTime now)
 {
     for (u_int i = 0; i < batch->entries.entries_len; i++) {
         const caro_journal_entry *e = &batch->entries.entries_val[i];
         caro_journal_ack *ack = &acks->acks.acks_val[i];
         uint32_t count = 0;
         ack->id = e->id;
-        ack->status = take_entry(n, batch->sender, e, &count, now);
+        ack->status = take_entry(all, batch->sender, e, &count, now);
         ack->count = count;
     }
 }
@@ -327,20 +324,14 @@
     reply->upstream = (char *)CaroJournal_Upstream(j);
 }
 
-/* Hands a generation to another VM: from the owner, or from the backup,
-   which refuses the old owner from now on. */
+/* From the owner, or from the backup, which refuses the old owner from now
+   on. */
 void
-CaroNode_TakeOver(CaroNode *n, uint64_t id, caro_take_reply *reply,
-                  CaroTime now)
+CaroSession_Hand(CaroSessions *all, uint64_t id, caro_take_reply *reply)
 {
-    (void)now;
-    CaroSession *s = CaroNode_FindSession(n, id);
-    if (s != NULL) {
-        CaroNode_CloseSession(s, true);
-    }
-    CaroJournal *j = CaroJournalTable_Find(n->own, id);
+    CaroJournal *j = CaroJournalTable_Find(all->own, id);
     if (j == NULL) {
-        j = CaroJournalTable_Find(n->copies, id);
+        j = CaroJournalTable_Find(all->copies, id);
         if (j == NULL) {
             reply->status = CARO_ERR_GONE;
             return;
--- a/Modules/node_reconnect.c
+++ b/Modules/session_reconnect.c
@@ -6,7 +6,11 @@
  * asked in that order.  A node that gets the journal becomes the owner
  * under a higher epoch, and the old owner's copies are refused.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_session.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_event_id.h"
+#include "internal/caro_http.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -15,52 +19,14 @@
 
 #define TAKE_TIMEOUT (400 * CARO_MS)
 
-typedef struct {
-    uint64_t id;
-    char owner[CARO_NAME_SIZE];
-    char backup[CARO_NAME_SIZE]; /* Empty for none. */
-    uint32_t index;
-} EventId;
-
 /* A takeover on its way. */
 typedef struct {
-    CaroNode *node;
+    CaroSessions *all;
     struct evhttp_request *req; /* NULL when the caller left. */
-    EventId event;
+    CaroEventId event;
     bool has_asked_backup;
 } Takeover;
 
-void
-CaroNode_FormatEventId(const CaroSession *s, uint32_t index, char *buf,
-                       size_t size)
-{
-    const char *backup = "-";
-    if (s->backup != CARO_NO_HANDLE) {
-        backup =
-            CaroMembership_Get(s->node->common.membership, s->backup)->name;
-    }
-    (void)snprintf(buf, size, "%016" PRIx64 ".%s.%s.%" PRIu32, s->id,
-                   s->node->common.settings->vm, backup, index);
-}
-
-static int
-parse_event_id(const char *text, EventId *e)
-{
-    char id[17];
-    char end;
-    memset(e, 0, sizeof(*e));
-    if (sscanf(text, "%16[0-9a-f].%31[a-z0-9-].%31[a-z0-9-].%" SCNu32 "%c", id,
-               e->owner, e->backup, &e->index, &end) != 4 ||
-        strlen(id) != 16) {
-        return CARO_ERR_INPUT;
-    }
-    e->id = strtoull(id, NULL, 16);
-    if (strcmp(e->backup, "-") == 0) {
-        e->backup[0] = '\0';
-    }
-    return 0;
-}
-
 static void
 attach(CaroSession *s, struct evhttp_request *req, uint32_t index,
        CaroTime now)
@@ -72,12 +38,12 @@
                          s->id, CaroJournal_Count(s->journal), index + 1);
         return;
     }
-    CaroCounters_Add(s->node->common.counters, CARO_COUNT_RECONNECTS, 1);
-    CaroNode_AttachCaller(s, req, index + 1, now);
+    CaroCounters_Add(s->all->common.counters, CARO_COUNT_RECONNECTS, 1);
+    CaroSession_Attach(s, req, index + 1, now);
 }
 
 static void
-refuse_lost(struct evhttp_request *req, const EventId *e)
+refuse_lost(struct evhttp_request *req, const CaroEventId *e)
 {
     CaroHttp_Problem(req, 410, CARO_RUN_UNKNOWN, "the generation is lost",
                      "neither its owner %s nor its backup %s has the "
@@ -87,7 +53,7 @@
 
 /* Opens a session from a journal of another VM, or one closed here. */
 static CaroSession *
-open_from(CaroNode *n, const EventId *e, const caro_take_reply *r,
+open_from(CaroSessions *all, const CaroEventId *e, const caro_take_reply *r,
           CaroTime now)
 {
     json_t *request =
@@ -95,10 +61,10 @@
     if (request == NULL) {
         return NULL;
     }
-    CaroJournalTable_Remove(n->own, e->id);
-    CaroSession *s = CaroNode_OpenSession(n, e->id, r->epoch + 1, request,
-                                          r->request.request_val,
-                                          r->request.request_len, now);
+    CaroJournalTable_Remove(all->own, e->id);
+    CaroSession *s =
+        CaroSession_Open(all, e->id, r->epoch + 1, request,
+                         r->request.request_val, r->request.request_len, now);
     json_decref(request);
     if (s == NULL) {
         return NULL;
@@ -106,11 +72,11 @@
     if (CaroJournal_Merge(s->journal, "", r->epoch + 1, 0, r->bytes.bytes_val,
                           r->bytes.bytes_len, r->ends.ends_val,
                           r->ends.ends_len, now) < 0) {
-        CaroNode_CloseSession(s, false);
+        CaroSession_Close(s, false);
         return NULL;
     }
     CaroJournal_SetUpstream(s->journal, r->upstream);
-    s->admission = CaroAdmissions_Of(n->admissions, s->deployment);
+    s->admission = CaroAdmissions_Of(all->parts.admissions, s->deployment);
     s->class = CARO_CLASS_RESUME;
     return s;
 }
@@ -121,7 +87,7 @@
                CaroTime now)
 {
     uint64_t id = s->id;
-    CaroNode *n = s->node;
+    CaroSessions *all = s->all;
     if (s->admission != NULL) {
         CaroOffer offer = {.id = id,
                            .account = s->account,
@@ -137,10 +103,10 @@
             return;
         }
     }
-    CaroNode_StartSession(s, now);
-    s = CaroNode_FindSession(n, id);
+    CaroSession_Start(s, now);
+    s = CaroSession_Find(all, id);
     if (s != NULL) {
-        CaroNode_MarkDirty(s);
+        CaroSession_MarkDirty(s);
         attach(s, req, index, now);
     }
 }
@@ -151,7 +117,7 @@
 on_taken(void *context, int code, const void *result)
 {
     Takeover *t = context;
-    CaroNode *n = t->node;
+    CaroSessions *all = t->all;
     CaroTime now = CaroClock_Now();
     const caro_take_reply *reply = result;
     if (code < 0 || reply->status < 0) {
@@ -159,14 +125,14 @@
         return;
     }
     struct evhttp_request *req = t->req;
-    CaroSession *s = CaroNode_FindSession(n, t->event.id);
+    CaroSession *s = CaroSession_Find(all, t->event.id);
     if (req != NULL) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
                                       NULL);
         if (s == NULL) {
-            s = open_from(n, &t->event, reply, now);
-            CaroCounters_Add(n->common.counters, CARO_COUNT_TAKEOVERS, 1);
-            CaroDecisions_Add(n->common.decisions, CaroClock_WallMs(),
+            s = open_from(all, &t->event, reply, now);
+            CaroCounters_Add(all->common.counters, CARO_COUNT_TAKEOVERS, 1);
+            CaroDecisions_Add(all->common.decisions, CaroClock_WallMs(),
                               "resume", t->event.owner,
                               "generation taken over",
                               "%016" PRIx64 ", %u tokens from the %s",
@@ -175,7 +141,7 @@
             if (s == NULL) {
                 CaroHttp_Problem(
                     req, 503, CARO_RUN_UNKNOWN, "no room for the generation",
-                    "journals on %s are full", n->common.settings->vm);
+                    "journals on %s are full", all->common.settings->vm);
             }
             else {
                 resume_session(s, req, t->event.index, now);
@@ -191,15 +157,15 @@
 static bool
 ask(Takeover *t, const char *name)
 {
-    CaroNode *n = t->node;
-    CaroHandle vm = CaroMembership_Find(n->common.membership, name);
-    if (vm <= 0 || CaroMembership_Get(n->common.membership, vm)->state ==
+    CaroSessions *all = t->all;
+    CaroHandle vm = CaroMembership_Find(all->common.membership, name);
+    if (vm <= 0 || CaroMembership_Get(all->common.membership, vm)->state ==
                        CARO_MEMBER_DEAD) {
         return false;
     }
     caro_take_args args = {.id = t->event.id};
-    CaroRpc_Call(n->common.rpc,
-                 CaroMembership_Get(n->common.membership, vm)->peer,
+    CaroRpc_Call(all->common.rpc,
+                 CaroMembership_Get(all->common.membership, vm)->peer,
                  CARO_RPC_TCP, CARO_TAKE, &args, TAKE_TIMEOUT, on_taken, t);
     return true;
 }
@@ -207,10 +173,10 @@
 static void
 take_own_copy(Takeover *t)
 {
-    CaroNode *n = t->node;
+    CaroSessions *all = t->all;
     caro_take_reply reply;
     memset(&reply, 0, sizeof(reply));
-    CaroNode_TakeOver(n, t->event.id, &reply, CaroClock_Now());
+    CaroSessions_TakeOver(all, t->event.id, &reply);
     if (reply.status < 0) {
         if (t->req != NULL) {
             evhttp_connection_set_closecb(
@@ -229,7 +195,7 @@
 {
     if (!t->has_asked_backup) {
         t->has_asked_backup = true;
-        if (strcmp(t->event.backup, t->node->common.settings->vm) == 0) {
+        if (strcmp(t->event.backup, t->all->common.settings->vm) == 0) {
             take_own_copy(t);
             return;
         }
@@ -254,10 +220,10 @@
 
 /* A generation that ended or was given up here: opened again. */
 static bool
-reopen_local(CaroNode *n, struct evhttp_request *req, const EventId *e,
-             CaroTime now)
+reopen_local(CaroSessions *all, struct evhttp_request *req,
+             const CaroEventId *e, CaroTime now)
 {
-    CaroJournal *j = CaroJournalTable_Find(n->own, e->id);
+    CaroJournal *j = CaroJournalTable_Find(all->own, e->id);
     if (j == NULL) {
         return false;
     }
@@ -288,7 +254,7 @@
         reply.bytes.bytes_len = (u_int)bytes;
         reply.ends.ends_val = ends;
         reply.ends.ends_len = count;
-        s = open_from(n, e, &reply, now);
+        s = open_from(all, e, &reply, now);
     }
     free(request);
     free(ends);
@@ -301,23 +267,23 @@
 }
 
 void
-CaroNode_Reconnect(CaroNode *n, struct evhttp_request *req,
-                   const char *event_id, CaroTime now)
+CaroSessions_Reconnect(CaroSessions *all, struct evhttp_request *req,
+                       const char *event_id, CaroTime now)
 {
-    EventId e;
-    if (parse_event_id(event_id, &e) < 0) {
+    CaroEventId e;
+    if (CaroEventId_Parse(event_id, &e) < 0) {
         CaroHttp_Problem(req, 400, CARO_RUN_NO, "bad Last-Event-ID",
                          "found %.60s; allowed: the id of an event of this "
                          "service",
                          event_id);
         return;
     }
-    CaroSession *s = CaroNode_FindSession(n, e.id);
+    CaroSession *s = CaroSession_Find(all, e.id);
     if (s != NULL) {
         attach(s, req, e.index, now);
         return;
     }
-    if (reopen_local(n, req, &e, now)) {
+    if (reopen_local(all, req, &e, now)) {
         return;
     }
     Takeover *t = calloc(1, sizeof(*t));
@@ -326,12 +292,12 @@
                          "try another VM");
         return;
     }
-    t->node = n;
+    t->all = all;
     t->req = req;
     t->event = e;
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_caller_left, t);
-    if (strcmp(e.owner, n->common.settings->vm) == 0 || !ask(t, e.owner)) {
+    if (strcmp(e.owner, all->common.settings->vm) == 0 || !ask(t, e.owner)) {
         ask_next(t);
     }
 }
