Carry the membership of both interfaces by one fleet

The fleet now carries the moves' evidence and passes calls that are not its own on to the node, which hands each to the part it concerns. A node with seeds asks for all members once, as before; a gateway asks again each 7 s.

--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -619,3 +619,10 @@
     return CaroMembership_IsUsable(m, vm) &&
            now >= m->members[vm].doubted_until;
 }
+
+const char *
+CaroMembership_StateName(caro_member_state state)
+{
+    static const char *const names[] = {"alive", "suspect", "leaving", "dead"};
+    return names[state];
+}
--- a/Include/internal/caro_config_keeper.h
+++ b/Include/internal/caro_config_keeper.h
@@ -36,12 +36,9 @@
 
 void CaroConfigKeeper_Tick(CaroConfigKeeper *k, CaroTime now);
 
-/* Asks a VM that has a newer one. */
-void CaroConfigKeeper_Fetch(CaroConfigKeeper *k, CaroHandle vm);
-
-/* Answers a VM that asks. */
-void CaroConfigKeeper_Answer(const CaroConfigKeeper *k,
-                             CaroRpcRequest *request);
+/* Another VM sent its configuration; one that is not newer is ignored. */
+void CaroConfigKeeper_Take(CaroConfigKeeper *k, const char *text, size_t size,
+                           uint64_t revision);
 
 /*
  * Writes a configuration, which stays the caller's.  "done" gets 0 and
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -1,45 +1,71 @@
 /*
  * NAME
- *     caro_fleet - the other VMs of the gateway
+ *     caro_fleet - the other VMs
  *
  * Carries the membership over the network: finds the others through seeds
  * and addresses that the registry knows, sends probes, and tells in each
- * answer which configuration this VM has proven to be the newest.
+ * answer which configuration this VM has proven to be the newest.  Both
+ * interfaces, the product's own and the platform's, use it.
  */
 #ifndef CARO_FLEET_H
 #define CARO_FLEET_H
 
 #include "caro_error.h"
+#include "internal/caro_counters.h"
 #include "internal/caro_membership.h"
 #include "internal/caro_proof.h"
+#include "internal/caro_rpc.h"
 
 #include <event2/event.h>
 #include <gsl/gsl_rng.h>
 
 typedef struct CaroFleet CaroFleet;
 
+typedef struct {
+    CaroTime heartbeat;     /* Probes of one VM follow each other at it. */
+    CaroTime join_again;    /* From one question for all members to the next,
+                               once they are known; 0 for never. */
+    CaroCounters *counters; /* Borrowed. */
+} CaroFleetOptions;
+
+/* Those below the line may be NULL. */
 typedef struct {
     /* What this VM has proven; copied. */
     CaroProof (*get_proof)(void *context);
-    /* A peer, asked at "asked", has a proof of that age. */
-    void (*on_proof)(void *context, int64_t revision, CaroTime age,
-                     CaroTime asked);
     /* The configuration in force; false before the first. */
     bool (*get_config)(void *context, const char **bytes, size_t *size,
                        int64_t *revision);
     /* A peer sent a newer configuration. */
     void (*on_config)(void *context, const char *bytes, size_t size,
                       int64_t revision);
+    /* --- */
+    /* A peer has a proof of that age, as it said when asked at "asked". */
+    void (*on_proof)(void *context, int64_t revision, CaroTime age,
+                     CaroTime asked);
     /* A peer tells what it has in flight; borrowed. */
     void (*on_loads)(void *context, const caro_load_news *news);
+    /* Evidence of moves for a heartbeat; returns the count. */
+    int (*fill_moves)(void *context, caro_move_news news[CARO_MOVES_MAX]);
+    void (*on_moves)(void *context, CaroHandle vm, const caro_move_news *news,
+                     int count);
+    /* A VM is in another state than before. */
+    void (*on_changed)(void *context, const CaroVm *vm,
+                       caro_member_state before);
+    /* A call that is not the fleet's; it has to be answered or ignored. */
+    void (*on_call)(void *context, CaroRpcRequest *request, uint32_t procedure,
+                    void *args);
 } CaroFleetHandlers;
 
-/* "self" is copied; the generator is borrowed. */
+/* "self" and the options are copied; the generator is borrowed. */
 CaroFleet *CaroFleet_Create(struct event_base *base, const CaroVm *self,
-                            gsl_rng *rng, const CaroFleetHandlers *handlers,
-                            void *context, CaroTime now, CaroError *err);
+                            const CaroFleetOptions *options, gsl_rng *rng,
+                            const CaroFleetHandlers *handlers, void *context,
+                            CaroTime now, CaroError *err);
 void CaroFleet_Destroy(CaroFleet *f);
 
+/* A VM from the settings that may or may not run. */
+void CaroFleet_AddSeed(CaroFleet *f, const CaroVm *vm, CaroTime now);
+
 /* Another VM may be reached at the address ("ip:port"). */
 void CaroFleet_AddAddress(CaroFleet *f, const char *peer);
 
@@ -54,6 +80,16 @@
  */
 void CaroFleet_SpreadLoads(CaroFleet *f, const caro_load_news *news);
 
+/* Tells some of the others, chosen at random, what is new. */
+void CaroFleet_Announce(CaroFleet *f, int fanout);
+
+/* Answers a call with a heartbeat. */
+void CaroFleet_Answer(CaroFleet *f, CaroRpcRequest *request, const char *to);
+
+/* Borrowed, for parts that call other VMs or doubt one. */
+CaroRpc *CaroFleet_Rpc(CaroFleet *f);
+CaroMembership *CaroFleet_Members(CaroFleet *f);
+
 /* Borrowed; for the directory and for reports. */
 const CaroMembership *CaroFleet_Membership(const CaroFleet *f);
 
--- a/Include/internal/caro_membership.h
+++ b/Include/internal/caro_membership.h
@@ -128,4 +128,7 @@
 bool CaroMembership_IsChosen(const CaroMembership *m, const char *role,
                              int most);
 
+/* For logs and reports. */
+const char *CaroMembership_StateName(caro_member_state state);
+
 #endif
--- a/Include/internal/caro_node_state.h
+++ b/Include/internal/caro_node_state.h
@@ -16,6 +16,7 @@
 #include "internal/caro_config_keeper.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_decisions.h"
+#include "internal/caro_fleet.h"
 #include "internal/caro_http.h"
 #include "internal/caro_load_poller.h"
 #include "internal/caro_log.h"
@@ -35,6 +36,8 @@
     CaroCounters counters; /* and this. */
     struct evhttp *http;
     struct event *tick_event;
+    gsl_rng *generator; /* Of the fleet. */
+    CaroFleet *fleet;
     CaroOrderDesk *orders;
     CaroOrderFront *order_front;
     CaroLoadPoller *poller;
@@ -52,13 +55,6 @@
     CaroTime idle_since; /* While draining; 0 when it has work. */
 };
 
-/* node_peer.c: heartbeats and requests of other VMs. */
-void CaroNode_OnPeerCall(void *context, CaroRpcRequest *request,
-                         uint32_t procedure, void *args);
-void CaroNode_SendMembershipEvents(CaroNode *n);
-void CaroNode_Announce(CaroNode *n, int fanout);
-void CaroNode_JoinSeeds(CaroNode *n);
-
 /* node_http.c: routes of callers and operators. */
 void CaroNode_OnHttp(struct evhttp_request *req, void *context);
 
--- a/Include/internal/caro_session.h
+++ b/Include/internal/caro_session.h
@@ -94,6 +94,8 @@
                               CaroTime now);
 void CaroSession_Start(CaroSession *s, CaroTime now);
 void CaroSession_Close(CaroSession *s, bool keeps_journal);
+void CaroSession_TakeOver(CaroSessions *all, uint64_t id,
+                          caro_take_reply *reply);
 
 /* session_table.c: the session of a generation, or NULL. */
 CaroSession *CaroSession_Find(const CaroSessions *all, uint64_t id);
--- a/Include/internal/caro_sessions.h
+++ b/Include/internal/caro_sessions.h
@@ -76,10 +76,10 @@
 void CaroSessions_Drain(CaroSessions *all, CaroTime until);
 
 /* Calls of other VMs: journals to keep, a generation they take over. */
-void CaroSessions_TakeBatch(CaroSessions *all, const caro_journal_batch *batch,
-                            caro_journal_acks *acks, CaroTime now);
-void CaroSessions_TakeOver(CaroSessions *all, uint64_t id,
-                           caro_take_reply *reply);
+void CaroSessions_OnBatch(CaroSessions *all, CaroRpcRequest *request,
+                          const caro_journal_batch *batch, CaroTime now);
+void CaroSessions_OnTake(CaroSessions *all, CaroRpcRequest *request,
+                         const caro_take_args *args);
 
 int CaroSessions_Count(const CaroSessions *all);
 void CaroSessions_Each(const CaroSessions *all,
--- a/Modules/config_keeper.c
+++ b/Modules/config_keeper.c
@@ -25,7 +25,6 @@
 #define READ_INTERVAL (1 * CARO_SECOND)
 #define BACKOFF_FIRST (1 * CARO_SECOND)
 #define BACKOFF_MOST (16 * CARO_SECOND)
-#define FETCH_TIMEOUT (1 * CARO_SECOND)
 /* As long as a caller of a command waits without a doubt. */
 #define REFRESH_MOST (3 * CARO_SECOND)
 
@@ -40,7 +39,6 @@
     char file[sizeof(((CaroSettings *)0)->platform_config)]; /* To fill an
                                                embedded store from; empty
                                                when done. */
-    bool is_fetching;
     bool is_reading;
     CaroTime next_read;
     CaroTime backoff;
@@ -154,31 +152,11 @@
     }
 }
 
-static void
-on_fetched(void *context, int code, const void *result)
-{
-    CaroConfigKeeper *k = context;
-    k->is_fetching = false;
-    const caro_config *c = result;
-    if (code == 0 && c->revision > 0) {
-        apply_or_log(k, c->text.text_val, c->text.text_len, c->revision);
-    }
-}
-
 void
-CaroConfigKeeper_Fetch(CaroConfigKeeper *k, CaroHandle vm)
+CaroConfigKeeper_Take(CaroConfigKeeper *k, const char *text, size_t size,
+                      uint64_t revision)
 {
-    if (k->is_fetching) {
-        return;
-    }
-    k->is_fetching = true;
-    caro_heartbeat h;
-    memset(&h, 0, sizeof(h));
-    h.sender = (char *)k->common.settings->vm;
-    h.config_revision = CaroConfigKeeper_Revision(k);
-    CaroRpc_Call(k->common.rpc,
-                 CaroMembership_Get(k->common.membership, vm)->peer,
-                 CARO_RPC_TCP, CARO_CONFIG, &h, FETCH_TIMEOUT, on_fetched, k);
+    apply_or_log(k, text, size, revision);
 }
 
 /* Doubles the wait, and spreads the nodes over it. */
@@ -441,16 +419,3 @@
     c->expected = CaroConfigKeeper_Revision(k);
     write_change(c);
 }
-
-void
-CaroConfigKeeper_Answer(const CaroConfigKeeper *k, CaroRpcRequest *request)
-{
-    caro_config reply;
-    memset(&reply, 0, sizeof(reply));
-    reply.revision = CaroConfigKeeper_Revision(k);
-    if (k->config != NULL) {
-        reply.text.text_val = k->config->text;
-        reply.text.text_len = (u_int)k->config->text_size;
-    }
-    CaroRpc_Reply(request, &reply);
-}
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -1,5 +1,5 @@
 /*
- * The other VMs of the gateway.
+ * The other VMs.
  *
  * Until another VM is known, and now and then after it, one of the known
  * addresses is asked for all members: two parts of a fleet that lost each
@@ -9,7 +9,6 @@
 
 #include "internal/caro_clock.h"
 #include "internal/caro_log.h"
-#include "internal/caro_rpc.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,13 +20,11 @@
     ASKED_AT_ONCE = 3,
     LOADS_FANOUT = 40 /* A domain of the largest deployment known. */
 };
-/* Probes of one VM follow each other at this period. */
-#define HEARTBEAT (400 * CARO_MS)
-#define PROBE_TIMEOUT (1200 * CARO_MS)
+/* A probe's answer may be as late as the next two probes. */
+#define PROBE_PERIODS 3
 #define JOIN_TIMEOUT (700 * CARO_MS)
-/* Until another VM is known, and from then on. */
+/* Until another VM is known. */
 #define JOIN_EAGER (300 * CARO_MS)
-#define JOIN_CALM (7 * CARO_SECOND)
 /* A VM that heard of no other by then counts as the only one. */
 #define JOIN_MOST (1500 * CARO_MS)
 #define CONFIG_TIMEOUT (1 * CARO_SECOND)
@@ -37,6 +34,7 @@
 struct CaroFleet {
     CaroRpc *rpc;
     CaroMembership *membership;
+    CaroFleetOptions options;
     gsl_rng *rng;
     const CaroFleetHandlers *handlers;
     void *context;
@@ -65,8 +63,14 @@
 fill_heartbeat(CaroFleet *f, CaroHandle to, caro_heartbeat *h,
                caro_member_update *updates)
 {
+    /* One loop on one thread: a heartbeat is encoded before the next. */
+    static caro_move_news moves[CARO_MOVES_MAX];
     CaroProof proof = f->handlers->get_proof(f->context);
     memset(h, 0, sizeof(*h));
+    if (f->handlers->fill_moves != NULL) {
+        h->moves.moves_val = moves;
+        h->moves.moves_len = (u_int)f->handlers->fill_moves(f->context, moves);
+    }
     h->sender = f->name;
     h->config_revision = (uint64_t)proof.revision;
     h->proof_age = CaroProof_Age(&proof, CaroClock_Boot());
@@ -113,6 +117,10 @@
     CaroMembership_Heard(f->membership, h->sender, now);
     CaroHandle vm = CaroMembership_Find(f->membership, h->sender);
     CaroProof proof = f->handlers->get_proof(f->context);
+    if (vm > 0 && f->handlers->on_moves != NULL) {
+        f->handlers->on_moves(f->context, vm, h->moves.moves_val,
+                              (int)h->moves.moves_len);
+    }
     if (vm > 0 && (int64_t)h->config_revision > proof.revision) {
         fetch_config(f, vm);
     }
@@ -126,8 +134,10 @@
     if (code == 0) {
         const caro_heartbeat *h = result;
         take_heartbeat(f, h, CaroClock_Now());
-        f->handlers->on_proof(f->context, (int64_t)h->config_revision,
-                              h->proof_age, p->asked);
+        if (f->handlers->on_proof != NULL) {
+            f->handlers->on_proof(f->context, (int64_t)h->config_revision,
+                                  h->proof_age, p->asked);
+        }
         send_events(f);
     }
     if (p->relay != NULL) {
@@ -162,9 +172,11 @@
     caro_member_update updates[CARO_UPDATES_MAX];
     caro_heartbeat h;
     fill_heartbeat(f, vm, &h, updates);
+    CaroCounters_Add(f->options.counters, CARO_COUNT_HEARTBEATS, 1);
     CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
-                 CARO_RPC_UDP, CARO_HEARTBEAT, &h, PROBE_TIMEOUT,
-                 on_probe_answer, create_probe(f, vm, relay));
+                 CARO_RPC_UDP, CARO_HEARTBEAT, &h,
+                 PROBE_PERIODS * f->options.heartbeat, on_probe_answer,
+                 create_probe(f, vm, relay));
 }
 
 static void
@@ -175,21 +187,25 @@
     args.target = (char *)CaroMembership_Get(f->membership, target)->name;
     fill_heartbeat(f, helper, &args.heartbeat, updates);
     CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, helper)->peer,
-                 CARO_RPC_UDP, CARO_INDIRECT, &args, PROBE_TIMEOUT,
-                 on_probe_answer, create_probe(f, target, NULL));
+                 CARO_RPC_UDP, CARO_INDIRECT, &args,
+                 PROBE_PERIODS * f->options.heartbeat, on_probe_answer,
+                 create_probe(f, target, NULL));
 }
 
 static void
-log_change(CaroFleet *f, const CaroMembershipEvent *event)
+on_changed(CaroFleet *f, const CaroMembershipEvent *event)
 {
-    static const char *const names[] = {"alive", "suspect", "leaving", "dead"};
     const CaroVm *vm = CaroMembership_Get(f->membership, event->vm);
-    if (vm->state != event->before) {
-        CaroLog_Info("fleet",
-                     "A VM changed state. vm=%s from=%s to=%s "
-                     "incarnation=%llu",
-                     vm->name, names[event->before], names[vm->state],
-                     (unsigned long long)vm->incarnation);
+    if (vm->state == event->before) {
+        return;
+    }
+    CaroLog_Info("fleet",
+                 "A VM changed state. vm=%s from=%s to=%s incarnation=%llu",
+                 vm->name, CaroMembership_StateName(event->before),
+                 CaroMembership_StateName(vm->state),
+                 (unsigned long long)vm->incarnation);
+    if (f->handlers->on_changed != NULL) {
+        f->handlers->on_changed(f->context, vm, event->before);
     }
 }
 
@@ -206,7 +222,7 @@
             send_indirect(f, event.vm, event.target);
             break;
         case CARO_CHANGED:
-            log_change(f, &event);
+            on_changed(f, &event);
             break;
         }
     }
@@ -242,8 +258,8 @@
     }
 }
 
-static void
-answer_heartbeat(CaroFleet *f, CaroRpcRequest *request, const char *to)
+void
+CaroFleet_Answer(CaroFleet *f, CaroRpcRequest *request, const char *to)
 {
     caro_member_update updates[CARO_UPDATES_MAX];
     caro_heartbeat reply;
@@ -292,7 +308,7 @@
     switch (procedure) {
     case CARO_HEARTBEAT:
         take_heartbeat(f, args, now);
-        answer_heartbeat(f, request, ((caro_heartbeat *)args)->sender);
+        CaroFleet_Answer(f, request, ((caro_heartbeat *)args)->sender);
         break;
     case CARO_INDIRECT: {
         const caro_indirect *in = args;
@@ -314,18 +330,26 @@
         answer_config(f, request);
         break;
     case CARO_LOADS:
-        f->handlers->on_loads(f->context, args);
+        if (f->handlers->on_loads != NULL) {
+            f->handlers->on_loads(f->context, args);
+        }
         CaroRpc_Ignore(request);
         break;
     default:
-        CaroRpc_Ignore(request);
+        if (f->handlers->on_call != NULL) {
+            f->handlers->on_call(f->context, request, procedure, args);
+        }
+        else {
+            CaroRpc_Ignore(request);
+        }
         break;
     }
     send_events(f);
 }
 
 CaroFleet *
-CaroFleet_Create(struct event_base *base, const CaroVm *self, gsl_rng *rng,
+CaroFleet_Create(struct event_base *base, const CaroVm *self,
+                 const CaroFleetOptions *options, gsl_rng *rng,
                  const CaroFleetHandlers *handlers, void *context,
                  CaroTime now, CaroError *err)
 {
@@ -335,6 +359,7 @@
                             "no memory");
         return NULL;
     }
+    f->options = *options;
     f->rng = rng;
     f->handlers = handlers;
     f->context = context;
@@ -342,7 +367,7 @@
     CARO_COPY(f->name, self->name);
     CARO_COPY(f->peer, self->peer);
     f->membership =
-        CaroMembership_Create(self, HEARTBEAT, gsl_rng_get(rng), now);
+        CaroMembership_Create(self, options->heartbeat, gsl_rng_get(rng), now);
     f->rpc = CaroRpc_Create(base, self->peer, on_call, f, err);
     if (f->membership == NULL || f->rpc == NULL) {
         CaroFleet_Destroy(f);
@@ -361,6 +386,13 @@
     }
 }
 
+void
+CaroFleet_AddSeed(CaroFleet *f, const CaroVm *vm, CaroTime now)
+{
+    CaroMembership_AddSeed(f->membership, vm, now);
+    CaroFleet_AddAddress(f, vm->peer);
+}
+
 void
 CaroFleet_AddAddress(CaroFleet *f, const char *peer)
 {
@@ -386,8 +418,10 @@
     send_events(f);
     if (now >= f->next_join) {
         bool is_alone = CaroMembership_CountUsable(f->membership) <= 1;
-        f->next_join = now + (is_alone ? JOIN_EAGER : JOIN_CALM);
-        join(f);
+        f->next_join = now + (is_alone ? JOIN_EAGER : f->options.join_again);
+        if (is_alone || f->options.join_again > 0) {
+            join(f);
+        }
     }
 }
 
@@ -438,3 +472,29 @@
 {
     return f->is_answered || now - f->created >= JOIN_MOST;
 }
+
+void
+CaroFleet_Announce(CaroFleet *f, int fanout)
+{
+    int count = CaroMembership_Count(f->membership);
+    for (int tries = 0; tries < 8 * fanout && fanout > 0; tries++) {
+        CaroHandle vm =
+            (CaroHandle)gsl_rng_uniform_int(f->rng, (unsigned long)count);
+        if (vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm)) {
+            send_probe(f, vm, NULL);
+            fanout--;
+        }
+    }
+}
+
+CaroRpc *
+CaroFleet_Rpc(CaroFleet *f)
+{
+    return f->rpc;
+}
+
+CaroMembership *
+CaroFleet_Members(CaroFleet *f)
+{
+    return f->membership;
+}
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -34,6 +34,11 @@
 /* A caller that takes nothing for so long has left. */
 #define WRITE_TIMEOUT (10 * CARO_SECOND)
 #define TICK (20 * CARO_MS)
+/* Probes of one VM follow each other at this period, so that one that is
+   gone is out of the directory's answers within two seconds. */
+#define HEARTBEAT (400 * CARO_MS)
+/* Two parts of a fleet that lost each other meet again within this. */
+#define JOIN_AGAIN (7 * CARO_SECOND)
 /* News of loads that a lost datagram held are told again. */
 #define NEWS_PERIOD (1500 * CARO_MS)
 /* For the answers of the last requests to leave. */
@@ -672,10 +677,13 @@
     CaroFrontLimits limits = front_limits(g, &first);
     g->front = CaroFront_Create(base, settings->front, &limits,
                                 &front_handlers, g, err);
+    CaroFleetOptions fleet_options = {.heartbeat = HEARTBEAT,
+                                      .join_again = JOIN_AGAIN,
+                                      .counters = &g->counters};
     g->fleet = g->front == NULL
                    ? NULL
-                   : CaroFleet_Create(base, &self, g->rng, &fleet_handlers, g,
-                                      now, err);
+                   : CaroFleet_Create(base, &self, &fleet_options, g->rng,
+                                      &fleet_handlers, g, now, err);
     g->http =
         g->fleet == NULL
             ? NULL
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -78,8 +78,7 @@
     CaroNode *n = arg;
     CaroTime now = CaroClock_Now();
     advance_clocks(n, now);
-    CaroMembership_Tick(n->common.membership, now);
-    CaroNode_SendMembershipEvents(n);
+    CaroFleet_Tick(n->fleet, now);
     CaroSessions_Tick(n->sessions, n->awake, now);
     CaroLoadPoller_Tick(n->poller, now);
     CaroVersionMoves_Tick(n->moves, now);
@@ -110,16 +109,13 @@
 }
 
 static int
-create_tables(CaroNode *n, CaroTime now)
+create_tables(CaroNode *n)
 {
-    CaroVm self;
-    fill_self(n, &self);
-    n->common.membership = CaroMembership_Create(
-        &self, n->common.settings->heartbeat_ms * CARO_MS, n->rng, now);
+    n->generator = gsl_rng_alloc(gsl_rng_taus2);
     n->common.upstreams = CaroUpstreams_Create();
     n->common.decisions = CaroDecisions_Create(DECISIONS_KEPT);
-    bool is_good = n->common.membership != NULL &&
-                   n->common.upstreams != NULL && n->common.decisions != NULL;
+    bool is_good = n->generator != NULL && n->common.upstreams != NULL &&
+                   n->common.decisions != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
@@ -132,14 +128,15 @@
     CaroAdmissions_SetWeights(n->admissions, config);
     CaroVersionMoves_Apply(n->moves, config);
     update_limits(n, now);
-    CaroNode_Announce(n, CONFIG_FANOUT);
+    CaroFleet_Announce(n->fleet, CONFIG_FANOUT);
 }
 
 static void
 on_version_flagged(void *context)
 {
     enum { FLAG_FANOUT = 4 };
-    CaroNode_Announce(context, FLAG_FANOUT);
+    CaroNode *n = context;
+    CaroFleet_Announce(n->fleet, FLAG_FANOUT);
 }
 
 /* What needs the RPC as well. */
@@ -163,6 +160,140 @@
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
+/* This interface serves no revocable keys: its proofs have no age. */
+static CaroProof
+get_proof(void *context)
+{
+    const CaroNode *n = context;
+    return (CaroProof){.revision =
+                           (int64_t)CaroConfigKeeper_Revision(n->keeper)};
+}
+
+static bool
+get_config(void *context, const char **bytes, size_t *size, int64_t *revision)
+{
+    const CaroNode *n = context;
+    const CaroConfig *config = CaroConfigKeeper_Get(n->keeper);
+    if (config == NULL) {
+        return false;
+    }
+    *bytes = config->text;
+    *size = config->text_size;
+    *revision = (int64_t)config->revision;
+    return true;
+}
+
+static void
+on_peer_config(void *context, const char *bytes, size_t size, int64_t revision)
+{
+    CaroNode *n = context;
+    CaroConfigKeeper_Take(n->keeper, bytes, size, (uint64_t)revision);
+}
+
+static int
+fill_moves(void *context, caro_move_news news[CARO_MOVES_MAX])
+{
+    const CaroNode *n = context;
+    return CaroVersionMoves_Fill(n->moves, news);
+}
+
+static void
+on_moves(void *context, CaroHandle vm, const caro_move_news *news, int count)
+{
+    CaroNode *n = context;
+    CaroVersionMoves_Take(n->moves, vm, news, count);
+}
+
+static void
+on_vm_changed(void *context, const CaroVm *vm, caro_member_state before)
+{
+    CaroNode *n = context;
+    CaroDecisions_Add(
+        n->common.decisions, CaroClock_WallMs(), "member", vm->name,
+        CaroMembership_StateName(vm->state), "was %s, incarnation %llu",
+        CaroMembership_StateName(before), (unsigned long long)vm->incarnation);
+}
+
+/* A call of another VM, for the part it concerns. */
+static void
+on_call(void *context, CaroRpcRequest *request, uint32_t procedure, void *args)
+{
+    CaroNode *n = context;
+    CaroTime now = CaroClock_Now();
+    caro_order_outcome outcome = {.key = ""};
+    switch (procedure) {
+    case CARO_JOURNAL:
+        CaroSessions_OnBatch(n->sessions, request, args, now);
+        break;
+    case CARO_TAKE:
+        CaroSessions_OnTake(n->sessions, request, args);
+        break;
+    case CARO_INTENT:
+        CaroOrderDesk_OnIntent(n->orders, args, &outcome, now);
+        CaroRpc_Reply(request, &outcome);
+        break;
+    case CARO_OUTCOME:
+        CaroOrderDesk_OnOutcome(n->orders, args, now);
+        CaroRpc_Reply(request, &outcome);
+        break;
+    case CARO_FORWARD:
+        CaroOrderDesk_OnForward(n->orders, request, args, now);
+        break;
+    case CARO_DECIDE:
+        CaroOrderDesk_OnDecide(n->orders, args, &outcome, now);
+        CaroRpc_Reply(request, &outcome);
+        break;
+    case CARO_DRAIN:
+        CaroNode_Drain(n);
+        CaroFleet_Answer(n->fleet, request, ((caro_heartbeat *)args)->sender);
+        break;
+    case CARO_WHY:
+        CaroNode_OnWhy(n, request, args);
+        break;
+    default:
+        CaroRpc_Ignore(request);
+        break;
+    }
+}
+
+static const CaroFleetHandlers fleet_handlers = {
+    .get_proof = get_proof,
+    .get_config = get_config,
+    .on_config = on_peer_config,
+    .fill_moves = fill_moves,
+    .on_moves = on_moves,
+    .on_changed = on_vm_changed,
+    .on_call = on_call,
+};
+
+static int
+create_fleet(CaroNode *n, CaroTime now, CaroError *err)
+{
+    CaroVm self;
+    fill_self(n, &self);
+    CaroFleetOptions options = {.heartbeat =
+                                    n->settings.heartbeat_ms * CARO_MS,
+                                .counters = &n->counters};
+    n->fleet = CaroFleet_Create(n->common.base, &self, &options, n->generator,
+                                &fleet_handlers, n, now, err);
+    if (n->fleet == NULL) {
+        return CARO_ERR_IO;
+    }
+    n->common.rpc = CaroFleet_Rpc(n->fleet);
+    n->common.membership = CaroFleet_Members(n->fleet);
+    for (int i = 0; i < n->settings.n_seeds; i++) {
+        const CaroSeed *seed = &n->settings.seeds[i];
+        CaroVm vm = {.incarnation = 0};
+        CARO_COPY(vm.name, seed->name);
+        CARO_COPY(vm.http, seed->http);
+        CARO_COPY(vm.peer, seed->peer);
+        CARO_COPY(vm.domain, seed->domain);
+        CARO_COPY(vm.region, seed->region);
+        CaroFleet_AddSeed(n->fleet, &vm, now);
+    }
+    return 0;
+}
+
 static int
 serve_http(CaroNode *n, CaroError *err)
 {
@@ -219,14 +350,13 @@
     n->common.boot = CaroClock_Random();
     n->rng = CaroClock_Random();
     n->last_tick = now;
-    if (create_tables(n, now) < 0) {
+    if (create_tables(n) < 0) {
         (void)CaroError_Set(err, CARO_ERR_NOMEM, "tables", settings->vm,
                             "no memory");
         goto error;
     }
-    n->common.rpc =
-        CaroRpc_Create(base, settings->peer, CaroNode_OnPeerCall, n, err);
-    if (n->common.rpc == NULL || serve_http(n, err) < 0) {
+    gsl_rng_set(n->generator, (unsigned long)CaroClock_Random());
+    if (create_fleet(n, now, err) < 0 || serve_http(n, err) < 0) {
         goto error;
     }
     if (create_parts(n, now) < 0 || start_timers(n) < 0) {
@@ -234,7 +364,6 @@
                             settings->vm, "no memory");
         goto error;
     }
-    CaroNode_JoinSeeds(n);
     CaroConfigKeeper_Tick(n->keeper, now);
     CaroLog_Info("node", "Serving. http=%s peer=%s domain=%s boot=%016llx",
                  settings->http, settings->peer, settings->domain,
@@ -260,9 +389,7 @@
                       n->common.settings->vm, "leaving",
                       "a planned stop was asked");
     CaroSessions_Drain(n->sessions, n->drain_until);
-    CaroMembership_Leave(n->common.membership, now);
-    enum { LEAVE_FANOUT = 8 };
-    CaroNode_Announce(n, LEAVE_FANOUT);
+    CaroFleet_Leave(n->fleet, now);
 }
 
 void
@@ -274,12 +401,12 @@
     if (n->tick_event != NULL) {
         event_free(n->tick_event);
     }
-    /* Calls that are open fail when the RPC goes, which the parts hear. */
+    /* Calls that are open fail when the fleet goes, which the parts hear. */
     CaroSessions_CloseAll(n->sessions);
     if (n->http != NULL) {
         evhttp_free(n->http);
     }
-    CaroRpc_Destroy(n->common.rpc);
+    CaroFleet_Destroy(n->fleet);
     CaroSessions_Destroy(n->sessions);
     CaroOrderFront_Destroy(n->order_front);
     CaroOrderDesk_Destroy(n->orders);
@@ -287,8 +414,10 @@
     CaroConfigKeeper_Destroy(n->keeper);
     CaroLoadPoller_Destroy(n->poller);
     CaroAdmissions_Destroy(n->admissions);
-    CaroMembership_Destroy(n->common.membership);
     CaroUpstreams_Destroy(n->common.upstreams);
     CaroDecisions_Destroy(n->common.decisions);
+    if (n->generator != NULL) {
+        gsl_rng_free(n->generator);
+    }
     free(n);
 }
--- a/Modules/session.c
+++ b/Modules/session.c
@@ -288,7 +288,7 @@
 }
 
 void
-CaroSessions_TakeOver(CaroSessions *all, uint64_t id, caro_take_reply *reply)
+CaroSession_TakeOver(CaroSessions *all, uint64_t id, caro_take_reply *reply)
 {
     CaroSession *s = CaroSession_Find(all, id);
     if (s != NULL) {
@@ -297,6 +297,15 @@
     CaroSession_Hand(all, id, reply);
 }
 
+void
+CaroSessions_OnTake(CaroSessions *all, CaroRpcRequest *request,
+                    const caro_take_args *args)
+{
+    caro_take_reply reply = {.upstream = ""};
+    CaroSession_TakeOver(all, args->id, &reply);
+    CaroRpc_Reply(request, &reply);
+}
+
 /* A caller that waited its turn and left does not want it any more. */
 static void
 on_caller_left(CaroSession *s)
--- a/Modules/session_journal.c
+++ b/Modules/session_journal.c
@@ -296,17 +296,27 @@
 }
 
 void
-CaroSessions_TakeBatch(CaroSessions *all, const caro_journal_batch *batch,
-                       caro_journal_acks *acks, CaroTime now)
+CaroSessions_OnBatch(CaroSessions *all, CaroRpcRequest *request,
+                     const caro_journal_batch *batch, CaroTime now)
 {
-    for (u_int i = 0; i < batch->entries.entries_len; i++) {
+    u_int n = batch->entries.entries_len;
+    caro_journal_acks reply;
+    reply.acks.acks_len = n;
+    reply.acks.acks_val = calloc(n + 1, sizeof(caro_journal_ack));
+    if (reply.acks.acks_val == NULL) {
+        CaroRpc_Ignore(request);
+        return;
+    }
+    for (u_int i = 0; i < n; i++) {
         const caro_journal_entry *e = &batch->entries.entries_val[i];
-        caro_journal_ack *ack = &acks->acks.acks_val[i];
+        caro_journal_ack *ack = &reply.acks.acks_val[i];
         uint32_t count = 0;
         ack->id = e->id;
         ack->status = take_entry(all, batch->sender, e, &count, now);
         ack->count = count;
     }
+    CaroRpc_Reply(request, &reply);
+    free(reply.acks.acks_val);
 }
 
 static void
--- a/Modules/session_reconnect.c
+++ b/Modules/session_reconnect.c
@@ -176,7 +176,7 @@
     CaroSessions *all = t->all;
     caro_take_reply reply;
     memset(&reply, 0, sizeof(reply));
-    CaroSessions_TakeOver(all, t->event.id, &reply);
+    CaroSession_TakeOver(all, t->event.id, &reply);
     if (reply.status < 0) {
         if (t->req != NULL) {
             evhttp_connection_set_closecb(
