--- a/Modules/node_operator.c
+++ b/Modules/console.c
@@ -3,9 +3,11 @@
  * something.  The answer to a change says "done", "not done" or "unknown",
  * and why.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_console_parts.h"
 
-#include "internal/caro_command.h"
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
+#include "internal/caro_log.h"
 #include "internal/caro_report.h"
 
 #include <openssl/evp.h>
@@ -18,13 +20,30 @@
 
 /* A command that waits for its end. */
 typedef struct {
-    CaroNode *node;
+    CaroConsole *console;
     struct evhttp_request *req; /* NULL when the operator left. */
     char what[64];              /* The change, for its record. */
     char subject[CARO_NAME_SIZE];
     char operator_name[CARO_NAME_SIZE];
 } Pending;
 
+CaroConsole *
+CaroConsole_Create(const CaroCommon *common, const CaroConsoleParts *parts)
+{
+    CaroConsole *c = calloc(1, sizeof(*c));
+    if (c != NULL) {
+        c->common = *common;
+        c->parts = *parts;
+    }
+    return c;
+}
+
+void
+CaroConsole_Destroy(CaroConsole *c)
+{
+    free(c);
+}
+
 static void
 hash_token(const char *token, char digits[65])
 {
@@ -36,9 +55,9 @@
     }
 }
 
-bool
-CaroNode_CheckOperator(CaroNode *n, struct evhttp_request *req,
-                       char name[CARO_NAME_SIZE])
+static bool
+check_operator(const CaroConsole *c, struct evhttp_request *req,
+               char name[CARO_NAME_SIZE])
 {
     static const char scheme[] = "Bearer ";
     const char *header = CaroHttp_Header(req, "Authorization");
@@ -46,11 +65,11 @@
     if (header != NULL && strncmp(header, scheme, sizeof(scheme) - 1) == 0) {
         hash_token(header + sizeof(scheme) - 1, digits);
     }
-    for (int i = 0; i < n->common.settings->n_operators; i++) {
-        if (strcmp(n->common.settings->operators[i].token_sha256, digits) ==
+    for (int i = 0; i < c->common.settings->n_operators; i++) {
+        if (strcmp(c->common.settings->operators[i].token_sha256, digits) ==
             0) {
             (void)snprintf(name, CARO_NAME_SIZE, "%s",
-                           n->common.settings->operators[i].name);
+                           c->common.settings->operators[i].name);
             return true;
         }
     }
@@ -67,15 +86,15 @@
 }
 
 static Pending *
-new_pending(CaroNode *n, struct evhttp_request *req, const char *operator_name,
-            const char *subject, const char *what)
+new_pending(CaroConsole *c, struct evhttp_request *req,
+            const char *operator_name, const char *subject, const char *what)
 {
     Pending *p = calloc(1, sizeof(*p));
     if (p == NULL) {
         CaroHttp_Text(req, 503, "not done: no memory\n");
         return NULL;
     }
-    p->node = n;
+    p->console = c;
     p->req = req;
     CARO_COPY(p->what, what);
     CARO_COPY(p->subject, subject);
@@ -90,7 +109,7 @@
 end_pending(Pending *p, const char *verdict, const char *detail)
 {
     CaroReport r;
-    CaroDecisions_Add(p->node->common.decisions, CaroClock_WallMs(),
+    CaroDecisions_Add(p->console->common.decisions, CaroClock_WallMs(),
                       "operator", p->subject, verdict, "%s by %s; %s", p->what,
                       p->operator_name, detail);
     CaroLog_Info("operator", "A command ended. what=\"%s\" by=%s verdict=%s",
@@ -125,13 +144,14 @@
 
 /* A copy of the configuration in force, to be changed; or NULL. */
 static json_t *
-load_config(const CaroNode *n)
+load_config(const CaroConsole *c)
 {
-    if (CaroConfigKeeper_Get(n->keeper) == NULL) {
+    if (CaroConfigKeeper_Get(c->parts.keeper) == NULL) {
         return NULL;
     }
-    return json_loadb(CaroConfigKeeper_Get(n->keeper)->text,
-                      CaroConfigKeeper_Get(n->keeper)->text_size, 0, NULL);
+    return json_loadb(CaroConfigKeeper_Get(c->parts.keeper)->text,
+                      CaroConfigKeeper_Get(c->parts.keeper)->text_size, 0,
+                      NULL);
 }
 
 static void
@@ -162,35 +182,37 @@
 }
 
 static void
-run_change(CaroNode *n, struct evhttp_request *req, const CaroCommand *c,
-           const char *by)
+run_change(CaroConsole *c, struct evhttp_request *req,
+           const CaroCommand *command, const char *by)
 {
     char what[64];
     int64_t now_ms = CaroClock_WallMs();
-    json_t *root = load_config(n);
-    json_t *d = CaroConfig_FindJson(root, "deployments", c->subject);
+    json_t *root = load_config(c);
+    json_t *d = CaroConfig_FindJson(root, "deployments", command->subject);
     if (d == NULL) {
         CaroHttp_Text(req, HTTP_OK, "not done: no such deployment; try dep\n");
         json_decref(root);
         return;
     }
-    if (c->kind == CARO_CMD_UNDO && json_object_get(d, "rollout") == NULL) {
+    if (command->kind == CARO_CMD_UNDO &&
+        json_object_get(d, "rollout") == NULL) {
         CaroHttp_Text(req, HTTP_OK, "not done: nothing moves there\n");
         json_decref(root);
         return;
     }
-    if (c->kind == CARO_CMD_MOVE) {
-        set_move(d, c, now_ms);
-        (void)snprintf(what, sizeof(what), "mv %.20s %.20s", c->subject,
-                       c->move.version);
+    if (command->kind == CARO_CMD_MOVE) {
+        set_move(d, command, now_ms);
+        (void)snprintf(what, sizeof(what), "mv %.20s %.20s", command->subject,
+                       command->move.version);
     }
     else {
         set_undone(d, by);
-        (void)snprintf(what, sizeof(what), "undo %.20s", c->subject);
+        (void)snprintf(what, sizeof(what), "undo %.20s", command->subject);
     }
-    Pending *p = new_pending(n, req, by, c->subject, what);
+    Pending *p = new_pending(c, req, by, command->subject, what);
     if (p != NULL) {
-        CaroConfigKeeper_Change(n->keeper, root, by, on_config_changed, p);
+        CaroConfigKeeper_Change(c->parts.keeper, root, by, on_config_changed,
+                                p);
     }
     json_decref(root);
 }
@@ -208,12 +230,12 @@
 
 /* An upstream leaves: no new work, what runs there ends. */
 static void
-drain_upstream(CaroNode *n, struct evhttp_request *req, const CaroCommand *c,
-               const char *by)
+drain_upstream(CaroConsole *c, struct evhttp_request *req,
+               const CaroCommand *command, const char *by)
 {
     char what[64];
-    json_t *root = load_config(n);
-    json_t *u = CaroConfig_FindJson(root, "upstreams", c->subject);
+    json_t *root = load_config(c);
+    json_t *u = CaroConfig_FindJson(root, "upstreams", command->subject);
     if (u == NULL) {
         CaroHttp_Text(req, HTTP_OK,
                       "not done: no such VM or upstream;\n  try vm or up\n");
@@ -221,45 +243,47 @@
         return;
     }
     json_object_set_new(u, "leaving", json_true());
-    (void)snprintf(what, sizeof(what), "drain %.31s", c->subject);
-    Pending *p = new_pending(n, req, by, c->subject, what);
+    (void)snprintf(what, sizeof(what), "drain %.31s", command->subject);
+    Pending *p = new_pending(c, req, by, command->subject, what);
     if (p != NULL) {
-        CaroConfigKeeper_Change(n->keeper, root, by, on_config_changed, p);
+        CaroConfigKeeper_Change(c->parts.keeper, root, by, on_config_changed,
+                                p);
     }
     json_decref(root);
 }
 
 static void
-run_drain(CaroNode *n, struct evhttp_request *req, const CaroCommand *c,
-          const char *by)
+run_drain(CaroConsole *c, struct evhttp_request *req,
+          const CaroCommand *command, const char *by)
 {
     char what[64];
-    CaroHandle vm = CaroMembership_Find(n->common.membership, c->subject);
+    CaroHandle vm =
+        CaroMembership_Find(c->common.membership, command->subject);
     if (vm == CARO_NO_HANDLE) {
-        drain_upstream(n, req, c, by);
+        drain_upstream(c, req, command, by);
         return;
     }
-    (void)snprintf(what, sizeof(what), "drain %.31s", c->subject);
-    Pending *p = new_pending(n, req, by, c->subject, what);
+    (void)snprintf(what, sizeof(what), "drain %.31s", command->subject);
+    Pending *p = new_pending(c, req, by, command->subject, what);
     if (p == NULL) {
         return;
     }
     if (vm == CARO_SELF) {
-        CaroNode_Drain(n);
+        c->parts.drain(c->parts.context);
         end_pending(p, "done", "the VM leaves; see vm");
         return;
     }
     caro_heartbeat h;
     memset(&h, 0, sizeof(h));
-    h.sender = (char *)n->common.settings->vm;
+    h.sender = (char *)c->common.settings->vm;
     CaroRpc_Call(
-        n->common.rpc, CaroMembership_Get(n->common.membership, vm)->peer,
+        c->common.rpc, CaroMembership_Get(c->common.membership, vm)->peer,
         CARO_RPC_TCP, CARO_DRAIN, &h, DRAIN_TIMEOUT, on_drain_answer, p);
 }
 
 /* A command that waits for the configuration. */
 typedef struct {
-    CaroNode *node;
+    CaroConsole *console;
     struct evhttp_request *req;
     CaroCommand command;
     char by[CARO_NAME_SIZE];
@@ -276,10 +300,10 @@
                       "  not begun\n");
     }
     else if (w->command.kind == CARO_CMD_DRAIN) {
-        run_drain(w->node, w->req, &w->command, w->by);
+        run_drain(w->console, w->req, &w->command, w->by);
     }
     else {
-        run_change(w->node, w->req, &w->command, w->by);
+        run_change(w->console, w->req, &w->command, w->by);
     }
     free(w);
 }
@@ -287,7 +311,7 @@
 /* A change is made from the configuration that the store holds, also when
    an earlier one took effect unseen. */
 static void
-run_on_newest(CaroNode *n, struct evhttp_request *req,
+run_on_newest(CaroConsole *c, struct evhttp_request *req,
               const CaroCommand *command, const char *by)
 {
     Waiting *w = calloc(1, sizeof(*w));
@@ -295,15 +319,15 @@
         CaroHttp_Text(req, HTTP_OK, "not done: no memory\n");
         return;
     }
-    w->node = n;
+    w->console = c;
     w->req = req;
     w->command = *command;
     CARO_COPY(w->by, by);
-    CaroConfigKeeper_Refresh(n->keeper, on_refreshed, w);
+    CaroConfigKeeper_Refresh(c->parts.keeper, on_refreshed, w);
 }
 
 void
-CaroNode_OnCommand(CaroNode *n, struct evhttp_request *req, CaroTime now)
+CaroConsole_OnCommand(CaroConsole *c, struct evhttp_request *req, CaroTime now)
 {
     enum { LINE_SIZE = 128 };
     char line[LINE_SIZE];
@@ -311,7 +335,7 @@
     size_t size;
     CaroCommand command;
     CaroError err;
-    if (!CaroNode_CheckOperator(n, req, by)) {
+    if (!check_operator(c, req, by)) {
         return;
     }
     const char *body = CaroHttp_Body(req, &size);
@@ -328,25 +352,26 @@
     case CARO_CMD_MOVE:
     case CARO_CMD_UNDO:
     case CARO_CMD_DRAIN:
-        run_on_newest(n, req, &command, by);
+        run_on_newest(c, req, &command, by);
         break;
     case CARO_CMD_WHY:
-        CaroNode_AskWhy(n, req, command.subject);
+        CaroConsole_AskWhy(c, req, command.subject);
         break;
     default:
-        CaroNode_RunReport(n, req, &command, now);
+        CaroConsole_Report(c, req, &command, now);
         break;
     }
 }
 
 /* "GET /v1/config": the configuration in force and its revision. */
 static void
-send_config(CaroNode *n, struct evhttp_request *req)
+send_config(CaroConsole *c, struct evhttp_request *req)
 {
-    json_t *root = load_config(n);
-    json_t *value = json_pack("{s:I, s:o*}", "revision",
-                              (json_int_t)CaroConfigKeeper_Revision(n->keeper),
-                              "config", root);
+    json_t *root = load_config(c);
+    json_t *value =
+        json_pack("{s:I, s:o*}", "revision",
+                  (json_int_t)CaroConfigKeeper_Revision(c->parts.keeper),
+                  "config", root);
     CaroHttp_Json(req, HTTP_OK, value);
     json_decref(value);
 }
@@ -356,7 +381,7 @@
  * in which case it must have been made from the revision in force.
  */
 static void
-put_config(CaroNode *n, struct evhttp_request *req, const char *by)
+put_config(CaroConsole *c, struct evhttp_request *req, const char *by)
 {
     size_t size;
     json_error_t at;
@@ -371,31 +396,44 @@
         return;
     }
     if (config != NULL &&
-        revision != (json_int_t)CaroConfigKeeper_Revision(n->keeper)) {
+        revision != (json_int_t)CaroConfigKeeper_Revision(c->parts.keeper)) {
         CaroHttp_Text(req, HTTP_OK,
                       "not done: put config\n"
                       "  made from another revision; get again\n");
         json_decref(root);
         return;
     }
-    Pending *p = new_pending(n, req, by, "config", "put config");
+    Pending *p = new_pending(c, req, by, "config", "put config");
     if (p != NULL) {
-        CaroConfigKeeper_Change(n->keeper, config != NULL ? config : root, by,
+        CaroConfigKeeper_Change(c->parts.keeper,
+                                config != NULL ? config : root, by,
                                 on_config_changed, p);
     }
     json_decref(root);
 }
 
 void
-CaroNode_OnConfig(CaroNode *n, struct evhttp_request *req)
+CaroConsole_OnConfig(CaroConsole *c, struct evhttp_request *req)
 {
     char by[CARO_NAME_SIZE];
-    if (!CaroNode_CheckOperator(n, req, by)) {
+    if (!check_operator(c, req, by)) {
         return;
     }
     if (evhttp_request_get_command(req) == EVHTTP_REQ_GET) {
-        send_config(n, req);
+        send_config(c, req);
         return;
     }
-    put_config(n, req, by);
+    put_config(c, req, by);
+}
+
+void
+CaroConsole_OnDump(CaroConsole *c, struct evhttp_request *req, CaroTime now)
+{
+    char by[CARO_NAME_SIZE];
+    if (!check_operator(c, req, by)) {
+        return;
+    }
+    json_t *value = CaroConsole_Dump(c, now);
+    CaroHttp_Json(req, HTTP_OK, value);
+    json_decref(value);
 }
--- a/Modules/node_dump.c
+++ b/Modules/console_dump.c
@@ -1,39 +1,42 @@
 /* The dump of a node's state as JSON, and its counters as text. */
-#include "internal/caro_node_state.h"
+#include "internal/caro_console_parts.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
 
 #include <inttypes.h>
 #include <stdio.h>
 
 static json_t *
-dump_members(CaroNode *n)
+dump_members(const CaroConsole *c)
 {
     json_t *list = json_array();
-    for (CaroHandle h = 0; h < CaroMembership_Count(n->common.membership);
+    for (CaroHandle h = 0; h < CaroMembership_Count(c->common.membership);
          h++) {
-        const CaroVm *vm = CaroMembership_Get(n->common.membership, h);
+        const CaroVm *vm = CaroMembership_Get(c->common.membership, h);
         json_array_append_new(
             list, json_pack("{s:s, s:s, s:s, s:s, s:I}", "vm", vm->name,
-                            "state", CaroNode_StateWord(vm->state), "domain",
-                            vm->domain, "http", vm->http, "incarnation",
-                            (json_int_t)vm->incarnation));
+                            "state", CaroConsole_StateWord(vm->state),
+                            "domain", vm->domain, "http", vm->http,
+                            "incarnation", (json_int_t)vm->incarnation));
     }
     return list;
 }
 
 static json_t *
-dump_upstreams(CaroNode *n, CaroTime now)
+dump_upstreams(const CaroConsole *c, CaroTime now)
 {
     json_t *list = json_array();
-    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->common.upstreams); h++) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(c->common.upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(c->common.upstreams, h);
         json_array_append_new(
             list,
             json_pack("{s:s, s:s, s:s, s:b, s:i, s:f, s:I, s:I}", "name",
                       u->name, "deployment", u->deployment, "version",
                       u->version, "usable",
-                      CaroUpstreams_IsUsable(n->common.upstreams, h, now),
+                      CaroUpstreams_IsUsable(c->common.upstreams, h, now),
                       "in_flight", u->in_flight, "load",
-                      CaroUpstreams_Load(n->common.upstreams, h, now),
+                      CaroUpstreams_Load(c->common.upstreams, h, now),
                       "requests", (json_int_t)u->requests_total, "failures",
                       (json_int_t)u->failures_total));
     }
@@ -58,31 +61,26 @@
                         view->is_admitted, "caller", view->has_caller));
 }
 
-void
-CaroNode_OnDump(CaroNode *n, struct evhttp_request *req, CaroTime now)
+json_t *
+CaroConsole_Dump(const CaroConsole *c, CaroTime now)
 {
-    char by[CARO_NAME_SIZE];
-    if (!CaroNode_CheckOperator(n, req, by)) {
-        return;
-    }
     json_t *sessions = json_array();
-    CaroSessions_Each(n->sessions, dump_session, sessions);
-    json_t *value = json_pack(
+    CaroSessions_Each(c->parts.sessions, dump_session, sessions);
+    return json_pack(
         "{s:s, s:I, s:b, s:o, s:o, s:o, s:I, s:I, s:i, s:I}", "vm",
-        n->common.settings->vm, "config_revision",
-        (json_int_t)CaroConfigKeeper_Revision(n->keeper), "draining",
-        n->is_draining, "members", dump_members(n), "upstreams",
-        dump_upstreams(n, now), "sessions", sessions, "journal_bytes",
-        (json_int_t)CaroSessions_JournalBytes(n->sessions), "copy_bytes",
-        (json_int_t)CaroSessions_CopyBytes(n->sessions), "order_records",
-        CaroOrderDesk_Records(n->orders), "cpu_us",
+        c->common.settings->vm, "config_revision",
+        (json_int_t)CaroConfigKeeper_Revision(c->parts.keeper), "draining",
+        c->parts.is_draining(c->parts.context), "members", dump_members(c),
+        "upstreams", dump_upstreams(c, now), "sessions", sessions,
+        "journal_bytes",
+        (json_int_t)CaroSessions_JournalBytes(c->parts.sessions), "copy_bytes",
+        (json_int_t)CaroSessions_CopyBytes(c->parts.sessions), "order_records",
+        CaroOrderDesk_Records(c->parts.orders), "cpu_us",
         (json_int_t)CaroClock_Cpu());
-    CaroHttp_Json(req, HTTP_OK, value);
-    json_decref(value);
 }
 
 void
-CaroNode_OnCounters(CaroNode *n, struct evhttp_request *req)
+CaroConsole_OnCounters(CaroConsole *c, struct evhttp_request *req)
 {
     enum { TEXT_SIZE = 8192 };
     char text[TEXT_SIZE];
@@ -90,12 +88,12 @@
     for (int i = 0; i < CARO_COUNTERS; i++) {
         at += (size_t)snprintf(
             text + at, sizeof(text) - at, "%s %" PRIu64 "\n",
-            CaroCounters_Name((CaroCounter)i), n->counters.values[i]);
+            CaroCounters_Name((CaroCounter)i), c->common.counters->values[i]);
     }
     (void)snprintf(text + at, sizeof(text) - at,
                    "udp_bytes %" PRIu64 "\ntcp_peer_bytes %" PRIu64
                    "\ncpu_us %" PRId64 "\n",
-                   CaroRpc_UdpBytes(n->common.rpc),
-                   CaroRpc_TcpBytes(n->common.rpc), CaroClock_Cpu());
+                   CaroRpc_UdpBytes(c->common.rpc),
+                   CaroRpc_TcpBytes(c->common.rpc), CaroClock_Cpu());
     CaroHttp_Text(req, HTTP_OK, text);
 }
--- a/Modules/node_reports.c
+++ b/Modules/console_reports.c
@@ -1,9 +1,10 @@
 /*
  * Reports for operators: at most 40 columns and 20 lines, the worst first.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_console_parts.h"
 
-#include "internal/caro_command.h"
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
 #include "internal/caro_report.h"
 
 #include <inttypes.h>
@@ -12,52 +13,54 @@
 #include <string.h>
 
 const char *
-CaroNode_StateWord(caro_member_state state)
+CaroConsole_StateWord(caro_member_state state)
 {
     static const char *const words[] = {"ok", "SUSPECT", "leaving", "DEAD"};
     return words[state];
 }
 
 static int
-count_upstreams(CaroNode *n, CaroTime now, bool is_usable)
+count_upstreams(CaroConsole *c, CaroTime now, bool is_usable)
 {
     int count = 0;
-    for (CaroHandle h = 0; h < CaroUpstreams_Count(n->common.upstreams); h++) {
-        const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
-        count += !u->is_leaving && CaroUpstreams_IsUsable(n->common.upstreams,
+    for (CaroHandle h = 0; h < CaroUpstreams_Count(c->common.upstreams); h++) {
+        const CaroUpstream *u = CaroUpstreams_Get(c->common.upstreams, h);
+        count += !u->is_leaving && CaroUpstreams_IsUsable(c->common.upstreams,
                                                           h, now) == is_usable;
     }
     return count;
 }
 
 static void
-report_status(CaroNode *n, CaroReport *r, CaroTime now)
+report_status(CaroConsole *c, CaroReport *r, CaroTime now)
 {
-    const uint64_t *c = n->counters.values;
-    int usable = CaroMembership_CountUsable(n->common.membership);
-    int all = CaroMembership_Count(n->common.membership);
-    int bad = count_upstreams(n, now, false);
-    bool is_store_away = CaroConfigKeeper_IsStoreAway(n->keeper);
+    const uint64_t *count = c->common.counters->values;
+    int usable = CaroMembership_CountUsable(c->common.membership);
+    int all = CaroMembership_Count(c->common.membership);
+    int bad = count_upstreams(c, now, false);
+    bool is_store_away = CaroConfigKeeper_IsStoreAway(c->parts.keeper);
     bool is_well = usable == all && bad == 0 && !is_store_away;
     CaroReport_Line(r, "%s  seen by %s", is_well ? "ok" : "LOOK",
-                    n->common.settings->vm);
+                    c->common.settings->vm);
     CaroReport_Line(r, "vms    %d of %d usable", usable, all);
     CaroReport_Line(r, "up     %d usable, %d avoided",
-                    count_upstreams(n, now, true), bad);
+                    count_upstreams(c, now, true), bad);
     CaroReport_Line(r, "store  %s", is_store_away ? "AWAY" : "answers");
     CaroReport_Line(r, "config rev %" PRIu64,
-                    CaroConfigKeeper_Revision(n->keeper));
+                    CaroConfigKeeper_Revision(c->parts.keeper));
     CaroReport_Line(r, "gen    %u now, %" PRIu64 " done, %" PRIu64 " failed",
-                    (unsigned)CaroSessions_Count(n->sessions),
-                    c[CARO_COUNT_GENERATIONS_DONE],
-                    c[CARO_COUNT_GENERATIONS_FAILED]);
+                    (unsigned)CaroSessions_Count(c->parts.sessions),
+                    count[CARO_COUNT_GENERATIONS_DONE],
+                    count[CARO_COUNT_GENERATIONS_FAILED]);
     CaroReport_Line(r, "resume %" PRIu64 ", taken over %" PRIu64,
-                    c[CARO_COUNT_RESUMES], c[CARO_COUNT_TAKEOVERS]);
+                    count[CARO_COUNT_RESUMES], count[CARO_COUNT_TAKEOVERS]);
     CaroReport_Line(r, "orders %" PRIu64 " done, %" PRIu64 " unknown",
-                    c[CARO_COUNT_ORDERS_DONE], c[CARO_COUNT_ORDERS_UNKNOWN]);
-    for (int i = 0; i < CaroAdmissions_Count(n->admissions); i++) {
+                    count[CARO_COUNT_ORDERS_DONE],
+                    count[CARO_COUNT_ORDERS_UNKNOWN]);
+    for (int i = 0; i < CaroAdmissions_Count(c->parts.admissions); i++) {
         const char *name;
-        const CaroAdmission *a = CaroAdmissions_At(n->admissions, i, &name);
+        const CaroAdmission *a =
+            CaroAdmissions_At(c->parts.admissions, i, &name);
         CaroReport_Line(r, "%-10.10s %d run of %d, %d wait", name,
                         CaroAdmission_Running(a), CaroAdmission_Limit(a),
                         CaroAdmission_Waiting(a));
@@ -65,33 +68,33 @@
 }
 
 static void
-report_vms(CaroNode *n, CaroReport *r)
+report_vms(CaroConsole *c, CaroReport *r)
 {
     static const caro_member_state order[] = {
         CARO_MEMBER_DEAD, CARO_MEMBER_SUSPECT, CARO_MEMBER_LEAVING,
         CARO_MEMBER_ALIVE};
     for (int i = 0; i < 4; i++) {
-        for (CaroHandle h = 0; h < CaroMembership_Count(n->common.membership);
+        for (CaroHandle h = 0; h < CaroMembership_Count(c->common.membership);
              h++) {
-            const CaroVm *vm = CaroMembership_Get(n->common.membership, h);
+            const CaroVm *vm = CaroMembership_Get(c->common.membership, h);
             if (vm->state == order[i]) {
                 CaroReport_Line(r, "%-10.10s %-7s %s", vm->name,
-                                CaroNode_StateWord(vm->state), vm->http);
+                                CaroConsole_StateWord(vm->state), vm->http);
             }
         }
     }
 }
 
 static void
-report_upstreams(CaroNode *n, CaroReport *r, const char *deployment,
+report_upstreams(CaroConsole *c, CaroReport *r, const char *deployment,
                  CaroTime now)
 {
     for (int pass = 0; pass < 2; pass++) {
-        for (CaroHandle h = 0; h < CaroUpstreams_Count(n->common.upstreams);
+        for (CaroHandle h = 0; h < CaroUpstreams_Count(c->common.upstreams);
              h++) {
-            const CaroUpstream *u = CaroUpstreams_Get(n->common.upstreams, h);
+            const CaroUpstream *u = CaroUpstreams_Get(c->common.upstreams, h);
             bool is_usable =
-                CaroUpstreams_IsUsable(n->common.upstreams, h, now);
+                CaroUpstreams_IsUsable(c->common.upstreams, h, now);
             bool is_other = deployment[0] != '\0' &&
                             strcmp(u->deployment, deployment) != 0;
             if (is_usable != (pass == 1) || is_other) {
@@ -103,31 +106,32 @@
             CaroReport_Line(
                 r, "%-9.9s %-7s %-7.7s %-4.4s %3.0f%%", u->name, word,
                 u->domain, u->version,
-                100.0 * CaroUpstreams_Load(n->common.upstreams, h, now));
+                100.0 * CaroUpstreams_Load(c->common.upstreams, h, now));
         }
     }
 }
 
 static void
-report_deployments(CaroNode *n, CaroReport *r)
+report_deployments(CaroConsole *c, CaroReport *r)
 {
     static const char *const words[] = {"", "moving", "done", "UNDONE"};
-    for (int i = 0; CaroConfigKeeper_Get(n->keeper) != NULL &&
-                    i < CaroConfigKeeper_Get(n->keeper)->n_deployments;
+    for (int i = 0; CaroConfigKeeper_Get(c->parts.keeper) != NULL &&
+                    i < CaroConfigKeeper_Get(c->parts.keeper)->n_deployments;
          i++) {
         const CaroDeployment *d =
-            &CaroConfigKeeper_Get(n->keeper)->deployments[i];
+            &CaroConfigKeeper_Get(c->parts.keeper)->deployments[i];
         const CaroRolloutPlan *p = &d->rollout;
         CaroReport_Line(r, "%-14.14s %-10.10s %s", d->name, d->version,
                         words[p->state]);
         if (p->state != CARO_ROLLOUT_NONE) {
             CaroReport_Line(r, "  %.12s to %.12s", p->from, p->to);
         }
-        const CaroVersionMove *move = CaroVersionMoves_Find(n->moves, d->name);
+        const CaroVersionMove *move =
+            CaroVersionMoves_Find(c->parts.moves, d->name);
         if (p->state == CARO_ROLLOUT_MOVING && move != NULL) {
             char text[96];
             double share = CaroRollout_Share(
-                p, CaroVersionMoves_Pace(n->moves), CaroClock_WallMs());
+                p, CaroVersionMoves_Pace(c->parts.moves), CaroClock_WallMs());
             bool is_bad = CaroRollout_IsBad(move->rollout);
             CaroReport_Line(r, "  share %.1f%%%s", is_bad ? 0.0 : 100 * share,
                             is_bad ? ", taken back" : "");
@@ -178,10 +182,10 @@
 }
 
 static void
-report_top(CaroNode *n, CaroReport *r)
+report_top(CaroConsole *c, CaroReport *r)
 {
     Top top = {.n = 0};
-    CaroSessions_Each(n->sessions, count_account, &top);
+    CaroSessions_Each(c->parts.sessions, count_account, &top);
     qsort(top.rows, (size_t)top.n, sizeof(top.rows[0]), compare_counts);
     for (int i = 0; i < top.n; i++) {
         CaroReport_Line(r, "%-24.24s %5d now", top.rows[i].account,
@@ -189,7 +193,7 @@
     }
     if (top.n == 0) {
         CaroReport_Line(r, "no account has work on %s",
-                        n->common.settings->vm);
+                        c->common.settings->vm);
     }
 }
 
@@ -210,26 +214,26 @@
 }
 
 void
-CaroNode_RunReport(CaroNode *n, struct evhttp_request *req,
-                   const CaroCommand *c, CaroTime now)
+CaroConsole_Report(CaroConsole *c, struct evhttp_request *req,
+                   const CaroCommand *command, CaroTime now)
 {
     CaroReport r;
     CaroReport_Init(&r);
-    switch (c->kind) {
+    switch (command->kind) {
     case CARO_CMD_STATUS:
-        report_status(n, &r, now);
+        report_status(c, &r, now);
         break;
     case CARO_CMD_VMS:
-        report_vms(n, &r);
+        report_vms(c, &r);
         break;
     case CARO_CMD_UPSTREAMS:
-        report_upstreams(n, &r, c->subject, now);
+        report_upstreams(c, &r, command->subject, now);
         break;
     case CARO_CMD_DEPLOYMENTS:
-        report_deployments(n, &r);
+        report_deployments(c, &r);
         break;
     case CARO_CMD_TOP:
-        report_top(n, &r);
+        report_top(c, &r);
         break;
     default:
         report_help(&r);
--- a/Modules/node_why.c
+++ b/Modules/console_why.c
@@ -5,8 +5,10 @@
  * answers when all have answered or the time is over.  What several VMs
  * decided alike is shown once.
  */
-#include "internal/caro_node_state.h"
+#include "internal/caro_console_parts.h"
 
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
 #include "internal/caro_report.h"
 
 #include <stdio.h>
@@ -29,7 +31,7 @@
 
 /* One question on its way. */
 typedef struct {
-    CaroNode *node;
+    CaroConsole *console;
     struct evhttp_request *req; /* NULL when the operator left. */
     char subject[CARO_NAME_SIZE];
     int open;
@@ -47,13 +49,13 @@
 
 /* The newest matches of this node; returns how many. */
 static int
-collect_own(const CaroNode *n, const char *subject,
+collect_own(const CaroConsole *c, const char *subject,
             const CaroDecision *found[CARO_WHY_MAX])
 {
     const CaroDecision *d;
     int count = 0;
     for (int age = 0; count < CARO_WHY_MAX; age++) {
-        d = CaroDecisions_Get(n->common.decisions, age);
+        d = CaroDecisions_Get(c->common.decisions, age);
         if (d == NULL) {
             break;
         }
@@ -65,11 +67,12 @@
 }
 
 void
-CaroNode_OnWhy(CaroNode *n, CaroRpcRequest *request, const caro_why_args *args)
+CaroConsole_OnWhy(CaroConsole *c, CaroRpcRequest *request,
+                  const caro_why_args *args)
 {
     const CaroDecision *found[CARO_WHY_MAX];
     caro_decision out[CARO_WHY_MAX];
-    int count = collect_own(n, args->subject, found);
+    int count = collect_own(c, args->subject, found);
     for (int i = 0; i < count; i++) {
         out[i].wall_ms = found[i]->wall_ms;
         out[i].part = (char *)found[i]->part;
@@ -77,7 +80,7 @@
         out[i].action = (char *)found[i]->action;
         out[i].cause = (char *)found[i]->cause;
     }
-    caro_why_reply reply = {.vm = (char *)n->common.settings->vm};
+    caro_why_reply reply = {.vm = (char *)c->common.settings->vm};
     reply.decisions.decisions_len = (u_int)count;
     reply.decisions.decisions_val = out;
     CaroRpc_Reply(request, &reply);
@@ -187,17 +190,17 @@
 static void
 ask_others(Gather *g)
 {
-    CaroNode *n = g->node;
+    CaroConsole *c = g->console;
     caro_why_args args = {.subject = g->subject};
-    for (CaroHandle h = 1; h < CaroMembership_Count(n->common.membership);
+    for (CaroHandle h = 1; h < CaroMembership_Count(c->common.membership);
          h++) {
         if (g->open == ASKED_MAX) {
             return;
         }
-        if (CaroMembership_IsUsable(n->common.membership, h)) {
+        if (CaroMembership_IsUsable(c->common.membership, h)) {
             g->open++;
-            CaroRpc_Call(n->common.rpc,
-                         CaroMembership_Get(n->common.membership, h)->peer,
+            CaroRpc_Call(c->common.rpc,
+                         CaroMembership_Get(c->common.membership, h)->peer,
                          CARO_RPC_TCP, CARO_WHY, &args, ASK_TIMEOUT, on_reply,
                          g);
         }
@@ -205,7 +208,8 @@
 }
 
 void
-CaroNode_AskWhy(CaroNode *n, struct evhttp_request *req, const char *subject)
+CaroConsole_AskWhy(CaroConsole *c, struct evhttp_request *req,
+                   const char *subject)
 {
     const CaroDecision *found[CARO_WHY_MAX];
     Gather *g = calloc(1, sizeof(*g));
@@ -213,14 +217,14 @@
         CaroHttp_Text(req, 503, "no memory\n");
         return;
     }
-    g->node = n;
+    g->console = c;
     g->req = req;
     CARO_COPY(g->subject, subject);
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_operator_left, g);
-    int count = collect_own(n, subject, found);
+    int count = collect_own(c, subject, found);
     for (int i = 0; i < count; i++) {
-        add_row(g, n->common.settings->vm, found[i]);
+        add_row(g, c->common.settings->vm, found[i]);
     }
     ask_others(g);
     if (g->open == 0) {
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -4,7 +4,15 @@
  * One loop on one thread.  The fast tick drives sessions, membership and
  * admission; the slow tick drives what may lag by a second.
  */
-#include "internal/caro_node_state.h"
+#include "caro_node.h"
+
+#include "../Filters/caro_filters.h"
+#include "internal/caro_addresses.h"
+#include "internal/caro_clock.h"
+#include "internal/caro_console.h"
+#include "internal/caro_fleet.h"
+#include "internal/caro_log.h"
+#include "internal/caro_order_front.h"
 
 #include <event2/bufferevent.h>
 #include <stdlib.h>
@@ -17,6 +25,33 @@
 
 enum { DECISIONS_KEPT = 512, HEADER_BYTES_MAX = 16384 };
 
+struct CaroNode {
+    CaroCommon common;
+    CaroSettings settings; /* common borrows it, */
+    uint64_t rng;          /* this */
+    CaroCounters counters; /* and this. */
+    struct evhttp *http;
+    struct event *tick_event;
+    gsl_rng *generator; /* Of the fleet. */
+    CaroFleet *fleet;
+    CaroOrderDesk *orders;
+    CaroOrderFront *order_front;
+    CaroConsole *console;
+    CaroLoadPoller *poller;
+    CaroAdmissions *admissions;
+    CaroConfigKeeper *keeper;
+    CaroVersionMoves *moves;
+    CaroSessions *sessions;
+
+    CaroTime awake;     /* Clock that stops while the process is stopped. */
+    CaroTime last_tick; /* On the monotonic clock. */
+    CaroTime next_slow_tick;
+
+    bool is_draining;
+    CaroTime drain_until;
+    CaroTime idle_since; /* While draining; 0 when it has work. */
+};
+
 /* The awake clock gains no more in one tick than a late tick would. */
 static void
 advance_clocks(CaroNode *n, CaroTime now)
@@ -139,6 +174,18 @@
     CaroFleet_Announce(n->fleet, FLAG_FANOUT);
 }
 
+static void
+on_drain_asked(void *context)
+{
+    CaroNode_Drain(context);
+}
+
+static bool
+is_draining(const void *context)
+{
+    return ((const CaroNode *)context)->is_draining;
+}
+
 /* What needs the RPC as well. */
 static int
 create_parts(CaroNode *n, CaroTime now)
@@ -153,10 +200,19 @@
     CaroSessionParts parts = {
         .admissions = n->admissions, .poller = n->poller, .moves = n->moves};
     n->sessions = CaroSessions_Create(&n->common, &parts);
-    bool is_good = n->sessions != NULL && n->keeper != NULL &&
-                   n->moves != NULL && n->admissions != NULL &&
-                   n->poller != NULL && n->orders != NULL &&
-                   n->order_front != NULL;
+    CaroConsoleParts shown = {.keeper = n->keeper,
+                              .moves = n->moves,
+                              .admissions = n->admissions,
+                              .sessions = n->sessions,
+                              .orders = n->orders,
+                              .drain = on_drain_asked,
+                              .is_draining = is_draining,
+                              .context = n};
+    n->console = CaroConsole_Create(&n->common, &shown);
+    bool is_good = n->console != NULL && n->sessions != NULL &&
+                   n->keeper != NULL && n->moves != NULL &&
+                   n->admissions != NULL && n->poller != NULL &&
+                   n->orders != NULL && n->order_front != NULL;
     return is_good ? 0 : CARO_ERR_NOMEM;
 }
 
@@ -248,7 +304,7 @@
         CaroFleet_Answer(n->fleet, request, ((caro_heartbeat *)args)->sender);
         break;
     case CARO_WHY:
-        CaroNode_OnWhy(n, request, args);
+        CaroConsole_OnWhy(n->console, request, args);
         break;
     default:
         CaroRpc_Ignore(request);
@@ -294,6 +350,64 @@
     return 0;
 }
 
+static bool
+is_method(struct evhttp_request *req, enum evhttp_cmd_type method,
+          const char *name)
+{
+    if (evhttp_request_get_command(req) == method) {
+        return true;
+    }
+    CaroHttp_Problem(req, 405, CARO_RUN_NO, "method not allowed",
+                     "allowed: %s", name);
+    return false;
+}
+
+static void
+on_http(struct evhttp_request *req, void *context)
+{
+    CaroNode *n = context;
+    CaroTime now = CaroClock_Now();
+    const char *path = evhttp_uri_get_path(evhttp_request_get_evhttp_uri(req));
+    path = path == NULL ? "" : path;
+    if (strcmp(path, "/v1/completions") == 0) {
+        if (is_method(req, EVHTTP_REQ_POST, "POST")) {
+            CaroFilterParts parts = {.common = &n->common,
+                                     .keeper = n->keeper,
+                                     .sessions = n->sessions,
+                                     .is_draining = n->is_draining};
+            CaroFilters_Run(&parts, req, now);
+        }
+    }
+    else if (strncmp(path, "/v1/orders/", 11) == 0) {
+        CaroOrderFront_Take(n->order_front, req,
+                            CaroConfigKeeper_Get(n->keeper), now);
+    }
+    else if (strcmp(path, "/v1/addresses") == 0) {
+        if (is_method(req, EVHTTP_REQ_GET, "GET")) {
+            CaroAddresses_Answer(&n->common, req, now);
+        }
+    }
+    else if (strcmp(path, "/v1/command") == 0) {
+        if (is_method(req, EVHTTP_REQ_POST, "POST")) {
+            CaroConsole_OnCommand(n->console, req, now);
+        }
+    }
+    else if (strcmp(path, "/v1/config") == 0) {
+        CaroConsole_OnConfig(n->console, req);
+    }
+    else if (strcmp(path, "/v1/state") == 0) {
+        CaroConsole_OnDump(n->console, req, now);
+    }
+    else if (strcmp(path, "/v1/counters") == 0) {
+        CaroConsole_OnCounters(n->console, req);
+    }
+    else {
+        CaroHttp_Problem(req, 404, CARO_RUN_NO, "no such path",
+                         "found %.80s; docs/operators.md lists the paths",
+                         path);
+    }
+}
+
 static int
 serve_http(CaroNode *n, CaroError *err)
 {
@@ -311,7 +425,7 @@
         .tv_sec = n->common.settings->header_timeout_ms / 1000,
         .tv_usec = n->common.settings->header_timeout_ms % 1000 * 1000};
     evhttp_set_timeout_tv(n->http, &timeout);
-    evhttp_set_gencb(n->http, CaroNode_OnHttp, n);
+    evhttp_set_gencb(n->http, on_http, n);
     if (CaroHttp_SplitAddress(address, host, &port) < 0 ||
         evhttp_bind_socket(n->http, host, port) < 0) {
         return CaroError_Set(err, CARO_ERR_IO, "listen http", address,
@@ -407,6 +521,7 @@
         evhttp_free(n->http);
     }
     CaroFleet_Destroy(n->fleet);
+    CaroConsole_Destroy(n->console);
     CaroSessions_Destroy(n->sessions);
     CaroOrderFront_Destroy(n->order_front);
     CaroOrderDesk_Destroy(n->orders);
--- a/Test/run.sh
+++ b/Test/run.sh
@@ -42,7 +42,7 @@
 done
 
 # The measurements take no real time into account and run side by side.
-side_by_side=$(ls Test/fuzz_run.sh Test/model_*.sh Test/bench_*.sh)
+side_by_side=$(ls Test/layers.sh Test/fuzz_run.sh Test/model_*.sh Test/bench_*.sh)
 pids=()
 names=()
 for test in $side_by_side; do
--- a/Test/test_journal.c
+++ b/Test/test_journal.c
@@ -1,9 +1,11 @@
 /* Tests of journals and their tables. */
 #include "test.h"
 
+#include "internal/caro_event_id.h"
 #include "internal/caro_journal.h"
 
 #include <stdio.h>
+#include <string.h>
 
 static void
 test_append_and_read(void **state)
@@ -98,6 +100,33 @@
     CaroJournalTable_Destroy(t);
 }
 
+/* What is written is what is read; anything else is no id of ours. */
+static void
+test_event_ids(void **state)
+{
+    (void)state;
+    char text[128];
+    CaroEventId read;
+    CaroEventId written = {
+        .id = 0xfeed, .owner = "vm-1", .backup = "vm-2", .index = 4294967295u};
+    CaroEventId_Format(&written, text, sizeof(text));
+    assert_int_equal(CaroEventId_Parse(text, &read), 0);
+    assert_memory_equal(&read, &written, sizeof(read));
+    memset(written.backup, 0, sizeof(written.backup));
+    CaroEventId_Format(&written, text, sizeof(text));
+    assert_int_equal(CaroEventId_Parse(text, &read), 0);
+    assert_string_equal(read.backup, "");
+    static const char *const bad[] = {"",
+                                      "1",
+                                      "000000000000feed.a.b",
+                                      "000000000000feed.a.b.1x",
+                                      "000000000000FEED.a.b.1",
+                                      "feed.a.b.1"};
+    for (size_t i = 0; i < sizeof(bad) / sizeof(bad[0]); i++) {
+        assert_int_equal(CaroEventId_Parse(bad[i], &read), CARO_ERR_INPUT);
+    }
+}
+
 int
 main(void)
 {
@@ -107,6 +136,7 @@
         cmocka_unit_test(test_merge_refuses_gaps_and_bad_offsets),
         cmocka_unit_test(test_old_owner_and_equal_epoch_are_fenced),
         cmocka_unit_test(test_table_is_bounded_and_expires),
+        cmocka_unit_test(test_event_ids),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
