Tell news of the membership for four periods at least

Cause: news is told 2 log2(n) times by each VM, eight times at 13 VMs. The urgent messages of its first moment and their answers used that up within 20 ms. Ruled out: lost messages (twice as many urgent ones did not help), larger fanouts (fewer such cases, not none). Change: news stays in the messages for four periods at least.

--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -27,15 +27,17 @@
     EVENTS_MAX = 4096,
     URGENT_FANOUT = 4,
     SCORE_MAX = 8,        /* Largest doubt about ourselves. */
-    GOSSIP_FACTOR = 2,    /* Times log2(n) that news is told. */
+    GOSSIP_FACTOR = 2,    /* Times log2(n) that news is told, and */
+    TELL_PERIODS = 4,     /* for so many periods at least. */
     SUSPICION_FACTOR = 2, /* Times log2(n) periods from suspicion to death. */
     DEAD_PROBE_EVERY = 8  /* Each so many periods a dead VM is probed. */
 };
 
 typedef struct {
     CaroVm vm;
-    int tellings; /* How often the latest news was passed on. */
-    bool is_told; /* News stands to be told. */
+    int tellings;     /* How often the latest news was passed on. */
+    bool is_told;     /* News stands to be told. */
+    CaroTime news_at; /* When the latest news came. */
     CaroTime heard;
     CaroTime doubted_until; /* A message failed; see Doubt. */
     UT_hash_handle hh;      /* By name. */
@@ -99,6 +101,7 @@
     Member *e = &m->members[h];
     caro_member_state before = e->vm.state;
     e->tellings = 0;
+    e->news_at = now;
     m->n_news += !e->is_told;
     e->is_told = true;
     if (before == state) {
@@ -146,6 +149,7 @@
     e->vm.since = now;
     e->heard = now;
     e->is_told = true;
+    e->news_at = now;
     m->n_news++;
     HASH_ADD_STR(m->by_name, vm.name, e);
     if (h == m->n) {
@@ -532,7 +536,8 @@
         Member *e = &m->members[h];
         is_taken[h] = true;
         e->tellings++;
-        if (e->tellings >= most_tellings) {
+        if (e->tellings >= most_tellings &&
+            m->last_tick - e->news_at >= TELL_PERIODS * m->period) {
             e->is_told = false;
             m->n_news--;
         }
--- a/Test/test_membership.c
+++ b/Test/test_membership.c
@@ -202,6 +202,48 @@
     CaroMembership_Destroy(m);
 }
 
+static bool
+tells_of(CaroMembership *m, const char *name, caro_member_state state)
+{
+    caro_member_update updates[CARO_UPDATES_MAX];
+    int n = CaroMembership_Gossip(m, CARO_NO_HANDLE, updates);
+    for (int i = 0; i < n; i++) {
+        if (strcmp(updates[i].name, name) == 0 && updates[i].state == state) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* News that breaks is told to many within milliseconds.  A VM that none of
+   these messages reached asks somebody within a period, and has to find
+   that it is still told; otherwise it lists the lost VM until its death. */
+static void
+test_news_outlasts_its_first_moment(void **state)
+{
+    (void)state;
+    enum { FLEET = 13, FIRST_MOMENT = 40 };
+    CaroMembership *m = create();
+    char name[16];
+    for (int i = 2; i <= FLEET; i++) {
+        (void)snprintf(name, sizeof(name), "n%d", i);
+        assert_true(apply(m, name, 1, CARO_MEMBER_ALIVE));
+    }
+    assert_true(apply(m, "n5", 1, CARO_MEMBER_SUSPECT));
+    for (int i = 0; i < FIRST_MOMENT; i++) {
+        (void)tells_of(m, "n5", CARO_MEMBER_SUSPECT);
+    }
+    CaroMembership_Tick(m, 2 * PERIOD);
+    assert_true(tells_of(m, "n5", CARO_MEMBER_SUSPECT));
+    /* In the end all have been told. */
+    CaroMembership_Tick(m, 7 * PERIOD);
+    for (int i = 0; i < FIRST_MOMENT; i++) {
+        (void)tells_of(m, "n5", CARO_MEMBER_SUSPECT);
+    }
+    assert_false(tells_of(m, "n5", CARO_MEMBER_SUSPECT));
+    CaroMembership_Destroy(m);
+}
+
 int
 main(void)
 {
@@ -209,6 +251,7 @@
         cmocka_unit_test(test_higher_incarnation_then_worse_state_wins),
         cmocka_unit_test(test_a_vm_refutes_its_own_death),
         cmocka_unit_test(test_a_silent_vm_is_suspected_then_dead),
+        cmocka_unit_test(test_news_outlasts_its_first_moment),
         cmocka_unit_test(test_own_pause_blames_nobody),
         cmocka_unit_test(test_the_backup_is_in_another_domain),
         cmocka_unit_test(test_new_names_displace_the_longest_dead),
