Decide on silence from others' events in the controller

No change of behaviour but one: a plain request that gets no answer counts against its upstream as before, whatever others get there.

--- a/Controllers/patience.c
+++ b/Controllers/patience.c
@@ -11,6 +11,9 @@
 /* Of the objective, when no other prompt was to be read there: a second
    upstream can still meet it.  Behind others the wait may be their reading. */
 #define FIRST_EVENT_PART 0.6
+/* An engine that reads a prompt beside its streams gives each of them an
+   event in about 155 ms, which others tell within a hop. */
+#define OTHERS_GAP (200 * CARO_MS)
 /* An idempotent request that is late by its objective is asked for again;
    it would earn little at the first upstream. */
 #define PLAIN_PART 1.2
@@ -51,3 +54,20 @@
         return q->route->timeout;
     }
 }
+
+CaroTime
+CaroPatience_Until(const CaroPatienceQuery *q, CaroTime last_event,
+                   CaroTime heard_at)
+{
+    bool is_waiting = q->route->kind == CARO_ROUTE_STREAM && !q->has_events;
+    CaroTime from =
+        is_waiting && heard_at > last_event ? heard_at : last_event;
+    return from + CaroPatience_Of(q);
+}
+
+bool
+CaroPatience_IsOneSetAside(CaroTime last_event, CaroTime heard_at,
+                           CaroTime now)
+{
+    return heard_at > last_event && now - heard_at < OTHERS_GAP;
+}
--- a/Include/internal/caro_patience.h
+++ b/Include/internal/caro_patience.h
@@ -23,4 +23,20 @@
 
 CaroTime CaroPatience_Of(const CaroPatienceQuery *q);
 
+/*
+ * When an attempt counts as silent whose last event, or whose start, was at
+ * "last_event".  Prompts are read one after the other: before its first
+ * event any sign of life of the upstream ("heard_at", of whatever request)
+ * counts as its own.
+ */
+CaroTime CaroPatience_Until(const CaroPatienceQuery *q, CaroTime last_event,
+                            CaroTime heard_at);
+
+/*
+ * Whether the upstream of a stream that fell silent serves others: it has
+ * set this one aside, as engines do when their memory is full.
+ */
+bool CaroPatience_IsOneSetAside(CaroTime last_event, CaroTime heard_at,
+                                CaroTime now);
+
 #endif
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -29,9 +29,6 @@
 #define LOOK_AGAIN (40 * CARO_MS)
 /* An answer must leave before the caller's patience ends. */
 #define ANSWER_MARGIN (25 * CARO_MS)
-/* An engine that reads a prompt beside its streams gives each of them an
-   event in about 155 ms, which others tell within a hop. */
-#define OTHERS_GAP (200 * CARO_MS)
 /* Suggested to callers that found no upstream; engines that crash are back
    in about a second. */
 #define RETRY_AFTER_S 0.3
@@ -250,9 +247,14 @@
     (void)event_add(r->timer, &t);
 }
 
+/* When the present attempt counts as silent. */
 static CaroTime
-patience_of(const CaroRelay *r)
+silent_at(const CaroRelay *r)
 {
+    if (!CaroAttempt_IsRepeatable(&r->attempt) || r->is_paused ||
+        r->target == CARO_NO_HANDLE) {
+        return r->attempt.deadline;
+    }
     CaroPatienceQuery q = {.route = &r->route,
                            .has_events = CaroStreamPass_HasEvents(r->pass),
                            .is_doubted = r->is_doubted,
@@ -261,25 +263,9 @@
                            .is_first = r->attempt.runs == 0,
                            .has_been_passed =
                                CaroStreamPass_LastId(r->pass) >= 0};
-    return CaroPatience_Of(&q);
-}
-
-/* When the present attempt counts as silent. */
-static CaroTime
-silent_at(const CaroRelay *r)
-{
-    if (!CaroAttempt_IsRepeatable(&r->attempt) || r->is_paused ||
-        r->target == CARO_NO_HANDLE) {
-        return r->attempt.deadline;
-    }
-    CaroTime heard = r->last_event;
-    if (is_stream(r) && !CaroStreamPass_HasEvents(r->pass)) {
-        /* It may be read after others; their events show that it will be. */
-        const CaroTarget *target =
-            CaroTargets_Peek(r->all->parts.targets, r->target);
-        heard = target->heard_at > heard ? target->heard_at : heard;
-    }
-    return heard + patience_of(r);
+    const CaroTarget *target =
+        CaroTargets_Peek(r->all->parts.targets, r->target);
+    return CaroPatience_Until(&q, r->last_event, target->heard_at);
 }
 
 static void
@@ -560,27 +546,20 @@
                                                  .on_end = on_end,
                                                  .on_failure = on_failure};
 
-/* Other streams there have events: this one was set aside by the engine,
-   as it does when its memory is full, or its packets are lost. */
-static bool
-is_only_this_silent(const CaroRelay *r, CaroTime now)
-{
-    const CaroTarget *target =
-        CaroTargets_Peek(r->all->parts.targets, r->target);
-    return target->heard_at > r->last_event &&
-           now - target->heard_at < OTHERS_GAP;
-}
-
 /* What an outcome says of the upstream. */
 static CaroTargetAlarm
 alarm_of(const CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
+    const CaroTarget *target =
+        CaroTargets_Peek(r->all->parts.targets, r->target);
     switch (outcome) {
     case CARO_OUTCOME_GONE:
         return CARO_TARGET_GONE;
     case CARO_OUTCOME_SILENT:
-        return is_only_this_silent(r, now) ? CARO_TARGET_WELL
-                                           : CARO_TARGET_SILENT;
+        return is_stream(r) && CaroPatience_IsOneSetAside(
+                                   r->last_event, target->heard_at, now)
+                   ? CARO_TARGET_WELL
+                   : CARO_TARGET_SILENT;
     case CARO_OUTCOME_UNSENT:
     case CARO_OUTCOME_LOST:
         return CARO_TARGET_FAILING;
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -308,6 +308,37 @@
     }
 }
 
+/* What others at an engine get says whether it is busy or lost. */
+static void
+test_patience_with_engines_that_are_heard(void **state)
+{
+    (void)state;
+    CaroRoute route = {.kind = CARO_ROUTE_STREAM,
+                       .timeout = 25 * S,
+                       .objective = 4500 * CARO_MS,
+                       .gap = 700 * CARO_MS};
+    CaroPatienceQuery q = {.route = &route, .is_first = true};
+    CaroTime wait = CaroPatience_Of(&q);
+    assert_int_equal(CaroPatience_Until(&q, 10 * S, 0), 10 * S + wait);
+    assert_int_equal(CaroPatience_Until(&q, 10 * S, 12 * S), 12 * S + wait);
+    /* Once it streams, only its own events count: a pause is a pause. */
+    q.has_events = true;
+    wait = CaroPatience_Of(&q);
+    assert_int_equal(CaroPatience_Until(&q, 10 * S, 12 * S), 10 * S + wait);
+    /* A plain request is no turn in a queue of prompts. */
+    route.kind = CARO_ROUTE_IDEMPOTENT;
+    q.has_events = false;
+    wait = CaroPatience_Of(&q);
+    assert_int_equal(CaroPatience_Until(&q, 10 * S, 12 * S), 10 * S + wait);
+
+    CaroTime now = 10 * S + 315 * CARO_MS;
+    assert_true(CaroPatience_IsOneSetAside(10 * S, now - 50 * CARO_MS, now));
+    /* The others' last events are as old as its own: the engine is lost. */
+    assert_false(CaroPatience_IsOneSetAside(10 * S, 10 * S, now));
+    assert_false(
+        CaroPatience_IsOneSetAside(10 * S, 10 * S + 20 * CARO_MS, now));
+}
+
 /* A pause over 700 ms is late: an engine that falls silent is left early
    enough for another to go on, a busy one is not left. */
 static void
@@ -394,6 +425,7 @@
         cmocka_unit_test(test_a_proof_passed_on_is_never_too_young),
         cmocka_unit_test(test_entries_that_lapse_in_an_outage_wait),
         cmocka_unit_test(test_patience_with_engines),
+        cmocka_unit_test(test_patience_with_engines_that_are_heard),
         cmocka_unit_test(test_a_course_exposes_no_more_than_it_may),
         cmocka_unit_test(test_a_course_ends_in_its_time),
         cmocka_unit_test(test_the_retry_budget_holds_over_all_vms),
