--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -248,6 +248,11 @@
 static void
 join(CaroFleet *f)
 {
+    if (f->at_address == 0 && f->n_addresses > 0) {
+        /* VMs that start together with the same seeds ask different ones. */
+        f->at_address =
+            (int)gsl_rng_uniform_int(f->rng, (unsigned long)f->n_addresses);
+    }
     for (int i = 0; i < ASKED_AT_ONCE && i < f->n_addresses; i++) {
         caro_member_update updates[CARO_UPDATES_MAX];
         caro_heartbeat h;
