--- a/Tools/bench/decisions.c
+++ b/Tools/bench/decisions.c
@@ -12,6 +12,7 @@
 #define RESUME_AFTER_CLOSE_MS 500.0
 #define RESUME_AFTER_SILENCE_MS 2000.0
 #define RESUME_MOST_MS 5000.0
+#define TAIL_SEED 212
 #define EXTRA_TOKENS_MOST 0.03
 #define OVERLOAD_LEAST 0.9
 #define RECOVERY_MOST_S 10.0
@@ -125,6 +126,19 @@
     }
 }
 
+/* The load at which a resume after an engine's end took four seconds. */
+static void
+run_tail(void)
+{
+    DriveOptions o = deployment(true);
+    DriveResult r;
+    o.fault_every = 15 * CARO_SECOND;
+    o.seed = TAIL_SEED;
+    Drive_Run(&o, &r);
+    report_faults(&o, &r);
+    free_result(&r);
+}
+
 static void
 run_routing(void)
 {
@@ -188,6 +202,9 @@
     if (is_all || strcmp(part, "faults") == 0) {
         run_faults();
     }
+    if (strcmp(part, "tail") == 0) {
+        run_tail();
+    }
     if (is_all || strcmp(part, "routing") == 0) {
         run_routing();
     }
