Wait for stand-ins before they are told to fail

Cause of the one failure of proc_moves: it told a stand-in to fail while that had not begun to listen. "carobench get" ended with 1 and no message, and "set -e" ended the script. With a start of the stand-ins put off by 150 ms it fails each time with the output that was seen, its first heading alone. Ruled out: the gateways; none of them had a request by then. Change: a stand-in has started when it answers, the registry too (a pause of 0.3 s before); a write that the registry did not take fails the test (it was not noticed before); "get" says which address gave what.

--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -148,7 +148,13 @@
     event_base_dispatch(base);
     CaroHttp_Settle(base);
     event_base_free(base);
-    return answer_status == HTTP_OK ? 0 : 1;
+    if (answer_status != HTTP_OK) {
+        (void)fprintf(stderr, "carobench get: %s%s: status %d%s\n", argv[1],
+                      argv[2], answer_status,
+                      answer_status == 0 ? ", no answer" : "");
+        return 1;
+    }
+    return 0;
 }
 
 static void
--- a/Tools/gateway_fleet.sh
+++ b/Tools/gateway_fleet.sh
@@ -15,8 +15,29 @@
 gateway_registry() { echo "127.0.0.1:$((fleet_base + 398))"; }
 
 gateway_write() { # KEY JSON
-    "$bin/carobench" call "$(gateway_registry)" POST "/write?key=$1" "$2" \
-        >/dev/null
+    local got
+    got=$("$bin/carobench" call "$(gateway_registry)" POST "/write?key=$1" \
+        "$2") || true
+    case $got in
+    2*) ;;
+    *)
+        echo "the registry did not take $1: $got"
+        return 1
+        ;;
+    esac
+}
+
+# Waits until a stand-in that was started answers.
+gateway_wait_up() { # ADDRESS
+    local tries=0
+    until "$bin/carobench" get "$1" /fault >/dev/null 2>&1; do
+        tries=$((tries + 1))
+        [ "$tries" -lt 100 ] || {
+            echo "$1 does not answer after 10 s"
+            return 1
+        }
+        sleep 0.1
+    done
 }
 
 gateway_settings() {
@@ -41,6 +62,7 @@
         --name "t$1-$RANDOM" --registry "$(gateway_registry)" \
         --domain "$(fleet_domain "$1")" --service chat --step-us 15000 \
         --prefill-us 500
+    gateway_wait_up "$(gateway_target "$1")"
 }
 
 gateway_start_desk() { # I [VERSION]
@@ -48,6 +70,7 @@
         --name "o$1-$RANDOM" --registry "$(gateway_registry)" \
         --domain "$(fleet_domain "$1")" --service desk --work-ms 10 \
         --version "${2:-v1}"
+    gateway_wait_up "$(gateway_desk "$1")"
 }
 
 # The configuration; further JSON of accounts may be given.
@@ -109,7 +132,7 @@
     target_count=$3
     fleet_run registry "$bin/carofake" registry \
         --listen "$(gateway_registry)"
-    sleep 0.3
+    gateway_wait_up "$(gateway_registry)"
     gateway_config 1
     for i in $(seq 1 "$3"); do gateway_start_target "$i"; done
     for i in $(seq 1 "$1"); do gateway_start_desk "$i"; done
