Use one function where two stood

Found by reading the change as a whole. The choice of an order service, the writing of a configuration for an operator, and taking a configuration from wherever it comes each had a twin; the route of two tests too. The fleet's first address is drawn when it is created, not as a special case of each question.

--- a/Include/internal/caro_order_desk.h
+++ b/Include/internal/caro_order_desk.h
@@ -33,6 +33,11 @@
 void CaroOrderDesk_OnForward(CaroOrderDesk *d, CaroRpcRequest *request,
                              const caro_order_forward *args, CaroTime now);
 
+/* The least loaded upstream of a service but those tried, also one that has
+   failed; or no handle. */
+CaroHandle CaroOrderDesk_ChooseService(CaroOrderDesk *d, const char *service,
+                                       const CaroHandle *tried, int n_tried);
+
 /* Forgets records that were last used before that time. */
 void CaroOrderDesk_Expire(CaroOrderDesk *d, CaroTime before);
 
--- a/Modules/config_keeper.c
+++ b/Modules/config_keeper.c
@@ -3,8 +3,8 @@
  *
  * A few nodes of a region, chosen by rank, read the store at intervals.
  * A newer revision is announced to some VMs at once and rides on every
- * heartbeat; a node that hears of one fetches the text from that peer.  A
- * lower revision is never applied, from wherever it comes.
+ * heartbeat; the fleet of a node that hears of one asks that peer for the
+ * text.  A lower revision is never applied, from wherever it comes.
  *
  * A change is a compare-and-swap that carries a change id.  When its
  * answer is lost, the key is read back: the id tells whether it took
@@ -138,9 +138,9 @@
     return 0;
 }
 
-static void
-apply_or_log(CaroConfigKeeper *k, const char *text, size_t size,
-             uint64_t revision)
+void
+CaroConfigKeeper_Take(CaroConfigKeeper *k, const char *text, size_t size,
+                      uint64_t revision)
 {
     CaroError err;
     char line[400];
@@ -152,13 +152,6 @@
     }
 }
 
-void
-CaroConfigKeeper_Take(CaroConfigKeeper *k, const char *text, size_t size,
-                      uint64_t revision)
-{
-    apply_or_log(k, text, size, revision);
-}
-
 /* Doubles the wait, and spreads the nodes over it. */
 static void
 back_off(CaroConfigKeeper *k, CaroTime now)
@@ -196,7 +189,8 @@
     k->heard = now;
     k->next_read = now + READ_INTERVAL;
     if (result->code == 0) {
-        apply_or_log(k, result->value, result->size, result->revision);
+        CaroConfigKeeper_Take(k, result->value, result->size,
+                              result->revision);
         k->has_unknown_change = false;
     }
 }
@@ -220,7 +214,8 @@
         return;
     }
     if (result->code == 0) {
-        apply_or_log(k, result->value, result->size, result->revision);
+        CaroConfigKeeper_Take(k, result->value, result->size,
+                              result->revision);
         k->has_unknown_change = false;
     }
     r->done(r->context, result->code == 0 ? 0 : CARO_ERR_TIMEOUT);
@@ -309,7 +304,7 @@
 end_change(Change *c, int code, uint64_t revision, const char *why)
 {
     if (code == 0) {
-        apply_or_log(c->keeper, c->text, strlen(c->text), revision);
+        CaroConfigKeeper_Take(c->keeper, c->text, strlen(c->text), revision);
     }
     else if (code == CARO_ERR_TIMEOUT) {
         c->keeper->has_unknown_change = true;
--- a/Modules/console.c
+++ b/Modules/console.c
@@ -142,6 +142,18 @@
     end_pending(p, code == CARO_ERR_TIMEOUT ? "unknown" : "not done", detail);
 }
 
+/* Writes the configuration and answers with what became of it. */
+static void
+change_config(CaroConsole *c, struct evhttp_request *req, const char *subject,
+              const char *what, json_t *root, const char *by)
+{
+    Pending *p = new_pending(c, req, by, subject, what);
+    if (p != NULL) {
+        CaroConfigKeeper_Change(c->parts.keeper, root, by, on_config_changed,
+                                p);
+    }
+}
+
 /* A copy of the configuration in force, to be changed; or NULL. */
 static json_t *
 load_config(const CaroConsole *c)
@@ -209,11 +221,7 @@
         set_undone(d, by);
         (void)snprintf(what, sizeof(what), "undo %.20s", command->subject);
     }
-    Pending *p = new_pending(c, req, by, command->subject, what);
-    if (p != NULL) {
-        CaroConfigKeeper_Change(c->parts.keeper, root, by, on_config_changed,
-                                p);
-    }
+    change_config(c, req, command->subject, what, root, by);
     json_decref(root);
 }
 
@@ -244,11 +252,7 @@
     }
     json_object_set_new(u, "leaving", json_true());
     (void)snprintf(what, sizeof(what), "drain %.31s", command->subject);
-    Pending *p = new_pending(c, req, by, command->subject, what);
-    if (p != NULL) {
-        CaroConfigKeeper_Change(c->parts.keeper, root, by, on_config_changed,
-                                p);
-    }
+    change_config(c, req, command->subject, what, root, by);
     json_decref(root);
 }
 
@@ -403,12 +407,8 @@
         json_decref(root);
         return;
     }
-    Pending *p = new_pending(c, req, by, "config", "put config");
-    if (p != NULL) {
-        CaroConfigKeeper_Change(c->parts.keeper,
-                                config != NULL ? config : root, by,
-                                on_config_changed, p);
-    }
+    change_config(c, req, "config", "put config",
+                  config != NULL ? config : root, by);
     json_decref(root);
 }
 
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -248,11 +248,6 @@
 static void
 join(CaroFleet *f)
 {
-    if (f->at_address == 0 && f->n_addresses > 0) {
-        /* VMs that start together with the same seeds ask different ones. */
-        f->at_address =
-            (int)gsl_rng_uniform_int(f->rng, (unsigned long)f->n_addresses);
-    }
     for (int i = 0; i < ASKED_AT_ONCE && i < f->n_addresses; i++) {
         caro_member_update updates[CARO_UPDATES_MAX];
         caro_heartbeat h;
@@ -366,6 +361,8 @@
     }
     f->options = *options;
     f->rng = rng;
+    /* VMs that start together with the same seeds ask different ones. */
+    f->at_address = (int)gsl_rng_uniform_int(rng, ADDRESSES_MAX);
     f->handlers = handlers;
     f->context = context;
     f->created = now;
--- a/Modules/load_poller.c
+++ b/Modules/load_poller.c
@@ -7,8 +7,8 @@
  */
 #include "internal/caro_load_poller.h"
 
-#include "internal/caro_http.h"
 #include "internal/caro_clock.h"
+#include "internal/caro_http.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/Modules/order_desk.c
+++ b/Modules/order_desk.c
@@ -235,17 +235,17 @@
     dispatch(o);
 }
 
-static CaroHandle
-choose_service(Order *o)
+CaroHandle
+CaroOrderDesk_ChooseService(CaroOrderDesk *d, const char *service,
+                            const CaroHandle *tried, int n_tried)
 {
-    CaroOrderDesk *d = o->desk;
     CaroRouteQuery q = {.policy = CARO_ROUTE_LEAST_LOADED,
                         .takes_failed = true,
-                        .deployment = o->service,
+                        .deployment = service,
                         .vm = d->common.settings->vm,
                         .subset = (int)d->common.settings->upstream_subset};
-    for (int i = 0; i < o->n_tried; i++) {
-        q.avoid[q.n_avoid++] = o->tried[i];
+    for (int i = 0; i < n_tried; i++) {
+        q.avoid[q.n_avoid++] = tried[i];
     }
     return CaroRouter_Choose(d->common.upstreams, &q, CaroClock_Now(),
                              d->common.rng);
@@ -259,7 +259,7 @@
     CaroOrderRecord *r = CaroOrders_Find(d->orders, o->key);
     CaroHandle h = CARO_NO_HANDLE;
     if (o->n_tried < DISPATCH_TRIES) {
-        h = choose_service(o);
+        h = CaroOrderDesk_ChooseService(d, o->service, o->tried, o->n_tried);
     }
     if (r == NULL || h == CARO_NO_HANDLE) {
         CaroCounters_Add(d->common.counters, CARO_COUNT_ORDERS_NOT_RUN, 1);
--- a/Modules/order_front.c
+++ b/Modules/order_front.c
@@ -7,7 +7,6 @@
 #include "internal/caro_clock.h"
 #include "internal/caro_http.h"
 #include "internal/caro_orders.h"
-#include "internal/caro_router.h"
 
 #include <event2/buffer.h>
 #include <stdio.h>
@@ -270,18 +269,10 @@
 try_lookup(Caller *c)
 {
     CaroOrderFront *f = c->front;
-    CaroRouteQuery q = {.policy = CARO_ROUTE_LEAST_LOADED,
-                        .takes_failed = true,
-                        .deployment = c->service,
-                        .vm = f->common.settings->vm,
-                        .subset = (int)f->common.settings->upstream_subset};
-    for (int i = 0; i < c->n_tried; i++) {
-        q.avoid[q.n_avoid++] = c->tried[i];
-    }
     CaroHandle h = CARO_NO_HANDLE;
     if (c->n_tried < LOOKUP_TRIES) {
-        h = CaroRouter_Choose(f->common.upstreams, &q, CaroClock_Now(),
-                              f->common.rng);
+        h = CaroOrderDesk_ChooseService(f->desk, c->service, c->tried,
+                                        c->n_tried);
     }
     if (h == CARO_NO_HANDLE) {
         CaroHttp_Problem(take_request(c), 503, CARO_RUN_UNKNOWN,
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -308,15 +308,22 @@
     }
 }
 
+/* As the sites have them. */
+static CaroRoute
+stream_route(void)
+{
+    return (CaroRoute){.kind = CARO_ROUTE_STREAM,
+                       .timeout = 25 * S,
+                       .objective = 4500 * CARO_MS,
+                       .gap = 700 * CARO_MS};
+}
+
 /* What others at an engine get says whether it is busy or lost. */
 static void
 test_patience_with_engines_that_are_heard(void **state)
 {
     (void)state;
-    CaroRoute route = {.kind = CARO_ROUTE_STREAM,
-                       .timeout = 25 * S,
-                       .objective = 4500 * CARO_MS,
-                       .gap = 700 * CARO_MS};
+    CaroRoute route = stream_route();
     CaroPatienceQuery q = {.route = &route, .is_first = true};
     CaroTime wait = CaroPatience_Of(&q);
     assert_int_equal(CaroPatience_Until(&q, 10 * S, 0), 10 * S + wait);
@@ -345,10 +352,7 @@
 test_patience_with_engines(void **state)
 {
     (void)state;
-    CaroRoute route = {.kind = CARO_ROUTE_STREAM,
-                       .timeout = 25 * S,
-                       .objective = 4500 * CARO_MS,
-                       .gap = 700 * CARO_MS};
+    CaroRoute route = stream_route();
     CaroPatienceQuery q = {.route = &route, .is_first = true};
     assert_true(CaroPatience_Of(&q) < route.objective);
     q.is_behind = true;
