Test: a deletion while reads time out, known red

The new test fails: an upstream whose registration was deleted is still used after 600 ms while reads of the configuration time out and the watch is answered. The test beside it, of an outage in which the lease expires, passes.

--- /dev/null
+++ b/Test/test_registry.c
@@ -0,0 +1,295 @@
+/*
+ * Tests of the copy of the store: which upstreams are kept when their
+ * registrations disappear, with a stand-in of the store over loopback.
+ */
+#include "test.h"
+
+#include "internal/caro_clock.h"
+#include "internal/caro_registry.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MS CARO_MS
+#define TICK_INTERVAL (20 * MS)
+
+enum { HELD_MAX = 64, VALUE_MAX = 512, FIRST_REVISION = 10 };
+
+typedef enum {
+    STORE_SERVES,
+    STORE_HOLDS_READS, /* Watches alone are answered. */
+    STORE_HOLDS_ALL
+} StoreState;
+
+typedef struct {
+    struct event_base *base;
+    struct evhttp *http;
+    struct event *tick;
+    char address[CARO_ADDRESS_SIZE];
+    StoreState state;
+    struct evhttp_request *watch; /* Held until a change. */
+    char change[VALUE_MAX * 2];   /* Events of the next response to a watch. */
+    long long revision;
+
+    CaroStoreClient *client;
+    CaroTargets *targets;
+    gsl_rng *rng;
+    CaroRegistry *registry;
+} Fixture;
+
+static void
+respond(struct evhttp_request *request, const char *text)
+{
+    struct evbuffer *out = evbuffer_new();
+    evbuffer_add(out, text, strlen(text));
+    evhttp_send_reply(request, 200, "OK", out);
+    evbuffer_free(out);
+}
+
+/* Writes the item of an upstream's registration. */
+static void
+write_target(char *out, size_t size, const char *id, long long revision)
+{
+    char text[VALUE_MAX / 2];
+    char value[VALUE_MAX];
+    int n = snprintf(text, sizeof(text),
+                     "{\"service\":\"pool\",\"address\":\"10.0.0.1:80\","
+                     "\"zone\":\"z\",\"version\":\"v1\",\"slots\":6,"
+                     "\"state\":\"ready\",\"born\":17}");
+    (void)EVP_EncodeBlock((unsigned char *)value, (unsigned char *)text, n);
+    (void)snprintf(out, size,
+                   "{\"key\":\"servers/%s\",\"value\":\"%s\","
+                   "\"revision\":%lld,\"created_at\":1,\"lease\":7}",
+                   id, value, revision);
+}
+
+static void
+answer_watch(Fixture *f)
+{
+    char text[VALUE_MAX * 4];
+    if (f->watch != NULL && f->change[0] != '\0' &&
+        f->state != STORE_HOLDS_ALL) {
+        (void)snprintf(text, sizeof(text), "{\"events\":[%s],\"at\":%lld}",
+                       f->change, f->revision);
+        f->change[0] = '\0';
+        respond(f->watch, text);
+        f->watch = NULL;
+    }
+}
+
+static void
+on_watch_closed(struct evhttp_connection *connection, void *arg)
+{
+    (void)connection;
+    Fixture *f = arg;
+    f->watch = NULL;
+}
+
+static void
+on_call(struct evhttp_request *request, void *arg)
+{
+    Fixture *f = arg;
+    const char *uri = evhttp_request_get_uri(request);
+    char item[VALUE_MAX * 2];
+    char text[VALUE_MAX * 4];
+    if (strncmp(uri, "/kv-watch", 9) == 0) {
+        f->watch = request;
+        evhttp_connection_set_closecb(evhttp_request_get_connection(request),
+                                      on_watch_closed, f);
+        answer_watch(f);
+        return;
+    }
+    if (f->state != STORE_SERVES) {
+        return; /* The caller's timeout closes the connection. */
+    }
+    if (strncmp(uri, "/kv-range", 9) == 0) {
+        write_target(item, sizeof(item), "i-1", FIRST_REVISION);
+        (void)snprintf(text, sizeof(text),
+                       "{\"entries\":[%s],\"has_more\":false,\"at\":%d}", item,
+                       FIRST_REVISION);
+        respond(request, text);
+        return;
+    }
+    evhttp_send_error(request, 404, "Not Found");
+}
+
+static int
+ignore_config(void *context, const char *bytes, size_t size, int64_t revision)
+{
+    (void)context;
+    (void)bytes;
+    (void)size;
+    (void)revision;
+    return 0;
+}
+
+static void
+ignore_confirmation(void *context, int64_t revision, CaroTime sent_at)
+{
+    (void)context;
+    (void)revision;
+    (void)sent_at;
+}
+
+static void
+ignore_target(void *context, CaroHandle target)
+{
+    (void)context;
+    (void)target;
+}
+
+static const CaroRegistryHandlers handlers = {.on_config = ignore_config,
+                                              .on_config_confirmed =
+                                                  ignore_confirmation,
+                                              .on_target = ignore_target};
+
+static void
+on_tick(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    Fixture *f = arg;
+    CaroRegistry_Tick(f->registry, CaroClock_Now());
+}
+
+static void
+run_for(Fixture *f, CaroTime time)
+{
+    struct timeval t = {.tv_sec = time / CARO_SECOND,
+                        .tv_usec = time % CARO_SECOND};
+    (void)event_base_loopexit(f->base, &t);
+    (void)event_base_dispatch(f->base);
+}
+
+/* Starts the store and the registry, which reads the upstream i-1. */
+static int
+set_up(void **state)
+{
+    Fixture *f = calloc(1, sizeof(*f));
+    struct timeval interval = {.tv_usec = TICK_INTERVAL};
+    f->base = event_base_new();
+    f->http = evhttp_new(f->base);
+    struct evhttp_bound_socket *bound =
+        evhttp_bind_socket_with_handle(f->http, "127.0.0.1", 0);
+    struct sockaddr_in self;
+    socklen_t size = sizeof(self);
+    (void)getsockname(evhttp_bound_socket_get_fd(bound),
+                      (struct sockaddr *)&self, &size);
+    (void)snprintf(f->address, sizeof(f->address), "127.0.0.1:%d",
+                   ntohs(self.sin_port));
+    evhttp_set_gencb(f->http, on_call, f);
+    f->revision = FIRST_REVISION;
+    f->client = CaroStoreClient_Create(f->base, f->address);
+    f->targets = CaroTargets_Create();
+    f->rng = gsl_rng_alloc(gsl_rng_taus2);
+    f->registry = CaroRegistry_Create(f->client, f->targets, f->rng, &handlers,
+                                      f, CaroClock_Now());
+    f->tick = event_new(f->base, -1, EV_PERSIST, on_tick, f);
+    (void)event_add(f->tick, &interval);
+    run_for(f, 300 * MS);
+    *state = f;
+    return 0;
+}
+
+static int
+tear_down(void **state)
+{
+    Fixture *f = *state;
+    event_free(f->tick);
+    CaroRegistry_Destroy(f->registry);
+    CaroStoreClient_Destroy(f->client);
+    CaroTargets_Destroy(f->targets);
+    gsl_rng_free(f->rng);
+    evhttp_free(f->http);
+    event_base_free(f->base);
+    free(f);
+    return 0;
+}
+
+static bool
+is_kept(const Fixture *f)
+{
+    return CaroTargets_Find(f->targets, "i-1") != CARO_NO_HANDLE;
+}
+
+static void
+change_other_key(Fixture *f)
+{
+    (void)snprintf(f->change, sizeof(f->change),
+                   "{\"key\":\"other\",\"value\":\"\",\"revision\":%lld}",
+                   ++f->revision);
+    answer_watch(f);
+}
+
+static void
+delete_target(Fixture *f)
+{
+    (void)snprintf(f->change, sizeof(f->change),
+                   "{\"key\":\"servers/i-1\",\"revision\":%lld,"
+                   "\"deleted\":true}",
+                   ++f->revision);
+    answer_watch(f);
+}
+
+static void
+register_target(Fixture *f)
+{
+    write_target(f->change, sizeof(f->change), "i-1", ++f->revision);
+    answer_watch(f);
+}
+
+/* Issue 22: requests went to upstreams that had left, as the reads of a large
+   configuration timed out on a slow link. */
+static void
+test_deleted_upstream_is_removed_while_reads_time_out(void **state)
+{
+    Fixture *f = *state;
+    assert_true(is_kept(f));
+    f->state = STORE_HOLDS_READS;
+    for (int i = 0; i < 10; i++) {
+        change_other_key(f);
+        run_for(f, 450 * MS);
+    }
+    assert_true(is_kept(f));
+    delete_target(f);
+    run_for(f, 600 * MS);
+    assert_false(is_kept(f));
+}
+
+static void
+test_upstream_is_kept_when_its_lease_expires_in_an_outage(void **state)
+{
+    Fixture *f = *state;
+    f->state = STORE_HOLDS_ALL;
+    run_for(f, 4000 * MS);
+    assert_true(is_kept(f));
+    f->state = STORE_SERVES;
+    delete_target(f);
+    run_for(f, 1500 * MS);
+    assert_true(is_kept(f));
+    register_target(f);
+    run_for(f, 2500 * MS);
+    assert_true(is_kept(f));
+    delete_target(f);
+    run_for(f, 600 * MS);
+    assert_false(is_kept(f));
+}
+
+int
+main(void)
+{
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(
+            test_deleted_upstream_is_removed_while_reads_time_out, set_up,
+            tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_upstream_is_kept_when_its_lease_expires_in_an_outage, set_up,
+            tear_down),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
