Do not take a deleted registration for an expired lease when reads time out

A VM counted the store as away from the first call that failed to the next read that succeeded, and kept an upstream without a registration until 2.2 s after that.

Class: one's own failure taken for the failure of a shared dependency. Now an outage is a time of 2.4 s (the shortest in which a lease of three renewals can expire) in which the store is not known to have responded to any VM: reads, lists and watches count, and the confirmations that peers pass on. A late report of a peer refutes an outage.

--- a/Include/internal/caro_lease_grace.h
+++ b/Include/internal/caro_lease_grace.h
@@ -1,22 +1,36 @@
 /*
  * NAME
- *     caro_lease_grace - when a target whose lease expired is removed
+ *     caro_lease_grace - when a target whose registration is missing is
+ *     removed
  *
- * Handles outages of the store, in which leases expire although their
- * targets are alive.  Such targets register again soon after the store has
- * recovered.
+ * In an outage of the store leases expire although their targets are alive;
+ * these register again soon after the store has recovered.  Without an outage
+ * a missing registration was deleted, and the target is leaving.  An outage
+ * is a time in which the store is not known to have responded to any VM: a
+ * VM with a slow link, or one that the store turns away, has none.
  */
 #ifndef CARO_LEASE_GRACE_H
 #define CARO_LEASE_GRACE_H
 
 #include "internal/caro_types.h"
 
-/*
- * Returns the time from which a registration that is missing now counts as
- * removed.  "recovered_at" is when the store last answered again after an
- * outage; 0 if there was none.
- */
-CaroTime CaroLeaseGrace_ExpiresAt(bool is_store_unavailable,
-                                  CaroTime recovered_at, CaroTime now);
+/* Responses of the store, to this VM or to others.  Zero-initialized. */
+typedef struct {
+    CaroTime responded_at; /* Time of the last one; 0 for none. */
+    /* The last outage: the responses before and after it, and when the latter
+       became known here; 0 for none. */
+    CaroTime outage_start;
+    CaroTime outage_end;
+    CaroTime recovered_at;
+} CaroLeaseGrace;
+
+/* Records that the store responded to some VM at the time "at", which may be
+   earlier than others that were recorded. */
+void CaroLeaseGrace_RecordResponse(CaroLeaseGrace *g, CaroTime at,
+                                   CaroTime now);
+
+/* Returns whether a target whose registration is missing may be alive, and
+   is kept for now. */
+bool CaroLeaseGrace_Keeps(const CaroLeaseGrace *g, CaroTime now);
 
 #endif
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -65,9 +65,10 @@
    newer one; has no effect during an outage of the store. */
 void CaroRegistry_ReadConfigNow(CaroRegistry *r, CaroTime now);
 
-/* Returns when the current outage of the store was noticed; 0 when there is
-   none. */
-CaroTime CaroRegistry_UnavailableSince(const CaroRegistry *r);
+/* The store responded to another VM at the time "at".  An upstream that is
+   deleted while the store responds is not kept for a grace period. */
+void CaroRegistry_RecordPeerResponse(CaroRegistry *r, CaroTime at,
+                                     CaroTime now);
 
 /* Returns whether a list has been read completely since the start. */
 bool CaroRegistry_IsLoaded(const CaroRegistry *r);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -435,6 +435,11 @@
 {
     CaroGateway *g = context;
     CaroTime previous_at = g->freshness.confirmed_at;
+    CaroTime now = CaroClock_Now();
+    if (age >= 0) {
+        CaroTime elapsed = CaroClock_BootTime() - probed_at;
+        CaroRegistry_RecordPeerResponse(g->registry, now - elapsed - age, now);
+    }
     CaroConfigFreshness_RecordPeer(&g->freshness, revision, age, probed_at);
     if (g->freshness.confirmed_at != previous_at) {
         CaroCounters_Add(&g->counters, CARO_COUNT_CONFIG_CONFIRMED_BY_PEERS,
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -57,8 +57,6 @@
     uint32_t list_sequence;
     /* Sequence number of the last list that contained the target. */
     uint32_t last_list[CARO_TARGETS_MAX];
-    /* When a target whose lease expired in an outage is removed. */
-    CaroTime grace_ends_at[CARO_TARGETS_MAX];
     CaroTime next_watch;
     CaroTime watch_backoff;
 
@@ -67,8 +65,8 @@
     CaroTime config_backoff;
     int64_t config_revision;
 
-    CaroTime unavailable_since; /* 0 while the store responds. */
-    CaroTime recovered_at;      /* End of the last outage; 0 for none. */
+    CaroTime unavailable_since; /* 0 while reads of this VM succeed. */
+    CaroLeaseGrace lease_grace;
 
     char name[CARO_NAME_SIZE];
     char peer[CARO_ADDRESS_SIZE];
@@ -139,14 +137,15 @@
     }
 }
 
+/* A read or a list has succeeded. */
 static void
 record_store_response(CaroRegistry *r, CaroTime now)
 {
+    CaroLeaseGrace_RecordResponse(&r->lease_grace, now, now);
     if (r->unavailable_since != 0) {
         CaroLog_Info("registry", "The store is available again. away_ms=%lld",
                      (long long)((now - r->unavailable_since) / CARO_MS));
         r->unavailable_since = 0;
-        r->recovered_at = now;
     }
 }
 
@@ -189,38 +188,40 @@
     r->handlers->on_target(r->context, h);
 }
 
-/* Removes a target whose registration is missing, or marks it as missing for
-   the grace period after an outage of the store. */
+/* Removes a target whose registration is missing, or marks it as missing
+   during an outage of the store and for the grace period after it. */
 static void
 handle_missing_target(CaroRegistry *r, CaroHandle h, const char *cause,
                       CaroTime now)
 {
     CaroTarget *target = CaroTargets_Get(r->targets, h);
-    CaroTime grace_ends_at = CaroLeaseGrace_ExpiresAt(
-        r->unavailable_since != 0, r->recovered_at, now);
-    if (grace_ends_at <= now) {
+    const CaroLeaseGrace *g = &r->lease_grace;
+    if (!CaroLeaseGrace_Keeps(g, now)) {
         remove_target(r, h, cause);
     }
     else if (!target->is_missing) {
         target->is_missing = true;
-        r->grace_ends_at[h] = grace_ends_at;
         CaroLog_Info(
             "registry",
             "The lease of an upstream expired in an outage of the store. "
-            "id=%s ms=%lld",
-            target->entry.id, (long long)((grace_ends_at - now) / CARO_MS));
+            "id=%s away_ms=%lld responded_ms=%lld own_away_ms=%lld",
+            target->entry.id,
+            (long long)((g->outage_end - g->outage_start) / CARO_MS),
+            (long long)((now - g->responded_at) / CARO_MS),
+            (long long)(r->unavailable_since == 0
+                            ? 0
+                            : (now - r->unavailable_since) / CARO_MS));
     }
 }
 
 /* Removes missing targets that did not register again within the grace
-   period. */
+   period, or whose outage turned out to be none. */
 static void
 remove_expired_targets(CaroRegistry *r, CaroTime now)
 {
     for (CaroHandle h = 0; h < CaroTargets_Count(r->targets); h++) {
         const CaroTarget *target = CaroTargets_GetConst(r->targets, h);
-        if (target->is_used && target->is_present && target->is_missing &&
-            now >= r->grace_ends_at[h]) {
+        if (target->is_used && target->is_present && target->is_missing) {
             handle_missing_target(
                 r, h, "it did not register again after an outage", now);
         }
@@ -375,6 +376,7 @@
         CaroRegistry_ReadConfigNow(r, now);
         return;
     }
+    CaroLeaseGrace_RecordResponse(&r->lease_grace, now, now);
     for (int i = 0; i < response->n_items; i++) {
         apply_item(r, &response->items[i], now);
     }
@@ -534,10 +536,10 @@
     }
 }
 
-CaroTime
-CaroRegistry_UnavailableSince(const CaroRegistry *r)
+void
+CaroRegistry_RecordPeerResponse(CaroRegistry *r, CaroTime at, CaroTime now)
 {
-    return r->unavailable_since;
+    CaroLeaseGrace_RecordResponse(&r->lease_grace, at, now);
 }
 
 bool
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -305,13 +305,46 @@
 test_leases_that_expire_in_an_outage_get_a_grace_period(void **state)
 {
     (void)state;
+    CaroLeaseGrace g = {0};
     /* Without an outage a missing target is removed at once. */
-    assert_int_equal(CaroLeaseGrace_ExpiresAt(false, 0, 50 * S), 50 * S);
-    assert_int_equal(CaroLeaseGrace_ExpiresAt(false, 40 * S, 50 * S), 50 * S);
-    /* Around an outage it is kept for a little over two seconds. */
-    CaroTime at = CaroLeaseGrace_ExpiresAt(false, 49 * S, 50 * S);
-    assert_true(at >= 51 * S && at <= 49 * S + 2500 * CARO_MS);
-    assert_true(CaroLeaseGrace_ExpiresAt(true, 0, 50 * S) >= 52 * S);
+    assert_false(CaroLeaseGrace_Keeps(&g, 50 * S));
+    CaroLeaseGrace_RecordResponse(&g, 40 * S, 40 * S);
+    assert_false(CaroLeaseGrace_Keeps(&g, 41 * S));
+    /* It is kept in an outage in which its lease may expire, and for a little
+       over two seconds after it. */
+    assert_true(CaroLeaseGrace_Keeps(&g, 43 * S));
+    assert_true(CaroLeaseGrace_Keeps(&g, 49 * S));
+    CaroLeaseGrace_RecordResponse(&g, 49 * S, 49 * S);
+    assert_true(CaroLeaseGrace_Keeps(&g, 51 * S));
+    CaroLeaseGrace_RecordResponse(&g, 51 * S, 51 * S);
+    assert_false(CaroLeaseGrace_Keeps(&g, 51500 * CARO_MS));
+    /* Again after a later outage. */
+    CaroLeaseGrace_RecordResponse(&g, 60 * S, 60 * S);
+    assert_true(CaroLeaseGrace_Keeps(&g, 61 * S));
+}
+
+static void
+test_responses_of_the_store_to_other_vms_refute_an_outage(void **state)
+{
+    (void)state;
+    CaroLeaseGrace g = {0};
+    CaroLeaseGrace_RecordResponse(&g, 40 * S, 40 * S);
+    for (int i = 1; i < 10; i++) {
+        /* Each is 1.5 s old when a peer tells of it. */
+        CaroLeaseGrace_RecordResponse(&g, (40 + i) * S - 1500 * CARO_MS,
+                                      (40 + i) * S);
+        assert_false(CaroLeaseGrace_Keeps(&g, (40 + i) * S + 800 * CARO_MS));
+    }
+    /* What looks like an outage of 4 s was none: a peer tells so later. */
+    CaroLeaseGrace_RecordResponse(&g, 60 * S, 60 * S);
+    CaroLeaseGrace_RecordResponse(&g, 64 * S, 64 * S);
+    assert_true(CaroLeaseGrace_Keeps(&g, 64100 * CARO_MS));
+    CaroLeaseGrace_RecordResponse(&g, 62 * S, 64200 * CARO_MS);
+    assert_false(CaroLeaseGrace_Keeps(&g, 64300 * CARO_MS));
+    /* An outage of 9 s of which a second is refuted remains one. */
+    CaroLeaseGrace_RecordResponse(&g, 73 * S, 73 * S);
+    CaroLeaseGrace_RecordResponse(&g, 65 * S, 73100 * CARO_MS);
+    assert_true(CaroLeaseGrace_Keeps(&g, 73200 * CARO_MS));
 }
 
 /* 13 VMs make every retry they may, in bursts.  Together they stay within the
@@ -506,6 +539,8 @@
         cmocka_unit_test(test_relayed_freshness_is_never_too_new),
         cmocka_unit_test(
             test_leases_that_expire_in_an_outage_get_a_grace_period),
+        cmocka_unit_test(
+            test_responses_of_the_store_to_other_vms_refute_an_outage),
         cmocka_unit_test(test_event_timeout_of_silent_and_busy_engines),
         cmocka_unit_test(test_event_timeout_with_events_of_other_streams),
         cmocka_unit_test(test_rollout_schedule_stays_within_its_exposure),
--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -280,6 +280,22 @@
     assert_false(is_kept(f));
 }
 
+static void
+test_responses_to_other_vms_show_that_a_registration_was_deleted(void **state)
+{
+    Fixture *f = *state;
+    f->state = STORE_HOLDS_ALL;
+    for (int i = 0; i < 8; i++) {
+        run_for(f, 500 * MS);
+        CaroTime now = CaroClock_Now();
+        CaroRegistry_RecordPeerResponse(f->registry, now - 1000 * MS, now);
+    }
+    f->state = STORE_SERVES;
+    delete_target(f);
+    run_for(f, 1000 * MS);
+    assert_false(is_kept(f));
+}
+
 int
 main(void)
 {
@@ -290,6 +306,9 @@
         cmocka_unit_test_setup_teardown(
             test_upstream_is_kept_when_its_lease_expires_in_an_outage, set_up,
             tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_responses_to_other_vms_show_that_a_registration_was_deleted,
+            set_up, tear_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
