--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -8,6 +8,11 @@
  * execution), fail (fraction of plain requests answered with status 500),
  * torn (fraction of streams that end in the middle of an event), leave=1
  * (the instance is registered as draining).
+ *
+ * With limit=R it names a limit of R requests a second in its responses; 0
+ * ends that.  /fault then tells how many requests arrived since LIMIT_SETTLE
+ * after it was first named, in what time, and the most of them in
+ * LIMIT_WINDOW.
  */
 #include "fake.h"
 
@@ -24,6 +29,11 @@
 
 #define HEARTBEAT_INTERVAL (300 * CARO_MS)
 #define REGISTRATION_TTL_MS 1000
+/* As the platform judges a limit of requests. */
+#define LIMIT_SETTLE (3 * CARO_SECOND)
+#define LIMIT_WINDOW (4 * CARO_SECOND)
+
+enum { ARRIVALS_MAX = 8192 };
 
 /* Number of executions of one request id. */
 typedef struct Run {
@@ -43,6 +53,11 @@
     int running;       /* Requests in progress. */
     long requests_run; /* Requests executed. */
     int64_t started_at_ms;
+    double limit; /* Requests a second; 0 for none. */
+    CaroTime limited_at;
+    CaroTime arrivals[ARRIVALS_MAX]; /* The last ones in the window. */
+    long n_arrivals;                 /* Since LIMIT_SETTLE. */
+    long window_max;
 } Target;
 
 /* A request in progress. */
@@ -104,6 +119,26 @@
     evhttp_add_header(out, "X-Response-Seal", r->target->options->name);
     evhttp_add_header(out, "X-Server-Load", load);
     evhttp_add_header(out, "Keep-Alive", "timeout=5");
+    if (r->target->limit > 0.0) {
+        (void)snprintf(load, sizeof(load), "%.3f", r->target->limit);
+        evhttp_add_header(out, "Server-Limit", load);
+    }
+}
+
+static void
+record_arrival(Target *t, CaroTime now)
+{
+    if (t->limit <= 0.0 || now - t->limited_at < LIMIT_SETTLE) {
+        return;
+    }
+    t->arrivals[t->n_arrivals++ % ARRIVALS_MAX] = now;
+    long n = 0;
+    while (n < t->n_arrivals && n < ARRIVALS_MAX &&
+           now - t->arrivals[(t->n_arrivals - 1 - n) % ARRIVALS_MAX] <
+               LIMIT_WINDOW) {
+        n++;
+    }
+    t->window_max = n > t->window_max ? n : t->window_max;
 }
 
 static void
@@ -246,6 +281,7 @@
         reject(t, req, HTTP_BADREQUEST);
         return;
     }
+    record_arrival(t, CaroClock_Now());
     PendingRequest *r = calloc(1, sizeof(*r));
     if (r == NULL) {
         abort();
@@ -284,13 +320,25 @@
 on_fault(struct evhttp_request *req, void *arg)
 {
     Target *t = arg;
-    char text[64];
+    char text[160];
+    double limit = Fake_GetNumber(req, "limit", t->limit);
+    CaroTime now = CaroClock_Now();
+    if (limit != t->limit) {
+        t->limit = limit;
+        t->limited_at = now;
+        t->n_arrivals = 0;
+        t->window_max = 0;
+    }
     t->response_loss_rate = Fake_GetNumber(req, "lose", t->response_loss_rate);
     t->fail_rate = Fake_GetNumber(req, "fail", t->fail_rate);
     t->torn_stream_rate = Fake_GetNumber(req, "torn", t->torn_stream_rate);
     t->is_draining = Fake_GetNumber(req, "leave", t->is_draining) > 0.0;
-    (void)snprintf(text, sizeof(text), "running %d\ntotal %ld\n", t->running,
-                   t->requests_run);
+    (void)snprintf(text, sizeof(text),
+                   "running %d\ntotal %ld\narrived %ld\nin_ms %lld\n"
+                   "window_max %ld\n",
+                   t->running, t->requests_run, t->n_arrivals,
+                   (long long)((now - t->limited_at - LIMIT_SETTLE) / CARO_MS),
+                   t->window_max);
     CaroHttp_SendText(req, HTTP_OK, text);
 }
 
