Count the events of a sliding window in a type of its own

The retry budget had the ring of time slices inside it; what upstreams with a limit are sent needs the same. No change of behaviour: test_gateway_rules passes as before.

--- a/Controllers/retry_budget.c
+++ b/Controllers/retry_budget.c
@@ -1,28 +1,27 @@
 /* A VM's share of the deployment's retry budget. */
 #include "internal/caro_retry_budget.h"
 
+#include "internal/caro_window_count.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* A window is SLICES slices of time and a part of the present one. */
-enum { SLICES = 10, SERVICES_MAX = 64 };
+enum { SERVICES_MAX = 64 };
 /* The retries of other VMs are not known here.  A fifth of the budget is left
    because their windows begin at other times. */
 #define BUDGET_FRACTION 0.8
 
-/* Counts of one service in a ring of time slices. */
 typedef struct {
     char service[CARO_NAME_SIZE];
-    int64_t slices[SLICES + 1]; /* Slice number that each position holds. */
-    int requests[SLICES + 1];
-    int retries[SLICES + 1];
+    CaroWindowCount requests;
+    CaroWindowCount retries;
 } ServiceCounts;
 
 struct CaroRetryBudget {
     double ratio;
     double slack;
-    CaroTime slice_duration;
+    CaroTime window;
     ServiceCounts services[SERVICES_MAX];
     int n;
 };
@@ -34,7 +33,7 @@
     if (b != NULL) {
         b->ratio = ratio;
         b->slack = slack;
-        b->slice_duration = window / SLICES;
+        b->window = window;
     }
     return b;
 }
@@ -63,27 +62,12 @@
     return c;
 }
 
-/* Returns the position of the present slice, and clears its counts if they
-   belong to an older slice. */
-static int
-find_position(const CaroRetryBudget *b, ServiceCounts *c, CaroTime now)
-{
-    int64_t slice = now / b->slice_duration;
-    int at = (int)(slice % (SLICES + 1));
-    if (c->slices[at] != slice) {
-        c->slices[at] = slice;
-        c->requests[at] = 0;
-        c->retries[at] = 0;
-    }
-    return at;
-}
-
 void
 CaroRetryBudget_RecordRequest(CaroRetryBudget *b, const char *service,
                               CaroTime now)
 {
     ServiceCounts *c = get_or_create_counts(b, service);
-    c->requests[find_position(b, c, now)]++;
+    CaroWindowCount_Add(&c->requests, b->window, now);
 }
 
 void
@@ -91,7 +75,7 @@
                             CaroTime now)
 {
     ServiceCounts *c = get_or_create_counts(b, service);
-    c->retries[find_position(b, c, now)]++;
+    CaroWindowCount_Add(&c->retries, b->window, now);
 }
 
 bool
@@ -99,16 +83,8 @@
                             CaroTime now)
 {
     ServiceCounts *c = get_or_create_counts(b, service);
-    (void)find_position(b, c, now);
-    int64_t oldest = now / b->slice_duration - SLICES;
-    int requests = 0;
-    int retries = 0;
-    for (int i = 0; i <= SLICES; i++) {
-        if (c->slices[i] >= oldest) {
-            requests += c->requests[i];
-            retries += c->retries[i];
-        }
-    }
+    int requests = CaroWindowCount_Sum(&c->requests, b->window, now);
+    int retries = CaroWindowCount_Sum(&c->retries, b->window, now);
     double retries_max = BUDGET_FRACTION * (b->ratio * requests +
                                             b->slack / (vms > 0 ? vms : 1));
     return retries + 1 <= retries_max;
