Hold to the requests a second that upstreams take from all VMs

Cause: nothing read the header. Class: a limit of the whole fleet that no VM can keep by itself.

Now a response's limit is passed on to all VMs, with the requests of the VM's callers for the service and what it sent to each limited upstream. Each VM sends limits / requests of all callers, of its own requests: a part that follows the callers and needs no division. And an upstream that is known to have had 1.2 times its limit in 4 s and 3 requests more gets none. What fits nowhere is refused at once; Retry-After is when this VM's part reaches the request. The limit ends with the first response that does not name it.

--- a/Controllers/placement.c
+++ b/Controllers/placement.c
@@ -118,7 +118,21 @@
     for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
         const CaroTarget *target = CaroTargets_GetConst(t, h);
         if (is_candidate(target, q) && !is_tried(q, h) &&
-            CaroTarget_IsUsable(target, now)) {
+            CaroTarget_IsUsable(target, now) &&
+            !CaroTarget_IsFull(target, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+CaroPlacement_HasFull(const CaroTargets *t, const CaroPlacementQuery *q,
+                      CaroTime now)
+{
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        const CaroTarget *target = CaroTargets_GetConst(t, h);
+        if (is_candidate(target, q) && CaroTarget_IsFull(target, now)) {
             return true;
         }
     }
@@ -134,7 +148,8 @@
     double best_cost = 0.0;
     for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
         const CaroTarget *target = CaroTargets_GetConst(t, h);
-        if (!is_candidate(target, q) || is_tried(q, h)) {
+        if (!is_candidate(target, q) || is_tried(q, h) ||
+            CaroTarget_IsFull(target, now)) {
             continue;
         }
         if (!CaroTarget_IsUsable(target, now)) {
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -54,7 +54,8 @@
     X(CONNECTIONS_CUT, "connections_cut")                                     \
     X(PROMPT_CRASHES, "prompt_crashes")                                       \
     X(QUARANTINES, "prompt_quarantines")                                      \
-    X(QUARANTINED, "refused_quarantined")
+    X(QUARANTINED, "refused_quarantined")                                     \
+    X(LIMITED, "refused_limited")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_placement.h
+++ b/Include/internal/caro_placement.h
@@ -28,11 +28,17 @@
     const char *failed_domain; /* Domain of a failed attempt, or NULL. */
 } CaroPlacementQuery;
 
-/* Tells whether a target of the service is left to try that is not avoided. */
+/* Tells whether a target of the service is left to try that is neither avoided
+   nor full. */
 bool CaroPlacement_HasUsable(const CaroTargets *t, const CaroPlacementQuery *q,
                              CaroTime now);
 
-/* Returns CARO_NO_HANDLE when no target of the service is left to try. */
+/* Tells whether a target of the service is full. */
+bool CaroPlacement_HasFull(const CaroTargets *t, const CaroPlacementQuery *q,
+                           CaroTime now);
+
+/* Returns CARO_NO_HANDLE when no target of the service is left to try, apart
+   from full ones. */
 CaroHandle CaroPlacement_Choose(const CaroTargets *t,
                                 const CaroPlacementQuery *q, gsl_rng *rng,
                                 CaroTime now);
--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -27,6 +27,9 @@
     CARO_HEADER_EXPECTED_TARGET, /* Id of the only target that may execute
                                     the request. */
     CARO_HEADER_TARGET_LOAD,     /* Running and waiting requests, slots. */
+    CARO_HEADER_TARGET_LIMIT,    /* Requests a second that the target takes
+                                    from all VMs together; absent while it
+                                    has no limit. */
     CARO_HEADER_NOT_RUN,         /* The target did not execute the request. */
     CARO_HEADER_PRIORITY,        /* 0 (served first) to 9; 5 if absent. */
     CARO_HEADER_TOKEN_COUNTS,    /* Prompt tokens, maximum of output tokens. */
@@ -57,6 +60,10 @@
 /* Parses CARO_HEADER_TARGET_LOAD.  Returns 0 or CARO_ERR_INPUT. */
 int CaroPlatform_ReadLoad(CaroText value, CaroTargetLoad *load);
 
+/* Parses CARO_HEADER_TARGET_LIMIT, a decimal number of at least 0.  Returns 0
+   or CARO_ERR_INPUT. */
+int CaroPlatform_ReadLimit(CaroText value, double *per_s);
+
 /* Parses the prompt tokens in CARO_HEADER_TOKEN_COUNTS.  Returns 0 or
    CARO_ERR_INPUT. */
 int CaroPlatform_ReadPromptTokens(CaroText value, int64_t *tokens);
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -15,6 +15,7 @@
 #include "internal/caro_latency.h"
 #include "internal/caro_placement.h"
 #include "internal/caro_prompt_guard.h"
+#include "internal/caro_request_limits.h"
 #include "internal/caro_retry_budget.h"
 #include "internal/caro_routes.h"
 #include "internal/caro_service_rollouts.h"
@@ -31,6 +32,7 @@
     CaroCounters *counters;
     CaroLatency *latency;
     CaroPromptGuard *guard;
+    CaroRequestLimits *limits;
     gsl_rng *rng;
     const char *domain; /* Failure domain of this VM. */
 } CaroRelayDeps;
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -56,6 +56,7 @@
     CaroTime reported_at;    /* Arrival of the last load report; 0 if none. */
     int failures;            /* Consecutive failures. */
     CaroTime avoided_until;  /* Gets no new requests before this time. */
+    CaroTime full_at;        /* Its limit admitted no request then. */
     CaroTime failed_at;      /* Last failure, seen by this VM or a peer. */
     CaroTime last_heard_at; /* Last response or event, to this VM or a peer. */
     CaroTime registered_at; /* Time at which the entry was added. */
@@ -88,6 +89,9 @@
 /* Returns the registered target with the id, or CARO_NO_HANDLE. */
 CaroHandle CaroTargets_Find(const CaroTargets *t, const char *id);
 
+/* Likewise by the hash of the id, as in messages of other VMs. */
+CaroHandle CaroTargets_FindByHash(const CaroTargets *t, uint32_t id_hash);
+
 /* Records that the target is no longer registered.  Its slot is freed once
    this VM has neither requests nor KV copies there. */
 void CaroTargets_Remove(CaroTargets *t, CaroHandle h);
@@ -136,6 +140,9 @@
 /* Returns whether the target accepts new requests now. */
 bool CaroTarget_IsUsable(const CaroTarget *target, CaroTime now);
 
+/* Returns whether its request limit was found to admit none at this time. */
+bool CaroTarget_IsFull(const CaroTarget *target, CaroTime now);
+
 /*
  * Returns whether the target failed a short while ago and has sent
  * nothing since.  A crashed instance stays registered until its lease
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -354,6 +354,12 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_LIMIT_REPORT:
+        if (f->handlers->on_limit_report != NULL) {
+            f->handlers->on_limit_report(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
     default:
         if (f->handlers->on_call != NULL) {
             f->handlers->on_call(f->context, request, procedure, args);
@@ -486,6 +492,19 @@
     }
 }
 
+void
+CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report)
+{
+    int count = CaroMembership_Count(f->membership);
+    for (CaroHandle vm = 0; vm < count; vm++) {
+        if (vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm)) {
+            CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
+                         CARO_RPC_UDP, CARO_LIMIT_REPORT, report,
+                         LOAD_REPORT_TIMEOUT, NULL, NULL);
+        }
+    }
+}
+
 void
 CaroFleet_SendPromptReport(CaroFleet *f, const caro_prompt_report *report,
                            int fanout)
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -21,6 +21,7 @@
 #include "internal/caro_registry.h"
 #include "internal/caro_relay.h"
 #include "internal/caro_request_check.h"
+#include "internal/caro_request_limits.h"
 #include "internal/caro_service_rollouts.h"
 
 #include <assert.h>
@@ -78,6 +79,7 @@
     CaroPeerLoads *peer_loads;
     CaroServiceRollouts *rollouts;
     CaroPromptGuard *guard;
+    CaroRequestLimits *limits;
     CaroRelays *relays;
     CaroHttpServer *http_server;
     CaroStoreClient *store;
@@ -94,6 +96,7 @@
 
     uint64_t boot_id;
     uint32_t report_sequence;
+    uint32_t limit_report_sequence;
     CaroTime next_load_report;
     CaroTime started_at;
     /* Calls received before the first reads of the store. */
@@ -538,7 +541,28 @@
     }
 }
 
+static void
+on_limit_report(void *context, const caro_limit_report *report)
+{
+    CaroGateway *g = context;
+    CaroRequestLimits_Apply(g->limits, report, CaroClock_Now());
+}
+
+static void
+tick_limits(CaroGateway *g, int vms, CaroTime now)
+{
+    CaroLimitReport out;
+    CaroRequestLimits_SetVms(g->limits, vms);
+    if (CaroRequestLimits_Collect(g->limits, &out, now)) {
+        out.report.sender = g->settings.vm;
+        out.report.boot_id = g->boot_id;
+        out.report.sequence = ++g->limit_report_sequence;
+        CaroFleet_SendLimitReport(g->fleet, &out.report);
+    }
+}
+
 static const CaroFleetHandlers fleet_handlers = {
+    .on_limit_report = on_limit_report,
     .on_prompt_report = on_prompt_report,
     .on_load_report = on_load_report,
     .get_config_freshness = get_config_freshness,
@@ -588,12 +612,14 @@
         if (t->is_used) {
             (void)json_array_append_new(
                 targets,
-                json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:i}",
+                json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:i, "
+                          "s:f}",
                           "id", t->entry.id, "service", t->entry.service,
                           "domain", t->entry.domain, "present", t->is_present,
                           "leaving", t->entry.is_leaving, "in_flight",
                           t->in_flight, "copies", t->kv_copies, "running",
-                          t->reported_running, "failures", t->failures));
+                          t->reported_running, "failures", t->failures,
+                          "limit_per_s", CaroRequestLimits_Get(g->limits, h)));
         }
     }
     return json_pack(
@@ -684,8 +710,10 @@
     CaroServiceRollouts_Tick(g->rollouts, now);
     send_load_report(g, now);
     tick_guard(g, now);
-    CaroRelays_SetVms(g->relays, CaroMembership_CountUsable(
-                                     CaroFleet_GetMembershipConst(g->fleet)));
+    int vms =
+        CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet));
+    tick_limits(g, vms, now);
+    CaroRelays_SetVms(g->relays, vms);
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
         g->was_config_fresh = is_fresh;
@@ -760,9 +788,12 @@
             : CaroServiceRollouts_Create(g->store, s->rollout_exposure_max,
                                          s->rollout_request_allowance);
     g->guard = CaroPromptGuard_Create(g->targets, g->store, &g->counters);
-    if (g->guard == NULL || g->rng == NULL || g->latency == NULL ||
-        g->peer_loads == NULL || g->pool == NULL || g->budget == NULL ||
-        g->rollouts == NULL) {
+    g->limits = g->targets == NULL || g->rng == NULL
+                    ? NULL
+                    : CaroRequestLimits_Create(g->targets, g->rng);
+    if (g->guard == NULL || g->limits == NULL || g->rng == NULL ||
+        g->latency == NULL || g->peer_loads == NULL || g->pool == NULL ||
+        g->budget == NULL || g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
@@ -774,6 +805,7 @@
                           .counters = &g->counters,
                           .latency = g->latency,
                           .guard = g->guard,
+                          .limits = g->limits,
                           .rng = g->rng,
                           .domain = g->settings.domain};
     g->relays = CaroRelays_Create(&deps);
@@ -903,6 +935,7 @@
     CaroPeerLoads_Destroy(g->peer_loads);
     CaroServiceRollouts_Destroy(g->rollouts);
     CaroPromptGuard_Destroy(g->guard);
+    CaroRequestLimits_Destroy(g->limits);
     CaroLatency_Destroy(g->latency);
     CaroTargets_Destroy(g->targets);
     CaroRoutes_Destroy(g->routes);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -87,6 +87,7 @@
     bool is_forwarding;        /* A long plain response is being forwarded. */
     bool is_close_delimited;   /* The response ends with the connection. */
     bool is_canary;           /* Restricted to the new version of a rollout. */
+    bool is_over_limit;       /* Only full targets are left. */
     bool is_target_suspected; /* Another stream found the target silent. */
     bool is_silence_recorded; /* The target was recorded as silent. */
     bool has_prefill_ahead;   /* Other prompts were queued at the target. */
@@ -263,6 +264,12 @@
     CaroCall *call = r->call;
     double retry_after_s =
         r->attempt.is_barred ? QUARANTINE_RETRY_AFTER_S : RETRY_AFTER_S;
+    if (r->is_over_limit && status == 503) {
+        CaroTime delay = CaroRequestLimits_Refuse(r->relays->deps.limits,
+                                                  r->service, r->id, now);
+        retry_after_s = (double)delay / (double)CARO_SECOND;
+        add_count(r, CARO_COUNT_LIMITED);
+    }
     add_count(r,
               status == 503 ? CARO_COUNT_REFUSED : CARO_COUNT_RELAYS_FAILED);
     log_request(r, status, reason, now);
@@ -457,6 +464,29 @@
     }
 }
 
+/* A response without a limit ends one, unless it is a refusal, which need not
+   come from the upstream's application. */
+static void
+record_limit(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
+{
+    double limit = -1.0;
+    CaroText value = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LIMIT));
+    bool is_named =
+        value.at != NULL && CaroPlatform_ReadLimit(value, &limit) == 0;
+    if (value.at != NULL && !is_named) {
+        CaroLog_Warn("relay",
+                     "A limit of an upstream is malformed. id=%s upstream=%s",
+                     r->id,
+                     CaroTargets_GetConst(r->relays->deps.targets, r->target)
+                         ->entry.id);
+    }
+    if (is_named || (value.at == NULL && !r->is_not_run)) {
+        CaroRequestLimits_RecordResponse(r->relays->deps.limits, r->target,
+                                         limit, now);
+    }
+}
+
 static void
 begin_stream(CaroRelay *r, CaroTime now)
 {
@@ -492,6 +522,7 @@
         CaroHttpHead_Find(head, CaroPlatform_HeaderName(CARO_HEADER_NOT_RUN))
                 .at != NULL ||
         head->status == 421;
+    record_limit(r, head, now);
     evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
     CaroRelayHead_CopyResponse(r->headers, head);
     bool is_success = head->status >= 200 && head->status <= 299;
@@ -885,6 +916,7 @@
     if (r->is_canary) {
         q.version = NULL;
     }
+    CaroRequestLimits_Update(r->relays->deps.limits, r->service, now);
     return CaroPlacement_HasUsable(r->relays->deps.targets, &q, now);
 }
 
@@ -912,16 +944,28 @@
 choose_target(CaroRelay *r, CaroTime now)
 {
     CaroTargets *targets = r->relays->deps.targets;
+    CaroRequestLimits *limits = r->relays->deps.limits;
     r->is_from_kv_copy = false;
     if (r->resume_at != CARO_NO_HANDLE) {
         const CaroTarget *kv_holder =
             CaroTargets_GetConst(targets, r->resume_at);
-        if (CaroTarget_IsUsable(kv_holder, now)) {
+        if (CaroTarget_IsUsable(kv_holder, now) &&
+            CaroRequestLimits_Take(limits, r->resume_at, true, now)) {
             r->is_from_kv_copy = true;
             return r->resume_at;
         }
     }
-    return CaroPlacement_Choose(targets, &r->query, r->relays->deps.rng, now);
+    bool is_retry =
+        r->attempt.tries > 0 || CaroEventForwarder_LastId(r->forwarder) >= 0;
+    CaroHandle h;
+    CaroRequestLimits_Update(limits, r->service, now);
+    do { /* A target that does not admit the request is full after that. */
+        h = CaroPlacement_Choose(targets, &r->query, r->relays->deps.rng, now);
+    } while (h != CARO_NO_HANDLE &&
+             !CaroRequestLimits_Take(limits, h, is_retry, now));
+    r->is_over_limit =
+        h == CARO_NO_HANDLE && CaroPlacement_HasFull(targets, &r->query, now);
+    return h;
 }
 
 /* Chooses where the engine copies the stream's KV memory, from which the
@@ -1029,7 +1073,10 @@
         r->target = choose_target(r, now);
     }
     if (r->target == CARO_NO_HANDLE) {
-        end_attempt(r, CARO_OUTCOME_NO_TARGET, "no usable upstream", now);
+        end_attempt(r, CARO_OUTCOME_NO_TARGET,
+                    r->is_over_limit ? "the upstreams' limits are used up"
+                                     : "no usable upstream",
+                    now);
         return;
     }
     const CaroTarget *target =
@@ -1182,6 +1229,7 @@
     set_deadline(r, head, now);
     set_prompt(r, head);
     CaroRetryBudget_RecordRequest(relays->deps.budget, r->service, now);
+    CaroRequestLimits_RecordDemand(relays->deps.limits, r->service, now);
     add_count(r, CARO_COUNT_RELAYS);
     begin_attempt(r, now);
 }
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -29,6 +29,7 @@
     [CARO_WHY] = PROCEDURE(caro_why_args, caro_why_reply),
     [CARO_LOAD_REPORT] = PROCEDURE(caro_load_report, caro_load_report),
     [CARO_PROMPT_REPORT] = PROCEDURE(caro_prompt_report, caro_prompt_report),
+    [CARO_LIMIT_REPORT] = PROCEDURE(caro_limit_report, caro_limit_report),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Objects/peer_loads.c
+++ b/Objects/peer_loads.c
@@ -93,19 +93,6 @@
     }
 }
 
-static CaroHandle
-find_target(const CaroPeerLoads *b, uint32_t id_hash)
-{
-    for (CaroHandle h = 0; h < CaroTargets_Count(b->targets); h++) {
-        const CaroTarget *target = CaroTargets_GetConst(b->targets, h);
-        if (target->is_used && target->is_present &&
-            target->id_hash == id_hash) {
-            return h;
-        }
-    }
-    return CARO_NO_HANDLE;
-}
-
 static Sender *
 get_or_create_sender(CaroPeerLoads *b, const char *name)
 {
@@ -168,7 +155,7 @@
     s->n = 0;
     for (u_int i = 0; i < report->loads.loads_len; i++) {
         const caro_target_load *load = &report->loads.loads_val[i];
-        CaroHandle h = find_target(b, load->target);
+        CaroHandle h = CaroTargets_FindByHash(b->targets, load->target);
         if (h == CARO_NO_HANDLE) {
             continue;
         }
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -48,6 +48,19 @@
     return CARO_NO_HANDLE;
 }
 
+CaroHandle
+CaroTargets_FindByHash(const CaroTargets *t, uint32_t id_hash)
+{
+    for (CaroHandle h = 0; h < t->count; h++) {
+        const CaroTarget *target = &t->all[h];
+        if (target->is_used && target->is_present &&
+            target->id_hash == id_hash) {
+            return h;
+        }
+    }
+    return CARO_NO_HANDLE;
+}
+
 static CaroHandle
 find_free(CaroTargets *t)
 {
@@ -242,6 +255,12 @@
            !target->entry.is_leaving && now >= target->avoided_until;
 }
 
+bool
+CaroTarget_IsFull(const CaroTarget *target, CaroTime now)
+{
+    return now == target->full_at;
+}
+
 bool
 CaroTarget_IsSuspected(const CaroTarget *target, CaroTime now)
 {
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -312,6 +312,39 @@
 	} quarantines;
 };
 typedef struct caro_prompt_report caro_prompt_report;
+#define CARO_LIMITS_MAX 64
+#define CARO_DEMANDS_MAX 16
+
+struct caro_target_limit {
+	u_int target;
+	u_int sent;
+	bool_t has_news;
+	bool_t is_limited;
+	u_int requests_per_1000_s;
+	u_int age_ms;
+};
+typedef struct caro_target_limit caro_target_limit;
+
+struct caro_service_demand {
+	u_int service;
+	u_int requests_per_1000_s;
+};
+typedef struct caro_service_demand caro_service_demand;
+
+struct caro_limit_report {
+	char *sender;
+	u_quad_t boot_id;
+	u_int sequence;
+	struct {
+		u_int limits_len;
+		caro_target_limit *limits_val;
+	} limits;
+	struct {
+		u_int demands_len;
+		caro_service_demand *demands_val;
+	} demands;
+};
+typedef struct caro_limit_report caro_limit_report;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -359,6 +392,9 @@
 #define CARO_PROMPT_REPORT 14
 extern  caro_prompt_report * caro_prompt_report_1(caro_prompt_report *, CLIENT *);
 extern  caro_prompt_report * caro_prompt_report_1_svc(caro_prompt_report *, struct svc_req *);
+#define CARO_LIMIT_REPORT 15
+extern  caro_limit_report * caro_limit_report_1(caro_limit_report *, CLIENT *);
+extern  caro_limit_report * caro_limit_report_1_svc(caro_limit_report *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -404,6 +440,9 @@
 #define CARO_PROMPT_REPORT 14
 extern  caro_prompt_report * caro_prompt_report_1();
 extern  caro_prompt_report * caro_prompt_report_1_svc();
+#define CARO_LIMIT_REPORT 15
+extern  caro_limit_report * caro_limit_report_1();
+extern  caro_limit_report * caro_limit_report_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -438,6 +477,9 @@
 extern  bool_t xdr_caro_prompt_begin (XDR *, caro_prompt_begin*);
 extern  bool_t xdr_caro_quarantine (XDR *, caro_quarantine*);
 extern  bool_t xdr_caro_prompt_report (XDR *, caro_prompt_report*);
+extern  bool_t xdr_caro_target_limit (XDR *, caro_target_limit*);
+extern  bool_t xdr_caro_service_demand (XDR *, caro_service_demand*);
+extern  bool_t xdr_caro_limit_report (XDR *, caro_limit_report*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -468,6 +510,9 @@
 extern bool_t xdr_caro_prompt_begin ();
 extern bool_t xdr_caro_quarantine ();
 extern bool_t xdr_caro_prompt_report ();
+extern bool_t xdr_caro_target_limit ();
+extern bool_t xdr_caro_service_demand ();
+extern bool_t xdr_caro_limit_report ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -236,6 +236,35 @@
     caro_quarantine quarantines<CARO_QUARANTINES_MAX>;
 };
 
+const CARO_LIMITS_MAX = 64;
+const CARO_DEMANDS_MAX = 16;
+
+/* A limit that a target put on its requests, and the sender's use of it. */
+struct caro_target_limit {
+    unsigned int target; /* Hash of the target's id. */
+    unsigned int sent; /* Requests of the sender in the last seconds. */
+    bool has_news; /* The sender has the fields below from a response. */
+    bool is_limited; /* The target names a limit. */
+    unsigned int requests_per_1000_s;
+    unsigned int age_ms; /* Time since that response. */
+};
+
+/* Requests of the sender's callers for a service with limited targets. */
+struct caro_service_demand {
+    unsigned int service; /* Hash of the service's name. */
+    unsigned int requests_per_1000_s;
+};
+
+/* The sender's use of limited targets; replaces its previous report.  Older
+   versions ignore the procedure. */
+struct caro_limit_report {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper boot_id;
+    unsigned int sequence; /* Increases with each report of a process start. */
+    caro_target_limit limits<CARO_LIMITS_MAX>;
+    caro_service_demand demands<CARO_DEMANDS_MAX>;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -252,5 +281,6 @@
         caro_why_reply CARO_WHY(caro_why_args) = 12;
         caro_load_report CARO_LOAD_REPORT(caro_load_report) = 13;
         caro_prompt_report CARO_PROMPT_REPORT(caro_prompt_report) = 14;
+        caro_limit_report CARO_LIMIT_REPORT(caro_limit_report) = 15;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -545,3 +545,106 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_target_limit (XDR *xdrs, caro_target_limit *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->has_news))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_limited))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->requests_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->target);
+			IXDR_PUT_U_LONG(buf, objp->sent);
+			IXDR_PUT_BOOL(buf, objp->has_news);
+			IXDR_PUT_BOOL(buf, objp->is_limited);
+			IXDR_PUT_U_LONG(buf, objp->requests_per_1000_s);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->sent))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->has_news))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_limited))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->requests_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			objp->target = IXDR_GET_U_LONG(buf);
+			objp->sent = IXDR_GET_U_LONG(buf);
+			objp->has_news = IXDR_GET_BOOL(buf);
+			objp->is_limited = IXDR_GET_BOOL(buf);
+			objp->requests_per_1000_s = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_news))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_limited))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests_per_1000_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_service_demand (XDR *xdrs, caro_service_demand *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests_per_1000_s))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_limit_report (XDR *xdrs, caro_limit_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->limits.limits_val, (u_int *) &objp->limits.limits_len, CARO_LIMITS_MAX,
+		sizeof (caro_target_limit), (xdrproc_t) xdr_caro_target_limit))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->demands.demands_val, (u_int *) &objp->demands.demands_len, CARO_DEMANDS_MAX,
+		sizeof (caro_service_demand), (xdrproc_t) xdr_caro_service_demand))
+		 return FALSE;
+	return TRUE;
+}
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -157,6 +157,39 @@
     assert_int_equal(CaroPlatform_HeaderId(t), CARO_HEADER_REQUEST_ID);
 }
 
+static void
+test_limit(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *text;
+        double per_s;
+    } valid[] = {{"2", 2.0},    {"0", 0.0},  {"1.300", 1.3},
+                 {"12.", 12.0}, {".5", 0.5}, {"99999", 99999.0}};
+    static const char *const invalid[] = {"",
+                                          ".",
+                                          "-1",
+                                          "+2",
+                                          "1e3",
+                                          "2,5",
+                                          "1.2.3",
+                                          "nan",
+                                          "0x10",
+                                          "2 ",
+                                          "1234567890123456789"};
+    double per_s = -1.0;
+    for (size_t i = 0; i < sizeof(valid) / sizeof(valid[0]); i++) {
+        CaroText t = {.at = valid[i].text, .size = strlen(valid[i].text)};
+        assert_int_equal(CaroPlatform_ReadLimit(t, &per_s), 0);
+        assert_true(per_s > valid[i].per_s - 1e-9 &&
+                    per_s < valid[i].per_s + 1e-9);
+    }
+    for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++) {
+        CaroText t = {.at = invalid[i], .size = strlen(invalid[i])};
+        assert_true(CaroPlatform_ReadLimit(t, &per_s) < 0);
+    }
+}
+
 /* Only complete events are returned, however the bytes are divided. */
 static void
 test_event_stream_returns_complete_events(void **state)
@@ -342,6 +375,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_config),
+        cmocka_unit_test(test_limit),
         cmocka_unit_test(test_target_registration),
         cmocka_unit_test(test_store_calls_and_responses),
         cmocka_unit_test(test_headers),
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -351,6 +351,7 @@
         .domain = "d"};
     f->deps.guard =
         CaroPromptGuard_Create(f->deps.targets, NULL, &f->counters);
+    f->deps.limits = CaroRequestLimits_Create(f->deps.targets, f->deps.rng);
     f->relays = CaroRelays_Create(&f->deps);
     f->route = (CaroRoute){.name = "r",
                            .timeout = 3 * CARO_SECOND,
@@ -389,6 +390,7 @@
     evconnlistener_free(f->up.listener);
     run_for(f, 2 * LOOP_STEP); /* The upstream frees its connections. */
     CaroPromptGuard_Destroy(f->deps.guard);
+    CaroRequestLimits_Destroy(f->deps.limits);
     CaroTargets_Destroy(f->deps.targets);
     CaroRetryBudget_Destroy(f->deps.budget);
     CaroServiceRollouts_Destroy(f->deps.rollouts);
@@ -1121,6 +1123,135 @@
     wait_for(f, "\r\n\r\nlate");
 }
 
+#define LIMITED_RESPONSE(id, limit)                                           \
+    "HTTP/1.1 200 OK\r\nX-Attempt-Id: " id "\r\nX-Response-Seal: s\r\n"       \
+    "Server-Limit: " limit "\r\nContent-Length: 4\r\n\r\ngood"
+
+/* Requests a second that t1 takes; below 0 for no limit. */
+static double
+get_limit(const Fixture *f)
+{
+    return CaroRequestLimits_Get(f->deps.limits,
+                                 CaroTargets_Find(f->deps.targets, "t1"));
+}
+
+static void
+test_limit_is_read_and_not_forwarded(void **state)
+{
+    Fixture *f = *state;
+    CaroTargets_Remove(f->deps.targets,
+                       CaroTargets_Find(f->deps.targets, "t2"));
+    script(f, RESPONSE_KEEP_OPEN, LIMITED_RESPONSE("r1", "100.5"));
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "\r\n\r\ngood");
+    assert_null(strstr(f->received, "Server-Limit"));
+    assert_true(get_limit(f) == 100.5);
+    /* Neither a refusal nor a malformed limit ends it. */
+    script(f, RESPONSE_KEEP_OPEN,
+           "HTTP/1.1 503 X\r\nX-Attempt-Id: r2\r\nX-Not-Executed: 1\r\n"
+           "Content-Length: 0\r\n\r\n");
+    request(f, "r2", 3, LOOP_STEP);
+    wait_for(f, "HTTP/1.1 503");
+    assert_true(get_limit(f) == 100.5);
+    script(f, RESPONSE_KEEP_OPEN, LIMITED_RESPONSE("r3", "many"));
+    request(f, "r3", 3, LOOP_STEP);
+    wait_for(f, "\r\n\r\ngood");
+    assert_true(get_limit(f) == 100.5);
+    script(f, RESPONSE_KEEP_OPEN, RESPONSE("r4", "good"));
+    request(f, "r4", 3, LOOP_STEP);
+    wait_for(f, "\r\n\r\ngood");
+    assert_true(get_limit(f) < 0.0);
+}
+
+/* Many requests and a limit of 0: none is left for the next one. */
+static void
+use_limits_up(Fixture *f)
+{
+    enum { OTHER_REQUESTS = 1000 };
+    CaroTime now = CaroClock_Now();
+    for (int i = 0; i < OTHER_REQUESTS; i++) {
+        CaroRequestLimits_RecordDemand(f->deps.limits, "s", now);
+    }
+    for (CaroHandle h = 0; h < CaroTargets_Count(f->deps.targets); h++) {
+        CaroRequestLimits_RecordResponse(f->deps.limits, h, 0.0, now);
+        while (CaroRequestLimits_Take(f->deps.limits, h, true, now)) {
+        }
+    }
+}
+
+static void
+test_request_over_all_limits_is_refused_at_once(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_NON_IDEMPOTENT;
+    use_limits_up(f);
+    CaroTime start = CaroClock_Now();
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "HTTP/1.1 503");
+    assert_true(CaroClock_Now() - start < 500 * CARO_MS + f->stalled);
+    assert_non_null(strstr(f->received, "Retry-After: "));
+    assert_int_equal(f->up.n_requests, 0);
+    assert_int_equal(f->counters.values[CARO_COUNT_LIMITED], 1);
+}
+
+static void
+test_request_goes_where_there_is_room(void **state)
+{
+    Fixture *f = *state;
+    use_limits_up(f);
+    CaroHandle free = CaroTargets_Find(f->deps.targets, "t2");
+    CaroRequestLimits_RecordResponse(f->deps.limits, free, -1.0,
+                                     CaroClock_Now());
+    script(f, RESPONSE_KEEP_OPEN, RESPONSE("r1", "good"));
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "\r\n\r\ngood");
+    assert_non_null(strstr(f->up.requests[0], "X-Expect-Instance: t2"));
+}
+
+static void
+test_late_request_is_not_moved_when_the_others_are_over_their_limit(
+    void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_IDEMPOTENT;
+    f->route.objective = 100 * CARO_MS;
+    script(f, RESPONSE_NONE, "");
+    request(f, "r1", 3, LOOP_STEP);
+    use_limits_up(f);
+    run_for(f, 5 * f->route.objective);
+    assert_int_equal(f->n_received, 0);
+    assert_int_equal(f->up.n_requests, 1);
+    send_more(&f->up, RESPONSE("r1", "late"));
+    wait_for(f, "\r\n\r\nlate");
+}
+
+/* A stream that has begun waits until an upstream takes it. */
+static void
+test_stream_waits_while_all_upstreams_are_over_their_limit(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_STREAM;
+    f->route.is_resumable = true;
+    script(f, RESPONSE_KEEP_OPEN,
+           STREAM_HEAD("r1") "f\r\nid: 1\ndata: a\n\n\r\n");
+    script(f, RESPONSE_KEEP_OPEN,
+           STREAM_HEAD("r1") "f\r\nid: 2\ndata: c\n\n\r\n0\r\n\r\n");
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "id: 1\n");
+    use_limits_up(f);
+    Connection *c = f->up.newest;
+    reset_connection(c->bev);
+    free_connection(c);
+    run_for(f, 10 * LOOP_STEP);
+    assert_false(f->is_closed);
+    assert_int_equal(f->up.n_requests, 1);
+    for (CaroHandle h = 0; h < 2; h++) {
+        CaroRequestLimits_RecordResponse(f->deps.limits, h, -1.0,
+                                         CaroClock_Now());
+    }
+    wait_for(f, "data: c\n\n\r\n0\r\n\r\n");
+}
+
 static void
 test_caller_disconnects(void **state)
 {
@@ -1637,6 +1768,12 @@
         RELAY_TEST(test_stream_that_ends_with_its_connection_before_an_event),
         RELAY_TEST(
             test_late_request_is_not_moved_when_the_other_upstreams_shed),
+        RELAY_TEST(test_limit_is_read_and_not_forwarded),
+        RELAY_TEST(test_request_over_all_limits_is_refused_at_once),
+        RELAY_TEST(test_request_goes_where_there_is_room),
+        RELAY_TEST(
+            test_late_request_is_not_moved_when_the_others_are_over_their_limit),
+        RELAY_TEST(test_stream_waits_while_all_upstreams_are_over_their_limit),
         RELAY_TEST(test_caller_disconnects),
         RELAY_TEST(test_caller_does_not_read),
         RELAY_TEST(test_channel_to_removed_target_is_not_used_for_the_next),
