Count a quarantine of several parts as evidence against each

A quarantine whose parts have not begun counts now as one event for each, and the set that is chosen is cut with it.

--- a/Controllers/prompt_quarantine.c
+++ b/Controllers/prompt_quarantine.c
@@ -10,6 +10,8 @@
 #define SETTLE_DELAY (500 * CARO_MS)
 /* Events after which a part that has never begun is chosen. */
 #define EVENTS_MIN 3
+/* Events for which a quarantine of several parts counts with each of them. */
+#define QUARANTINE_EVENTS 1
 /* Events, and time without a begin, after which one that has begun is. */
 #define BEGUN_EVENTS_MIN 5
 #define BEGUN_SILENCE_MIN (2 * CARO_SECOND)
@@ -37,6 +39,27 @@
     return is_kind && CaroPromptParts_Has(&crash->parts, part);
 }
 
+/* The quarantine has the part among others.  One of its parts crashed
+   upstreams, and it is not known which. */
+static bool
+is_ambiguous(const CaroQuarantine *q, uint64_t part)
+{
+    return !q->is_lifted && q->parts.n > 1 &&
+           CaroPromptParts_Has(&q->parts, part);
+}
+
+static int
+count_quarantines(const CaroPromptCrashes *t, uint64_t part)
+{
+    int n;
+    int count = 0;
+    const CaroQuarantine *all = CaroPromptCrashes_QuarantinesConst(t, &n);
+    for (int i = 0; i < n; i++) {
+        count += is_ambiguous(&all[i], part);
+    }
+    return count;
+}
+
 /* Counts the events of which the part is a suspect, each upstream once. */
 static Events
 count_events(const CaroPromptCrashes *t, uint64_t part, SuspectKind kind,
@@ -46,6 +69,9 @@
     const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
     const CaroPromptCrash *last = NULL;
     Events events = {.n = 0};
+    if (kind == SUSPECT_NEVER_BEGUN) {
+        events.n = QUARANTINE_EVENTS * count_quarantines(t, part);
+    }
     for (int i = 0; i < n; i++) {
         const CaroPromptCrash *c = &crashes[i];
         if (!is_suspect(t, c, part, kind)) {
@@ -70,7 +96,21 @@
     return events;
 }
 
-/* Keeps the suspects that occur in each crash of which the part is one. */
+/* Keeps the parts that stand in the other set as well. */
+static void
+intersect(CaroPromptParts *parts, const CaroPromptParts *other)
+{
+    CaroPromptParts kept = {.n = 0};
+    for (int i = 0; i < parts->n; i++) {
+        if (CaroPromptParts_Has(other, parts->ids[i])) {
+            CaroPromptParts_Add(&kept, parts->ids[i]);
+        }
+    }
+    *parts = kept;
+}
+
+/* Keeps the suspects that occur in each crash of which the part is one, and in
+   the quarantines that are counted for it. */
 static void
 find_common_suspects(const CaroPromptCrashes *t, uint64_t part,
                      SuspectKind kind, CaroPromptParts *parts)
@@ -94,6 +134,12 @@
         *parts = kept;
         is_first = false;
     }
+    const CaroQuarantine *all = CaroPromptCrashes_QuarantinesConst(t, &n);
+    for (int i = 0; i < n && kind == SUSPECT_NEVER_BEGUN; i++) {
+        if (is_ambiguous(&all[i], part)) {
+            intersect(parts, &all[i].parts);
+        }
+    }
 }
 
 /* The part is a suspect of an earlier crash of the list. */
--- a/Include/internal/caro_prompt_crashes.h
+++ b/Include/internal/caro_prompt_crashes.h
@@ -93,6 +93,8 @@
 
 /* The quarantines, also those that were lifted. */
 CaroQuarantine *CaroPromptCrashes_Quarantines(CaroPromptCrashes *t, int *n);
+const CaroQuarantine *
+CaroPromptCrashes_QuarantinesConst(const CaroPromptCrashes *t, int *n);
 
 /*
  * Drops what has expired; takes parts that have begun since out of the
--- a/Objects/prompt_crashes.c
+++ b/Objects/prompt_crashes.c
@@ -311,6 +311,13 @@
     return t->quarantines;
 }
 
+const CaroQuarantine *
+CaroPromptCrashes_QuarantinesConst(const CaroPromptCrashes *t, int *n)
+{
+    *n = t->n_quarantines;
+    return t->quarantines;
+}
+
 /* Takes the parts that have begun since out of the quarantine, unless all
    have. */
 static void
