Do not take a slow caller for progress of its upstream

Cause, from a trace of the timer: the comments fill the caller's buffer, reading pauses, and each time that the caller has drained it the silence of the upstream began anew, every 10 to 100 ms, so that the stream was never resumed.

--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -39,6 +39,7 @@
     CaroTime failed_at;     /* Time of the head of a failure; 0 for none. */
     int put_offs;           /* Times that a timeout was put off since then. */
     bool is_paused; /* Reading is stopped because the caller is slow. */
+    CaroTime paused_at;
     bool is_skipping_response; /* The response is another request's. */
     int n_foreign_responses;   /* The channel delivered them. */
     size_t foreign_bytes;      /* Bytes of their bodies. */
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -153,10 +153,11 @@
 }
 
 static void
-pause_if_caller_slow(CaroRelay *r)
+pause_if_caller_slow(CaroRelay *r, CaroTime now)
 {
     if (!r->is_paused && CaroCall_PendingBytes(r->call) > PENDING_BYTES_MAX) {
         r->is_paused = true;
+        r->paused_at = now;
         r->rollout_attempt.is_excused = true;
         CaroChannel_Pause(r->channel, true);
     }
@@ -210,7 +211,7 @@
         CaroRelay_ScheduleTimer(
             r, now); /* Later events have a shorter timeout. */
     }
-    pause_if_caller_slow(r);
+    pause_if_caller_slow(r, now);
 }
 
 static void
@@ -309,7 +310,7 @@
 
 /* Buffers a plain response; begins to forward it once it is too long. */
 static void
-buffer_body(CaroRelay *r, CaroText bytes)
+buffer_body(CaroRelay *r, CaroText bytes, CaroTime now)
 {
     (void)evbuffer_add(r->body, bytes.at, bytes.size);
     size_t size = evbuffer_get_length(r->body);
@@ -318,7 +319,7 @@
     }
     if (r->failed_at > 0) {
         end_attempt(r, outcome_without_end(r),
-                    "the body of the failure is too long", CaroClock_Now());
+                    "the body of the failure is too long", now);
         return;
     }
     r->is_forwarding = true;
@@ -328,7 +329,7 @@
     CaroCall_SendBody(r->call, (const char *)evbuffer_pullup(r->body, -1),
                       size);
     evbuffer_drain(r->body, size);
-    pause_if_caller_slow(r);
+    pause_if_caller_slow(r, now);
 }
 
 static void
@@ -349,10 +350,10 @@
     }
     else if (r->is_forwarding) {
         CaroCall_SendBody(r->call, bytes.at, bytes.size);
-        pause_if_caller_slow(r);
+        pause_if_caller_slow(r, now);
     }
     else if (!r->attempt.has_response_begun) {
-        buffer_body(r, bytes);
+        buffer_body(r, bytes, now);
     }
     /* Otherwise the caller already has a part of another response, and this
        is the body of an error: it is dropped. */
