--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -8,7 +8,8 @@
 # One seed in three has planned work alone: stops with SIGTERM and restarts,
 # SIGHUP, changes of the configuration.  The others add kills and freezes of
 # gateways and engines, freezes of order services, lost and failed responses,
-# torn streams, and a store that does not answer.
+# torn streams, and a store that does not answer.  In one seed in four the order
+# services limit their requests.
 #
 # A request that ended without an answer is lost, unless its gateway or its
 # upstream had a fault at that time, or the request crossed the gateway's close
@@ -259,6 +260,11 @@
 
 gateway_fleet_start 2 "$gateways" "$engines" >/dev/null
 planned_only=$((seed % 3 == 0))
+if [ $((seed % 4)) = 1 ]; then
+    for i in $(seq 1 "$fleet_domains"); do
+        fleet_fault "$(gateway_desk "$i")" limit=8
+    done
+fi
 gateway_load --seconds "$seconds" --seed "$seed" --workers "$workers" \
     --soak-pause-ms 1600 >"$fleet_dir/load.txt" &
 load=$!
