Close a caller's connection at once, not in a later turn of the loop

Cause: bufferevent_free() leaves the descriptor to a finalizer in a later turn of the loop. Connections closed in the last turn stayed open until the exit, and a caller's request on one was read by nobody.

Now the descriptor is closed with the connection, so that such a request is reset at once. test_http_server, closed_connection_ends_before_the_next_turn_of_the_loop, failed before and passes; all 14 also under sanitizers.

--- a/Modules/http_server.c
+++ b/Modules/http_server.c
@@ -113,7 +113,12 @@
     }
     s->n_connections--;
     event_free(c->timer);
+    /* A bufferevent closes its descriptor in a later turn of the loop, and
+       not at all when there is none before the exit. */
+    evutil_socket_t fd = bufferevent_getfd(c->bev);
+    (void)bufferevent_setfd(c->bev, -1);
     bufferevent_free(c->bev);
+    evutil_closesocket(fd);
     CaroHttpReader_Destroy(c->reader);
     evbuffer_free(c->body);
     free(c);
--- a/Test/test_http_server.c
+++ b/Test/test_http_server.c
@@ -525,6 +525,27 @@
     (void)close(c.fd);
 }
 
+/* The process may be held up between the last turn of its loop and its exit,
+   and a request that comes meanwhile would have no answer until then. */
+static void
+test_closed_connection_ends_before_the_next_turn_of_the_loop(void **state)
+{
+    Fixture *f = *state;
+    Caller c;
+    f->limits.idle_timeout = 5 * CARO_SECOND;
+    start_server(f);
+    connect_caller(f, &c, 0);
+    send_text(&c, REQUEST);
+    wait_for_response(f, &c);
+    CaroHttpServer_CloseIdle(f->server);
+    for (int i = 0; i < 10 && !c.is_closed; i++) {
+        stall(5 * CARO_MS);
+        receive(&c, SIZE_MAX);
+    }
+    assert_true(c.is_closed);
+    (void)close(c.fd);
+}
+
 int
 main(void)
 {
@@ -546,6 +567,7 @@
         TEST(test_request_that_arrives_before_the_exit_is_answered),
         TEST(test_unsent_response_keeps_its_connection_before_the_exit),
         TEST(test_idle_connection_is_closed_before_the_exit),
+        TEST(test_closed_connection_ends_before_the_next_turn_of_the_loop),
 #undef TEST
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
