Bound what a peer's limit report can add up to

test_report_beyond_all_bounds: a report with the largest numbers made the sum of what was sent negative, so that the limit admitted everything.

--- a/Objects/limit_reports.c
+++ b/Objects/limit_reports.c
@@ -11,6 +11,8 @@
 
 /* Services with limited targets, summed over all senders. */
 enum { SERVICES_MAX = 64 };
+/* More than any VM sends; with the bounds, sums over all VMs are in range. */
+enum { SENT_MAX = 1 << 14, RATE_MAX = 1 << 30 };
 
 typedef struct {
     CaroHandle target;
@@ -144,9 +146,11 @@
         const caro_target_limit *limit = &report->limits.limits_val[i];
         CaroHandle h = CaroTargets_FindByHash(r->targets, limit->target);
         if (h != CARO_NO_HANDLE && limit->sent > 0) {
-            s->uses[s->n_uses++] = (PeerUse){.target = h,
-                                             .id_hash = limit->target,
-                                             .sent = (int)limit->sent};
+            s->uses[s->n_uses++] =
+                (PeerUse){.target = h,
+                          .id_hash = limit->target,
+                          .sent = (int)(limit->sent < SENT_MAX ? limit->sent
+                                                               : SENT_MAX)};
         }
     }
     s->n_demands = 0;
@@ -154,7 +158,9 @@
         const caro_service_demand *demand = &report->demands.demands_val[i];
         s->demands[s->n_demands++] =
             (Demand){.service_hash = demand->service,
-                     .per_1000_s = demand->requests_per_1000_s};
+                     .per_1000_s = demand->requests_per_1000_s < RATE_MAX
+                                       ? demand->requests_per_1000_s
+                                       : RATE_MAX};
     }
 }
 
--- a/Test/test_request_limits.c
+++ b/Test/test_request_limits.c
@@ -609,6 +609,48 @@
     gsl_rng_free(rng);
 }
 
+static void
+test_report_beyond_all_bounds(void **state)
+{
+    (void)state;
+    Fleet *f = start_fleet(1, 1, 20.0, 1);
+    CaroRequestLimits *l = f->vm[0].limits;
+    const CaroTarget *t = CaroTargets_GetConst(f->vm[0].targets, 0);
+    caro_target_limit news[CARO_LIMITS_MAX];
+    for (int i = 0; i < CARO_LIMITS_MAX; i++) {
+        news[i] = (caro_target_limit){.target = t->id_hash,
+                                      .sent = UINT32_MAX,
+                                      .has_news = true,
+                                      .is_limited = true,
+                                      .requests_per_1000_s = UINT32_MAX,
+                                      .age_ms = i == 0 ? UINT32_MAX : 0};
+    }
+    caro_service_demand demand = {.service = 7,
+                                  .requests_per_1000_s = UINT32_MAX};
+    caro_limit_report report = {.boot_id = 1, .sequence = 1};
+    report.limits.limits_val = news;
+    report.limits.limits_len = CARO_LIMITS_MAX;
+    report.demands.demands_val = &demand;
+    report.demands.demands_len = 1;
+    char name[CARO_NAME_SIZE];
+    for (int i = 0; i < 20; i++) {
+        (void)snprintf(name, sizeof(name), "v%d", i);
+        report.sender = name;
+        CaroRequestLimits_Apply(l, &report, f->now);
+    }
+    assert_false(CaroRequestLimits_Take(l, 0, true, f->now));
+    /* The senders withdraw what they said. */
+    report.sequence = 2;
+    report.limits.limits_len = 0;
+    report.demands.demands_len = 0;
+    for (int i = 0; i < 20; i++) {
+        (void)snprintf(name, sizeof(name), "v%d", i);
+        CaroRequestLimits_Apply(l, &report, f->now);
+    }
+    assert_true(CaroRequestLimits_Take(l, 0, true, f->now));
+    stop_fleet(f);
+}
+
 /* More services than the table holds: the limited one keeps its entry. */
 static void
 test_many_services(void **state)
@@ -667,6 +709,7 @@
         cmocka_unit_test(test_refused_requests_return_one_after_the_other),
         cmocka_unit_test(test_retries_go_before_new_requests),
         cmocka_unit_test(test_limit_of_an_earlier_start),
+        cmocka_unit_test(test_report_beyond_all_bounds),
         cmocka_unit_test(test_many_services),
         cmocka_unit_test(test_allowance_is_not_saved),
     };
