--- a/Include/internal/caro_request_limits.h
+++ b/Include/internal/caro_request_limits.h
@@ -52,9 +52,10 @@
                                       double limit, CaroTime now);
 
 /* Marks the service's targets that take no more requests now as full
-   (CaroTarget_IsFull). */
-void CaroRequestLimits_Update(CaroRequestLimits *l, const char *service,
-                              CaroTime now);
+   (CaroTarget_IsFull).  The mark holds for the time "now" alone, that is, for
+   the placement of one request. */
+void CaroRequestLimits_MarkFull(CaroRequestLimits *l, const char *service,
+                                CaroTime now);
 
 /*
  * Tells whether a request may be sent to the target now, and counts it as
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -140,7 +140,8 @@
 /* Returns whether the target accepts new requests now. */
 bool CaroTarget_IsUsable(const CaroTarget *target, CaroTime now);
 
-/* Returns whether its request limit was found to admit none at this time. */
+/* Returns whether its request limit was found to admit none at just this time
+   (CaroRequestLimits_MarkFull). */
 bool CaroTarget_IsFull(const CaroTarget *target, CaroTime now);
 
 /*
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -657,7 +657,7 @@
     if (r->is_canary) {
         q.version = NULL;
     }
-    CaroRequestLimits_Update(r->relays->deps.limits, r->service, now);
+    CaroRequestLimits_MarkFull(r->relays->deps.limits, r->service, now);
     return CaroPlacement_HasUsable(r->relays->deps.targets, &q, now);
 }
 
@@ -700,7 +700,7 @@
     bool is_retry =
         r->attempt.tries > 0 || CaroEventForwarder_LastId(r->forwarder) >= 0;
     CaroHandle h;
-    CaroRequestLimits_Update(limits, r->service, now);
+    CaroRequestLimits_MarkFull(limits, r->service, now);
     do { /* A target that does not admit the request is full after that. */
         h = CaroPlacement_Choose(targets, &r->query, r->relays->deps.rng, now);
     } while (h != CARO_NO_HANDLE &&
--- a/Modules/request_limits.c
+++ b/Modules/request_limits.c
@@ -262,8 +262,8 @@
 }
 
 void
-CaroRequestLimits_Update(CaroRequestLimits *l, const char *service,
-                         CaroTime now)
+CaroRequestLimits_MarkFull(CaroRequestLimits *l, const char *service,
+                           CaroTime now)
 {
     for (CaroHandle h = 0; l->has_limits && h < CaroTargets_Count(l->targets);
          h++) {
--- a/Test/test_request_limits.c
+++ b/Test/test_request_limits.c
@@ -187,7 +187,7 @@
     CaroPlacementQuery q = {.service = "orders", .domain = domains[i % 3]};
     CaroHandle h;
     CaroRequestLimits_RecordDemand(vm->limits, "orders", f->now);
-    CaroRequestLimits_Update(vm->limits, "orders", f->now);
+    CaroRequestLimits_MarkFull(vm->limits, "orders", f->now);
     do {
         h = CaroPlacement_Choose(vm->targets, &q, f->rng, f->now);
     } while (h != CARO_NO_HANDLE &&
