--- a/Tools/gateway_fleet.sh
+++ b/Tools/gateway_fleet.sh
@@ -133,6 +133,10 @@
     fleet_domains=$1
     gateway_count=$2
     target_count=$3
+    if [ "$gateway_count" -gt 49 ] || [ "$target_count" -gt 49 ]; then
+        echo "a fleet has at most 49 gateways and 49 engines" >&2
+        exit 2
+    fi
     fleet_run registry "$bin/carofake" registry \
         --listen "$(gateway_registry)"
     gateway_wait_up "$(gateway_registry)"
