Start gateways of the tests with SIGHUP ignored

Cause of soak_18: before main the signal has its default disposition and ends the process.

The parent can: an ignored signal stays ignored across exec, and one that arrives after main has blocked it waits for the handler. fleet_run does so.

--- a/Tools/fleet.sh
+++ b/Tools/fleet.sh
@@ -42,12 +42,16 @@
 fleet_orders() { echo "127.0.0.1:$((fleet_base + 300 + $1))"; }
 fleet_store() { echo "127.0.0.1:$((fleet_base + 399))"; }
 
-# Starts a program in the background and records its pid under a name.
+# Starts a program in the background and records its pid under a name.  While
+# the program is loaded it has no handler yet, and SIGHUP would end it: it
+# inherits that the signal is ignored.
 fleet_run() { # NAME COMMAND...
     local name=$1
     shift
+    trap '' HUP
     "$@" >>"$fleet_dir/$name.log" 2>&1 &
     echo $! >"$fleet_dir/$name.pid"
+    trap - HUP
     disown # Otherwise bash reports its end by a signal.
     fleet_pids="$fleet_pids $name"
 }
