Keep what upstreams announce in their responses

A notice (the upstream leaves; it wants no requests before a time) belongs to one start of the upstream. It outlives the entry, which may be written as ready or be deleted and listed again, and ends with the next start under the id or address.

Another VM's report is weaker evidence than the VM's own reading: if no other upstream of the service is left, those that are only reported to leave are the last choice, and each VM finds out with one request. It travels in the load reports under the hash of the start, which older versions do not know and ignore.

--- a/Controllers/placement.c
+++ b/Controllers/placement.c
@@ -101,11 +101,11 @@
     return cost;
 }
 
+/* The target runs what the query asks for. */
 static bool
-is_candidate(const CaroTarget *target, const CaroPlacementQuery *q)
+is_match(const CaroTarget *target, const CaroPlacementQuery *q)
 {
     return target->is_used && target->is_present &&
-           !target->entry.is_leaving &&
            strcmp(target->entry.service, q->service) == 0 &&
            (q->version == NULL || (strcmp(target->entry.version, q->version) ==
                                    0) != q->excludes_version);
@@ -117,7 +117,7 @@
 {
     for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
         const CaroTarget *target = CaroTargets_GetConst(t, h);
-        if (is_candidate(target, q) && !is_tried(q, h) &&
+        if (is_match(target, q) && !is_tried(q, h) &&
             CaroTarget_IsUsable(target, now) &&
             !CaroTarget_IsFull(target, now)) {
             return true;
@@ -132,26 +132,54 @@
 {
     for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
         const CaroTarget *target = CaroTargets_GetConst(t, h);
-        if (is_candidate(target, q) && CaroTarget_IsFull(target, now)) {
+        if (is_match(target, q) && CaroTarget_IsOpen(target, now) &&
+            CaroTarget_IsFull(target, now)) {
             return true;
         }
     }
     return false;
 }
 
+CaroTime
+CaroPlacement_AvailableAt(const CaroTargets *t, const CaroPlacementQuery *q,
+                          CaroTime now)
+{
+    CaroTime earliest = 0;
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        const CaroTarget *target = CaroTargets_GetConst(t, h);
+        if (!is_match(target, q) || target->entry.is_leaving ||
+            target->notice.leaving != CARO_LEAVING_UNKNOWN) {
+            continue;
+        }
+        CaroTime at = target->notice.unavailable_until;
+        if (at <= now) {
+            return 0;
+        }
+        earliest = earliest == 0 || at < earliest ? at : earliest;
+    }
+    return earliest;
+}
+
 CaroHandle
 CaroPlacement_Choose(const CaroTargets *t, const CaroPlacementQuery *q,
                      gsl_rng *rng, CaroTime now)
 {
     CaroHandle best = CARO_NO_HANDLE;
     CaroHandle avoided = CARO_NO_HANDLE;
+    CaroHandle doubtful = CARO_NO_HANDLE;
     double best_cost = 0.0;
     for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
         const CaroTarget *target = CaroTargets_GetConst(t, h);
-        if (!is_candidate(target, q) || is_tried(q, h) ||
+        if (!is_match(target, q) || is_tried(q, h) ||
             CaroTarget_IsFull(target, now)) {
             continue;
         }
+        if (!CaroTarget_IsOpen(target, now)) {
+            if (CaroTarget_IsDoubtful(target, now)) {
+                doubtful = h;
+            }
+            continue;
+        }
         if (!CaroTarget_IsUsable(target, now)) {
             /* If all are avoided, the one with the oldest failure is
                chosen. */
@@ -168,7 +196,9 @@
             best_cost = cost;
         }
     }
-    return best != CARO_NO_HANDLE ? best : avoided;
+    return best != CARO_NO_HANDLE      ? best
+           : avoided != CARO_NO_HANDLE ? avoided
+                                       : doubtful;
 }
 
 /* Suspected targets are penalized here: a lost request is noticed at once,
--- a/Include/internal/caro_peer_loads.h
+++ b/Include/internal/caro_peer_loads.h
@@ -19,13 +19,16 @@
 CaroPeerLoads *CaroPeerLoads_Create(CaroTargets *targets);
 void CaroPeerLoads_Destroy(CaroPeerLoads *b);
 
-/* Targets at which the sender of a report has recently seen failures. */
+/* Targets at which the sender of a report has recently seen failures, and
+   those that are known to leave since this report. */
 typedef struct {
     struct {
         CaroHandle target;
         CaroTargetFailure failure;
     } all[CARO_LOADS_MAX];
     int n;
+    CaroHandle leaving[CARO_LOADS_MAX];
+    int n_leaving;
 } CaroTargetFailures;
 
 /*
@@ -38,8 +41,8 @@
 /* Removes the reports of peers that have stopped sending. */
 void CaroPeerLoads_Tick(CaroPeerLoads *b, CaroTime now);
 
-/* Fills "loads" with the load of this VM for its next report.  Returns the
-   number of entries. */
+/* Fills "loads" with the load of this VM for its next report, and with what it
+   lately read of targets that leave.  Returns the number of entries. */
 int CaroPeerLoads_Collect(const CaroTargets *targets,
                           caro_target_load loads[CARO_LOADS_MAX],
                           CaroTime now);
--- a/Include/internal/caro_placement.h
+++ b/Include/internal/caro_placement.h
@@ -37,8 +37,16 @@
 bool CaroPlacement_HasFull(const CaroTargets *t, const CaroPlacementQuery *q,
                            CaroTime now);
 
-/* Returns CARO_NO_HANDLE when no target of the service is left to try, apart
-   from full ones. */
+/* Returns when the first target of the service accepts requests again if all
+   of them want none now, else 0. */
+CaroTime CaroPlacement_AvailableAt(const CaroTargets *t,
+                                   const CaroPlacementQuery *q, CaroTime now);
+
+/*
+ * Returns CARO_NO_HANDLE when no target of the service is left to try, apart
+ * from full ones and those that want no requests.  A target of which a
+ * doubtful notice says that it leaves is the last choice.
+ */
 CaroHandle CaroPlacement_Choose(const CaroTargets *t,
                                 const CaroPlacementQuery *q, gsl_rng *rng,
                                 CaroTime now);
--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -30,6 +30,7 @@
     CARO_HEADER_TARGET_LIMIT,    /* Requests a second that the target takes
                                     from all VMs together; absent while it
                                     has no limit. */
+    CARO_HEADER_TARGET_LEAVING,  /* The target leaves: no new requests. */
     CARO_HEADER_NOT_RUN,         /* The target did not execute the request. */
     CARO_HEADER_PRIORITY,        /* 0 (served first) to 9; 5 if absent. */
     CARO_HEADER_TOKEN_COUNTS,    /* Prompt tokens, maximum of output tokens. */
@@ -64,6 +65,13 @@
    or CARO_ERR_INPUT. */
 int CaroPlatform_ReadLimit(CaroText value, double *per_s);
 
+/* Parses CARO_HEADER_TARGET_LEAVING.  Returns whether the target leaves. */
+bool CaroPlatform_ReadLeaving(CaroText value);
+
+/* Parses CARO_HEADER_RETRY_AFTER, a decimal number of at least 0.  Returns 0
+   or CARO_ERR_INPUT. */
+int CaroPlatform_ReadRetryAfter(CaroText value, double *seconds);
+
 /* Parses the prompt tokens in CARO_HEADER_TOKEN_COUNTS.  Returns 0 or
    CARO_ERR_INPUT. */
 int CaroPlatform_ReadPromptTokens(CaroText value, int64_t *tokens);
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -11,6 +11,7 @@
 #ifndef CARO_TARGETS_H
 #define CARO_TARGETS_H
 
+#include "internal/caro_target_notices.h"
 #include "internal/caro_types.h"
 
 enum { CARO_TARGETS_MAX = 1024, CARO_TARGET_ID_SIZE = 64 };
@@ -44,6 +45,8 @@
     bool is_present;         /* The registration entry exists. */
     bool is_missing;         /* The lease expired during a store outage. */
     uint32_t id_hash;        /* Identifies the target in peer messages. */
+    uint32_t start_hash;     /* Likewise this start of the target alone. */
+    CaroTargetNotice notice; /* What it announced in its responses. */
     int in_flight;           /* Requests of this VM in flight. */
     int streams;             /* Requests in flight that are streams. */
     int prefill_tokens;      /* Prompt tokens of this VM awaiting prefill. */
@@ -126,6 +129,19 @@
 /* Records that the target sent a response or an event at the time "at". */
 void CaroTargets_RecordHeard(CaroTargets *t, CaroHandle h, CaroTime at);
 
+/* Records that a response of the target, read by this VM at the time "now",
+   announced that it leaves. */
+void CaroTargets_RecordLeaving(CaroTargets *t, CaroHandle h, CaroTime now);
+
+/* Likewise as read by another VM, of the start with the hash, which need not
+   be registered.  Returns its handle if it was not known to leave. */
+CaroHandle CaroTargets_RecordLeavingByPeer(CaroTargets *t, uint32_t start_hash,
+                                           CaroTime now);
+
+/* Records that the target wants no request before the time "until". */
+void CaroTargets_RecordUnavailable(CaroTargets *t, CaroHandle h,
+                                   CaroTime until);
+
 /* Records a successful request: resets the failure count and the delay. */
 void CaroTargets_RecordSuccess(CaroTargets *t, CaroHandle h);
 
@@ -137,7 +153,15 @@
 void CaroTargets_Avoid(CaroTargets *t, CaroHandle h, CaroTargetFailure failure,
                        CaroTime now);
 
-/* Returns whether the target accepts new requests now. */
+/* Returns whether the target is registered and neither drains nor announced
+   that it leaves or wants no requests now. */
+bool CaroTarget_IsOpen(const CaroTarget *target, CaroTime now);
+
+/* Returns whether nothing but a doubtful notice keeps the target from being
+   open (CaroTargetNotice_IsDoubtful). */
+bool CaroTarget_IsDoubtful(const CaroTarget *target, CaroTime now);
+
+/* Returns whether the target is open and is not avoided after a failure. */
 bool CaroTarget_IsUsable(const CaroTarget *target, CaroTime now);
 
 /* Returns whether its request limit was found to admit none at just this time
--- a/Objects/peer_loads.c
+++ b/Objects/peer_loads.c
@@ -11,9 +11,17 @@
 /* Reports repeat a failure while other VMs may still wait at the target. */
 #define FAILURE_REPORT_TTL (500 * CARO_MS)
 
-/* Longest idle time in a report, an hour.  It is also reported for a target
-   that has sent nothing yet. */
-enum { IDLE_MS_MAX = 3600000 };
+/* An announcement is reported in so many of them, since each may be lost and
+   reaches a part of a large fleet only. */
+#define LEAVING_REPORT_TTL (4 * CARO_SECOND)
+
+enum {
+    /* Longest idle time in a report, an hour.  It is also reported for a
+       target that has sent nothing yet. */
+    IDLE_MS_MAX = 3600000,
+    /* Announcements in one report. */
+    LEAVING_MAX = 16
+};
 
 /* Load of a peer at one target. */
 typedef struct {
@@ -144,6 +152,7 @@
                     CaroTargetFailures *failures, CaroTime now)
 {
     failures->n = 0;
+    failures->n_leaving = 0;
     Sender *s = get_or_create_sender(b, report->sender);
     if (s == NULL ||
         (s->boot_id == report->boot_id && report->sequence <= s->sequence)) {
@@ -155,6 +164,14 @@
     s->n = 0;
     for (u_int i = 0; i < report->loads.loads_len; i++) {
         const caro_target_load *load = &report->loads.loads_val[i];
+        if (load->failure == CARO_FAILURE_LEAVING) {
+            CaroHandle left =
+                CaroTargets_RecordLeavingByPeer(b->targets, load->target, now);
+            if (left != CARO_NO_HANDLE) {
+                failures->leaving[failures->n_leaving++] = left;
+            }
+            continue;
+        }
         CaroHandle h = CaroTargets_FindByHash(b->targets, load->target);
         if (h == CARO_NO_HANDLE) {
             continue;
@@ -202,11 +219,29 @@
     return ms < IDLE_MS_MAX ? (u_int)ms : IDLE_MS_MAX;
 }
 
+/* Collects what this VM read of targets that leave. */
+static int
+collect_leaving(const CaroTargets *targets,
+                caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
+{
+    int n = 0;
+    for (CaroHandle h = 0; h < CaroTargets_Count(targets) && n < LEAVING_MAX;
+         h++) {
+        const CaroTarget *t = CaroTargets_GetConst(targets, h);
+        if (t->is_used && t->notice.leaving == CARO_LEAVING_BY_SELF &&
+            now - t->notice.leaving_at < LEAVING_REPORT_TTL) {
+            loads[n++] = (caro_target_load){.target = t->start_hash,
+                                            .failure = CARO_FAILURE_LEAVING};
+        }
+    }
+    return n;
+}
+
 int
 CaroPeerLoads_Collect(const CaroTargets *targets,
                       caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
 {
-    int n = 0;
+    int n = collect_leaving(targets, loads, now);
     for (CaroHandle h = 0;
          h < CaroTargets_Count(targets) && n < CARO_LOADS_MAX; h++) {
         const CaroTarget *t = CaroTargets_GetConst(targets, h);
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -21,18 +21,27 @@
 struct CaroTargets {
     CaroTarget all[CARO_TARGETS_MAX];
     CaroHandle count;
+    CaroTargetNotices *notices; /* Of starts that are not registered. */
 };
 
 CaroTargets *
 CaroTargets_Create(void)
 {
-    return calloc(1, sizeof(CaroTargets));
+    CaroTargets *t = calloc(1, sizeof(*t));
+    if (t != NULL && (t->notices = CaroTargetNotices_Create()) == NULL) {
+        free(t);
+        t = NULL;
+    }
+    return t;
 }
 
 void
 CaroTargets_Destroy(CaroTargets *t)
 {
-    free(t);
+    if (t != NULL) {
+        CaroTargetNotices_Destroy(t->notices);
+        free(t);
+    }
 }
 
 CaroHandle
@@ -61,6 +70,15 @@
     return CARO_NO_HANDLE;
 }
 
+static uint32_t
+hash_start(const CaroTargetEntry *e)
+{
+    char text[CARO_TARGET_ID_SIZE + CARO_ADDRESS_SIZE + 24];
+    int n = snprintf(text, sizeof(text), "%s\n%s\n%lld", e->id, e->address,
+                     (long long)e->started_at_ms);
+    return XXH32(text, (size_t)n, 0);
+}
+
 static CaroHandle
 find_free(CaroTargets *t)
 {
@@ -107,6 +125,10 @@
         t->all[h].cold_until = now + entry->cold_time;
     }
     t->all[h].id_hash = XXH32(entry->id, strlen(entry->id), 0);
+    t->all[h].start_hash = hash_start(entry);
+    CaroTargetNotice kept =
+        CaroTargetNotices_Take(t->notices, t->all[h].start_hash);
+    CaroTargetNotice_Merge(&t->all[h].notice, &kept);
     t->all[h].is_present = true;
     t->all[h].is_missing = false;
     return h;
@@ -129,7 +151,9 @@
 void
 CaroTargets_Remove(CaroTargets *t, CaroHandle h)
 {
-    CaroTargets_Get(t, h)->is_present = false;
+    CaroTarget *target = CaroTargets_Get(t, h);
+    target->is_present = false;
+    CaroTargetNotices_Add(t->notices, target->start_hash, &target->notice);
     free_if_unused(t, h);
 }
 
@@ -220,6 +244,51 @@
     }
 }
 
+/* A target that is no longer registered may be listed again. */
+static void
+add_notice(CaroTargets *t, CaroHandle h, const CaroTargetNotice *notice)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    CaroTargetNotice_Merge(&target->notice, notice);
+    if (!target->is_present) {
+        CaroTargetNotices_Add(t->notices, target->start_hash, notice);
+    }
+}
+
+void
+CaroTargets_RecordLeaving(CaroTargets *t, CaroHandle h, CaroTime now)
+{
+    CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_SELF,
+                               .leaving_at = now};
+    add_notice(t, h, &notice);
+}
+
+CaroHandle
+CaroTargets_RecordLeavingByPeer(CaroTargets *t, uint32_t start_hash,
+                                CaroTime now)
+{
+    CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_PEER,
+                               .leaving_at = now};
+    for (CaroHandle h = 0; h < t->count; h++) {
+        const CaroTarget *target = &t->all[h];
+        if (target->is_used && target->is_present &&
+            target->start_hash == start_hash) {
+            bool is_new = target->notice.leaving == CARO_LEAVING_UNKNOWN;
+            add_notice(t, h, &notice);
+            return is_new ? h : CARO_NO_HANDLE;
+        }
+    }
+    CaroTargetNotices_Add(t->notices, start_hash, &notice);
+    return CARO_NO_HANDLE;
+}
+
+void
+CaroTargets_RecordUnavailable(CaroTargets *t, CaroHandle h, CaroTime until)
+{
+    CaroTargetNotice notice = {.unavailable_until = until};
+    add_notice(t, h, &notice);
+}
+
 void
 CaroTargets_RecordSuccess(CaroTargets *t, CaroHandle h)
 {
@@ -248,11 +317,33 @@
     }
 }
 
+/* Registered, not draining, and not unavailable. */
+static bool
+is_registered_to_serve(const CaroTarget *target, CaroTime now)
+{
+    return target->is_used && target->is_present &&
+           !target->entry.is_leaving &&
+           now >= target->notice.unavailable_until;
+}
+
+bool
+CaroTarget_IsOpen(const CaroTarget *target, CaroTime now)
+{
+    return is_registered_to_serve(target, now) &&
+           target->notice.leaving == CARO_LEAVING_UNKNOWN;
+}
+
+bool
+CaroTarget_IsDoubtful(const CaroTarget *target, CaroTime now)
+{
+    return is_registered_to_serve(target, now) &&
+           CaroTargetNotice_IsDoubtful(&target->notice, now);
+}
+
 bool
 CaroTarget_IsUsable(const CaroTarget *target, CaroTime now)
 {
-    return target->is_used && target->is_present &&
-           !target->entry.is_leaving && now >= target->avoided_until;
+    return CaroTarget_IsOpen(target, now) && now >= target->avoided_until;
 }
 
 bool
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -237,6 +237,7 @@
 	CARO_FAILURE_FAILING = 1,
 	CARO_FAILURE_SILENT = 2,
 	CARO_FAILURE_GONE = 3,
+	CARO_FAILURE_LEAVING = 4,
 };
 typedef enum caro_target_failure caro_target_failure;
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -178,12 +178,15 @@
     CARO_FAILURE_NONE = 0,
     CARO_FAILURE_FAILING = 1, /* A stream failed. */
     CARO_FAILURE_SILENT = 2,  /* A stream became silent. */
-    CARO_FAILURE_GONE = 3     /* Its address is unused or reassigned. */
+    CARO_FAILURE_GONE = 3,    /* Its address is unused or reassigned. */
+    CARO_FAILURE_LEAVING = 4  /* None: it announced that it leaves. */
 };
 
-/* Load of the sender at one target. */
+/* Load of the sender at one target; or, with CARO_FAILURE_LEAVING and no other
+   field, that the sender has read the announcement of one start of a target.
+   Older versions know no target by such a hash and ignore the latter. */
 struct caro_target_load {
-    unsigned int target; /* Hash of the target's id. */
+    unsigned int target; /* Hash of the target's id, or of its start. */
     unsigned int streams; /* In flight, including those awaiting prefill. */
     unsigned int prefill_tokens; /* Prompt tokens of those without an event. */
     unsigned int kv_copies; /* KV copies kept for the sender's streams. */
