Send an upstream nothing new once a response said that it leaves

Cause: the header was not read; the entry in the store, which says so late or not at all, was all that a VM went by.

The header counts from the moment at which it is read: with any status but 421, which another upstream at the address sends, in a response that breaks off or is another request's. Load reports tell the other VMs.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -55,7 +55,9 @@
     X(PROMPT_CRASHES, "prompt_crashes")                                       \
     X(QUARANTINES, "prompt_quarantines")                                      \
     X(QUARANTINED, "refused_quarantined")                                     \
-    X(LIMITED, "refused_limited")
+    X(LIMITED, "refused_limited")                                             \
+    X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
+    X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -67,6 +67,14 @@
 void CaroRelays_OnTargetSuspected(CaroRelays *relays, CaroHandle target,
                                   CaroTime now);
 
+/*
+ * The target announced, here or to another VM, that it accepts no more
+ * requests.  Requests that were chosen for it and not sent go elsewhere; those
+ * that were sent run to their end.
+ */
+void CaroRelays_OnTargetClosed(CaroRelays *relays, CaroHandle target,
+                               CaroTime now);
+
 /* Reports attempts that take longer than usual to the rollouts; to be called
    several times a second. */
 void CaroRelays_CheckOverdue(CaroRelays *relays, CaroTime now);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -487,6 +487,15 @@
             CaroRelays_OnTargetSuspected(g->relays, h, now);
         }
     }
+    for (int i = 0; i < failures.n_leaving; i++) {
+        CaroLog_Info(
+            "registry",
+            "Another VM reported that an upstream leaves. "
+            "upstream=%s vm=%s",
+            CaroTargets_GetConst(g->targets, failures.leaving[i])->entry.id,
+            report->sender);
+        CaroRelays_OnTargetClosed(g->relays, failures.leaving[i], now);
+    }
 }
 
 /* Sends the requests in flight and the evidence of rollouts to the other VMs,
@@ -602,6 +611,14 @@
     CaroLatency_Write(g->latency, out);
 }
 
+/* Time for which the upstream still wants no requests. */
+static json_int_t
+unavailable_ms(const CaroTarget *t)
+{
+    CaroTime left = t->notice.unavailable_until - CaroClock_Now();
+    return left > 0 ? (json_int_t)(left / CARO_MS) : 0;
+}
+
 static json_t *
 get_state(void *context)
 {
@@ -612,11 +629,14 @@
         if (t->is_used) {
             (void)json_array_append_new(
                 targets,
-                json_pack("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:i, "
-                          "s:f}",
+                json_pack("{s:s, s:s, s:s, s:b, s:b, s:I, s:i, s:i, s:i, "
+                          "s:i, s:f}",
                           "id", t->entry.id, "service", t->entry.service,
                           "domain", t->entry.domain, "present", t->is_present,
-                          "leaving", t->entry.is_leaving, "in_flight",
+                          "leaving",
+                          t->entry.is_leaving ||
+                              t->notice.leaving != CARO_LEAVING_UNKNOWN,
+                          "unavailable_ms", unavailable_ms(t), "in_flight",
                           t->in_flight, "copies", t->kv_copies, "running",
                           t->reported_running, "failures", t->failures,
                           "limit_per_s", CaroRequestLimits_Get(g->limits, h)));
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -249,6 +249,33 @@
     }
 }
 
+/* Reads whether the upstream announces that it leaves.  A response with status
+   421 comes from another one at its address. */
+static void
+record_leaving(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
+{
+    CaroText value = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LEAVING));
+    if (value.at == NULL || head->status == 421 ||
+        !CaroPlatform_ReadLeaving(value)) {
+        return;
+    }
+    CaroTargets *targets = r->relays->deps.targets;
+    const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
+    bool is_new = target->notice.leaving != CARO_LEAVING_BY_SELF;
+    CaroTargets_RecordLeaving(targets, r->target, now);
+    if (is_new) {
+        CaroLog_Info("relay",
+                     "An upstream announced that it leaves. upstream=%s id=%s "
+                     "status=%d registered_as=%s",
+                     target->entry.id, r->id, head->status,
+                     target->entry.is_leaving ? "leaving" : "ready");
+        CaroRelay_AddCount(r, CARO_COUNT_TARGETS_LEAVING);
+        r->relays->has_unsent_change = true;
+        CaroRelays_OnTargetClosed(r->relays, r->target, now);
+    }
+}
+
 static void
 begin_stream(CaroRelay *r, CaroTime now)
 {
@@ -267,6 +294,7 @@
     CaroTime now = CaroClock_Now();
     CaroText id = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
+    record_leaving(r, head, now);
     if (id.at != NULL && !CaroText_Equals(id, r->id)) {
         r->is_skipping_response = true;
         if (++r->n_foreign_responses > FOREIGN_RESPONSES_MAX ||
@@ -360,11 +388,15 @@
 }
 
 /* Returns the channel to the pool after a complete response.  A channel
-   that delivered a response to another request is not reused. */
+   that delivered a response to another request is not reused, nor is that of
+   an upstream that leaves. */
 static void
 release_channel(CaroRelay *r, CaroTime now)
 {
-    if (r->n_foreign_responses == 0) {
+    const CaroTarget *target =
+        CaroTargets_GetConst(r->relays->deps.targets, r->target);
+    if (r->n_foreign_responses == 0 &&
+        target->notice.leaving == CARO_LEAVING_UNKNOWN) {
         CaroChannelPool_Release(r->relays->deps.pool, r->target, r->channel,
                                 now);
         r->channel = NULL;
@@ -470,13 +502,17 @@
                                                     target->last_heard_at, now)
                    ? CARO_TARGET_NO_FAILURE
                    : CARO_TARGET_SILENT;
-    case CARO_OUTCOME_UNSENT:
     case CARO_OUTCOME_LOST:
         return CARO_TARGET_FAILING;
+    case CARO_OUTCOME_UNSENT:
+        return CaroTarget_IsOpen(target, now) ? CARO_TARGET_FAILING
+                                              : CARO_TARGET_NO_FAILURE;
     case CARO_OUTCOME_NOT_RUN:
-        /* A KV copy that is no longer there is not a failure. */
-        return r->is_from_kv_copy ? CARO_TARGET_NO_FAILURE
-                                  : CARO_TARGET_FAILING;
+        /* It is no failure that a KV copy is no longer there, nor that an
+           upstream refuses what it announced to refuse. */
+        return r->is_from_kv_copy || !CaroTarget_IsOpen(target, now)
+                   ? CARO_TARGET_NO_FAILURE
+                   : CARO_TARGET_FAILING;
     default:
         return CARO_TARGET_NO_FAILURE;
     }
@@ -547,6 +583,35 @@
     }
 }
 
+/* Returns a request that was chosen for the target and not yet sent, other
+   than those of the response that closed it, or NULL. */
+static CaroRelay *
+find_unsent(const CaroRelays *relays, CaroHandle target)
+{
+    for (CaroRelay *r = relays->first; r != NULL; r = r->next) {
+        if (r->target == target && r->channel != NULL &&
+            !CaroChannel_IsSent(r->channel)) {
+            return r;
+        }
+    }
+    return NULL;
+}
+
+void
+CaroRelays_OnTargetClosed(CaroRelays *relays, CaroHandle target, CaroTime now)
+{
+    const CaroTarget *t = CaroTargets_GetConst(relays->deps.targets, target);
+    CaroRelay *r;
+    if (t->notice.leaving != CARO_LEAVING_UNKNOWN) {
+        CaroChannelPool_Drop(relays->deps.pool, target);
+    }
+    /* Each end of an attempt may end other requests and accept new ones. */
+    while ((r = find_unsent(relays, target)) != NULL) {
+        end_attempt(r, CARO_OUTCOME_UNSENT,
+                    "the upstream accepts no more requests", now);
+    }
+}
+
 /* Reports a failure that the version may have caused.  A request that
    failed at the new version of a rollout is retried at another version. */
 static void
--- a/Modules/relay_head.c
+++ b/Modules/relay_head.c
@@ -176,7 +176,8 @@
         bool is_stripped =
             id == CARO_HEADER_OTHER && is_listed_in_connection(head, h->name);
         if (!is_hop_by_hop(h->name) && id != CARO_HEADER_TARGET_LOAD &&
-            id != CARO_HEADER_TARGET_LIMIT && !is_stripped) {
+            id != CARO_HEADER_TARGET_LIMIT &&
+            id != CARO_HEADER_TARGET_LEAVING && !is_stripped) {
             add_header_line(out, h->name, h->value);
         }
     }
