Send an upstream nothing before the time that its refusal named

Cause: Retry-After of upstreams was not read; a refused upstream was avoided for 0.4 to 3.2 s, and chosen nevertheless when all others were avoided too.

When all upstreams of a service want no requests, callers are refused at once and told the earliest time, spread over a second. At most an hour is believed; what is no number is logged and ignored.

--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -36,6 +36,13 @@
    read; the next iteration of the loop reads them. */
 #define UNREAD_DELAY (1 * CARO_MS)
 
+/* Longest time for which an upstream is taken at its word that it wants no
+   requests. */
+#define UNAVAILABLE_S_MAX 3600.0
+
+/* Characters of a malformed header that are logged. */
+enum { LOGGED_VALUE_MAX = 40 };
+
 /* Bytes without an event may arrive without end, and put off a timeout only so
    often. */
 enum { PUT_OFFS_MAX = 3 };
@@ -276,6 +283,44 @@
     }
 }
 
+/* Reads for how long an upstream that refused the request wants no other. */
+static void
+record_unavailable(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
+{
+    double seconds;
+    CaroText value = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_RETRY_AFTER));
+    if (value.at == NULL || head->status != 503) {
+        return;
+    }
+    CaroTargets *targets = r->relays->deps.targets;
+    const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
+    if (CaroPlatform_ReadRetryAfter(value, &seconds) < 0) {
+        CaroLog_Warn("relay",
+                     "The time of an upstream's refusal is malformed. "
+                     "upstream=%s id=%s value=\"%.*s\"",
+                     target->entry.id, r->id,
+                     (int)(value.size < LOGGED_VALUE_MAX ? value.size
+                                                         : LOGGED_VALUE_MAX),
+                     value.at);
+        return;
+    }
+    bool is_bounded = seconds > UNAVAILABLE_S_MAX;
+    CaroTime wait = (CaroTime)((is_bounded ? UNAVAILABLE_S_MAX : seconds) *
+                               (double)CARO_SECOND);
+    if (wait <= 0 || now + wait <= target->notice.unavailable_until) {
+        return;
+    }
+    CaroTargets_RecordUnavailable(targets, r->target, now + wait);
+    CaroLog_Info("relay",
+                 "An upstream wants no requests for some time. upstream=%s "
+                 "id=%s ms=%lld is_bounded=%d",
+                 target->entry.id, r->id, (long long)(wait / CARO_MS),
+                 is_bounded);
+    CaroRelay_AddCount(r, CARO_COUNT_TARGETS_UNAVAILABLE);
+    CaroRelays_OnTargetClosed(r->relays, r->target, now);
+}
+
 static void
 begin_stream(CaroRelay *r, CaroTime now)
 {
@@ -313,6 +358,7 @@
                 .at != NULL ||
         head->status == 421;
     record_limit(r, head, now);
+    record_unavailable(r, head, now);
     evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
     CaroRelayHead_CopyResponse(r->headers, head);
     bool is_success = head->status >= 200 && head->status <= 299;
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -8,6 +8,8 @@
 
 /* Retry-After of requests in quarantine, which lasts for minutes. */
 #define QUARANTINE_RETRY_AFTER_S 30.0
+/* Callers that wait for the same upstreams return over so long a time. */
+#define RETURN_SPREAD_S 1.0
 
 bool
 CaroRelay_IsStream(const CaroRelay *r)
@@ -116,24 +118,39 @@
     }
 }
 
+/* Time after which the caller may come back.  When the upstreams said from
+   when on they want requests again, callers return spread over some time
+   behind that. */
+static double
+retry_after_s(const CaroRelay *r, CaroTime now)
+{
+    const CaroRelayDeps *deps = &r->relays->deps;
+    if (r->attempt.is_barred) {
+        return QUARANTINE_RETRY_AFTER_S;
+    }
+    CaroTime at = CaroPlacement_AvailableAt(deps->targets, &r->query, now);
+    return at == 0 ? CARO_RELAY_RETRY_AFTER_S
+                   : (double)(at - now) / (double)CARO_SECOND +
+                         RETURN_SPREAD_S * gsl_rng_uniform(deps->rng);
+}
+
 void
 CaroRelay_RespondStatus(CaroRelay *r, int status, const char *reason,
                         CaroTime now)
 {
     CaroCall *call = r->call;
-    double retry_after_s = r->attempt.is_barred ? QUARANTINE_RETRY_AFTER_S
-                                                : CARO_RELAY_RETRY_AFTER_S;
+    double wait_s = retry_after_s(r, now);
     if (r->is_over_limit && status == 503) {
         CaroTime delay = CaroRequestLimits_Refuse(r->relays->deps.limits,
                                                   r->service, r->id, now);
-        retry_after_s = (double)delay / (double)CARO_SECOND;
+        wait_s = (double)delay / (double)CARO_SECOND;
         CaroRelay_AddCount(r, CARO_COUNT_LIMITED);
     }
     CaroRelay_AddCount(r, status == 503 ? CARO_COUNT_REFUSED
                                         : CARO_COUNT_RELAYS_FAILED);
     CaroRelay_LogEnd(r, status, reason, now);
     CaroRelay_Destroy(r);
-    CaroRelay_Refuse(call, status, status == 503 ? retry_after_s : 0.0);
+    CaroRelay_Refuse(call, status, status == 503 ? wait_s : 0.0);
 }
 
 void
