--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -35,7 +35,10 @@
     StoreState state;
     struct evhttp_request *watch; /* Held until a change. */
     bool has_lost_watch;
-    char change[VALUE_MAX * 2]; /* Events of the next response to a watch. */
+    char change[VALUE_MAX * 4]; /* Events of the next response to a watch. */
+    const char *odd_items;      /* Stand in lists behind the upstream's. */
+    int n_lists;
+    bool has_no_history; /* The next watch gets status 410. */
     long long revision;
 
     CaroStoreClient *client;
@@ -73,7 +76,7 @@
 static void
 answer_watch(Fixture *f)
 {
-    char text[VALUE_MAX * 4];
+    char text[VALUE_MAX * 6];
     if (f->watch != NULL && f->change[0] != '\0' &&
         f->state != STORE_HOLDS_ALL) {
         (void)snprintf(text, sizeof(text), "{\"events\":[%s],\"at\":%lld}",
@@ -98,12 +101,17 @@
     Fixture *f = arg;
     const char *uri = evhttp_request_get_uri(request);
     char item[VALUE_MAX * 2];
-    char text[VALUE_MAX * 4];
+    char text[VALUE_MAX * 6];
     if (f->state == STORE_LOSES_WATCH && strncmp(uri, "/kv-watch", 9) == 0) {
         f->state = STORE_SERVES;
         f->has_lost_watch = true;
         return;
     }
+    if (strncmp(uri, "/kv-watch", 9) == 0 && f->has_no_history) {
+        f->has_no_history = false;
+        evhttp_send_error(request, 410, "Gone");
+        return;
+    }
     if (strncmp(uri, "/kv-watch", 9) == 0) {
         f->watch = request;
         evhttp_connection_set_closecb(evhttp_request_get_connection(request),
@@ -117,8 +125,10 @@
     if (strncmp(uri, "/kv-range", 9) == 0) {
         write_target(item, sizeof(item), "i-1", FIRST_REVISION);
         (void)snprintf(text, sizeof(text),
-                       "{\"entries\":[%s],\"has_more\":false,\"at\":%d}", item,
+                       "{\"entries\":[%s%s],\"has_more\":false,\"at\":%d}",
+                       item, f->odd_items == NULL ? "" : f->odd_items,
                        FIRST_REVISION);
+        f->n_lists++;
         respond(request, text);
         return;
     }
@@ -320,6 +330,76 @@
     assert_false(is_kept(f));
 }
 
+/* Sends events to the watch, and waits until they were applied. */
+static void
+change_items(Fixture *f, const char *events)
+{
+    (void)snprintf(f->change, sizeof(f->change), "%s", events);
+    f->revision++;
+    answer_watch(f);
+    run_for(f, 600 * MS);
+}
+
+/* An odd change does not keep the others of its response from being read, nor
+   the watch from going on. */
+static void
+test_odd_changes_do_not_stop_the_watch(void **state)
+{
+    Fixture *f = *state;
+    static const char *const odd[] = {
+        "{\"key\":\"servers/o\",\"value\":17,\"revision\":11}",
+        "{\"value\":\"aGk=\",\"revision\":11}",
+        "{\"key\":\"servers/o\\u0000\",\"value\":\"\",\"revision\":11}",
+        "{\"key\":\"servers/o\",\"value\":\"W1tbW1s=\",\"revision\":11}",
+        "{\"key\":\"servers/\",\"value\":\"e30=\",\"revision\":11}"};
+    for (size_t i = 0; i < sizeof(odd) / sizeof(odd[0]); i++) {
+        char item[VALUE_MAX * 2];
+        char id[8];
+        char events[VALUE_MAX * 4];
+        (void)snprintf(id, sizeof(id), "n-%zu", i);
+        write_target(item, sizeof(item), id, f->revision + 1);
+        (void)snprintf(events, sizeof(events), "%s,%s", odd[i], item);
+        change_items(f, events);
+        assert_int_not_equal(CaroTargets_Find(f->targets, id), CARO_NO_HANDLE);
+        assert_true(is_kept(f));
+    }
+    assert_int_equal(f->n_lists, 1);
+}
+
+static void
+test_list_with_odd_entries_is_read(void **state)
+{
+    Fixture *f = *state;
+    f->odd_items = ",{\"key\":\"servers/o\",\"value\":17,\"revision\":3},7,"
+                   "{\"key\":\"servers/p\\u0000\",\"value\":\"\"}";
+    f->has_no_history = true;
+    change_other_key(f);
+    run_for(f, 4500 * MS);
+    assert_true(f->n_lists >= 2);
+    assert_true(is_kept(f));
+    delete_target(f);
+    run_for(f, 600 * MS);
+    assert_false(is_kept(f));
+}
+
+/* Another writer's entry stands in the place of an upstream's. */
+static void
+test_entry_that_became_odd_names_no_upstream(void **state)
+{
+    Fixture *f = *state;
+    char item[VALUE_MAX * 2];
+    assert_true(is_kept(f));
+    change_items(f, "{\"key\":\"servers/i-1\",\"value\":\"W10=\","
+                    "\"revision\":11}");
+    assert_false(is_kept(f));
+    write_target(item, sizeof(item), "i-1", 12);
+    change_items(f, item);
+    assert_true(is_kept(f));
+    change_items(f, "{\"key\":\"servers/i-1\",\"value\":17,"
+                    "\"revision\":13}");
+    assert_false(is_kept(f));
+}
+
 int
 main(void)
 {
@@ -336,6 +416,12 @@
         cmocka_unit_test_setup_teardown(
             test_deletion_is_noticed_in_time_behind_a_lost_watch, set_up,
             tear_down),
+        cmocka_unit_test_setup_teardown(test_odd_changes_do_not_stop_the_watch,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_list_with_odd_entries_is_read,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_entry_that_became_odd_names_no_upstream, set_up, tear_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
