Read the store's entries around odd ones

Cause: an item that could not be decoded failed the whole list or watch, which was then asked for again without end; the VM followed nothing any more (class: one input of many fails them all). A value that was no text counted as a deletion. An entry that became malformed in the place of an upstream's left that upstream in use. Numbers were converted out of range, ports and ids were not checked; an id with a line break would have become a header.

Now a value that cannot be read is empty, which every parser refuses; an item without a key is left out and counted; a malformed registration names no upstream. It is logged once a change. A page without any readable item ends the list without a removal. Nesting was safe (the parser's limit of 2,048).

The test of unreadable items expected all of them to be left out. Those with a key must be told, or the upstream under it would stay: it now asks for an empty value there, and for the count of the others.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -112,8 +112,8 @@
 int CaroPlatform_ReadConfig(const char *bytes, size_t size,
                             CaroRoutes **routes, CaroError *err);
 
-/* Parses the registration of a target.  Returns 0, or CARO_ERR_INPUT with the
-   reason in *err. */
+/* Parses the registration of a target.  Numbers are cut to their range.
+   Returns 0, or CARO_ERR_INPUT with the reason in *err. */
 int CaroPlatform_ReadTarget(const char *id, const char *bytes, size_t size,
                             CaroTargetEntry *entry, CaroError *err);
 
@@ -215,14 +215,17 @@
 typedef struct {
     CaroStoreItem *items;
     int n_items;
+    int n_unreadable; /* Items without a key that can be read, left out. */
     bool has_more;    /* The list continues after the last item. */
     int64_t revision; /* Revision of the whole store; after a write, the
                          revision of the write. */
     int64_t lease;    /* Id of the lease. */
 } CaroStoreResponse;
 
-/* Parses a response, to be released with CaroStoreResponse_Clear.  Returns 0,
-   CARO_ERR_INPUT or CARO_ERR_NOMEM, with nothing to release. */
+/* Parses a response, to be released with CaroStoreResponse_Clear.  Odd items
+   do not affect the others: a value that cannot be read is empty, an item
+   without a key is left out.  Returns 0, CARO_ERR_INPUT or CARO_ERR_NOMEM,
+   with nothing to release. */
 int CaroPlatform_ReadStoreResponse(const char *bytes, size_t size,
                                    CaroStoreResponse *response);
 void CaroStoreResponse_Clear(CaroStoreResponse *response);
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -62,6 +62,8 @@
     uint32_t last_list[CARO_TARGETS_MAX];
     CaroTime next_watch;
     CaroTime watch_backoff;
+    int64_t malformed_revision; /* Highest of a malformed registration. */
+    int64_t logged_revision;    /* Of those that an earlier response had. */
 
     bool is_reading_config;
     CaroTime next_config_read;
@@ -162,6 +164,28 @@
     CaroTargets_Remove(r->targets, h);
 }
 
+/* An entry that cannot be read names no upstream, also in the place of one
+   that did.  It is logged once for each change of it. */
+static void
+handle_malformed_target(CaroRegistry *r, const char *id,
+                        const CaroStoreItem *item, const CaroError *err)
+{
+    if (item->revision > r->logged_revision) {
+        CaroLog_Warn("registry",
+                     "The registration of an upstream is malformed. id=%.*s "
+                     "revision=%lld at=%s reason=\"%s\"",
+                     CARO_TARGET_ID_SIZE, id, (long long)item->revision,
+                     err->peer, err->detail);
+    }
+    if (item->revision > r->malformed_revision) {
+        r->malformed_revision = item->revision;
+    }
+    CaroHandle h = CaroTargets_Find(r->targets, id);
+    if (h != CARO_NO_HANDLE) {
+        remove_target(r, h, "its registration is malformed");
+    }
+}
+
 static void
 apply_target(CaroRegistry *r, const char *id, const CaroStoreItem *item)
 {
@@ -169,10 +193,7 @@
     CaroError err;
     if (CaroPlatform_ReadTarget(id, item->value, item->size, &entry, &err) <
         0) {
-        CaroLog_Warn("registry",
-                     "The registration of an upstream is malformed. id=%s "
-                     "reason=\"%s\"",
-                     id, err.detail);
+        handle_malformed_target(r, id, item, &err);
         return;
     }
     CaroHandle old = CaroTargets_Find(r->targets, id);
@@ -286,6 +307,21 @@
     }
 }
 
+/* Applies all items of a response.  A list repeats what was read before. */
+static void
+apply_items(CaroRegistry *r, const CaroStoreResponse *response, CaroTime now)
+{
+    for (int i = 0; i < response->n_items; i++) {
+        apply_item(r, &response->items[i], now);
+    }
+    if (response->n_unreadable > 0) {
+        CaroLog_Warn("registry",
+                     "Entries of the store without a key were left out. "
+                     "entries=%d revision=%lld",
+                     response->n_unreadable, (long long)response->revision);
+    }
+}
+
 static void on_list_page(void *context, int code, int status,
                          const CaroStoreResponse *response, CaroTime sent_at);
 
@@ -310,6 +346,7 @@
     r->is_listing = false;
     r->is_loaded = true;
     r->needs_list = false;
+    r->logged_revision = r->malformed_revision;
     r->watch_revision = r->list_revision;
     r->watch_backoff = BACKOFF_MIN;
     r->next_watch = now;
@@ -344,8 +381,13 @@
     if (r->list_revision == 0) {
         r->list_revision = response->revision;
     }
-    for (int i = 0; i < response->n_items; i++) {
-        apply_item(r, &response->items[i], now);
+    apply_items(r, response, now);
+    if (response->has_more && response->n_items == 0 &&
+        response->n_unreadable > 0) {
+        /* The list cannot be continued, and what it lacks is not gone. */
+        r->is_listing = false;
+        r->next_watch = back_off(r, &r->watch_backoff, now);
+        return;
     }
     if (response->has_more && response->n_items > 0) {
         read_list_page(r, response->items[response->n_items - 1].key);
@@ -380,9 +422,8 @@
         return;
     }
     CaroLeaseGrace_RecordResponse(&r->lease_grace, now, now);
-    for (int i = 0; i < response->n_items; i++) {
-        apply_item(r, &response->items[i], now);
-    }
+    apply_items(r, response, now);
+    r->logged_revision = r->malformed_revision;
     if (response->revision > r->watch_revision) {
         r->watch_revision = response->revision;
     }
--- a/Test/test_store_entries.c
+++ b/Test/test_store_entries.c
@@ -6,6 +6,7 @@
 
 #include "internal/caro_platform.h"
 
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,11 +30,13 @@
     return read_target_as("i-1", text, e);
 }
 
-/* Items that cannot be read, between two that can. */
+/* Items that cannot be read, between two that can.  Those that have a key tell
+   that nothing can be read there; the others are left out. */
 static void
-test_unreadable_items_are_left_out(void **state)
+test_unreadable_items_do_not_affect_others(void **state)
 {
     (void)state;
+    enum { WITHOUT_KEY = 8 };
     static const char *const items[] = {
         "7",
         "null",
@@ -42,12 +45,12 @@
         "{}",
         "{\"value\":\"aGk=\",\"revision\":5}",
         "{\"key\":17,\"value\":\"aGk=\",\"revision\":5}",
+        "{\"key\":\"servers/x\\u0000y\",\"value\":\"aGk=\",\"revision\":5}",
         "{\"key\":\"servers/x\",\"value\":17,\"revision\":5}",
         "{\"key\":\"servers/x\",\"value\":null,\"revision\":5}",
         "{\"key\":\"servers/x\",\"value\":{},\"revision\":5}",
         "{\"key\":\"servers/x\",\"revision\":5}",
         "{\"key\":\"servers/x\",\"revision\":5,\"deleted\":\"yes\"}",
-        "{\"key\":\"servers/x\\u0000y\",\"value\":\"aGk=\",\"revision\":5}",
         "{\"key\":\"servers/x\",\"value\":\"a\\u0000k=\",\"revision\":5}",
     };
     for (size_t i = 0; i < sizeof(items) / sizeof(items[0]); i++) {
@@ -61,9 +64,16 @@
                          items[i]);
         assert_int_equal(CaroPlatform_ReadStoreResponse(text, (size_t)n, &r),
                          0);
-        assert_int_equal(r.n_items, 2);
+        bool has_key = i >= WITHOUT_KEY;
+        assert_int_equal(r.n_items, has_key ? 3 : 2);
+        assert_int_equal(r.n_unreadable, has_key ? 0 : 1);
         assert_string_equal(r.items[0].key, "servers/a");
-        assert_string_equal(r.items[1].key, "servers/b");
+        if (has_key) {
+            assert_string_equal(r.items[1].key, "servers/x");
+            assert_non_null(r.items[1].value);
+            assert_int_equal(r.items[1].size, 0);
+        }
+        assert_string_equal(r.items[r.n_items - 1].key, "servers/b");
         assert_true(r.has_more);
         assert_int_equal(r.revision, 9);
         CaroStoreResponse_Clear(&r);
@@ -229,7 +239,7 @@
 main(void)
 {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(test_unreadable_items_are_left_out),
+        cmocka_unit_test(test_unreadable_items_do_not_affect_others),
         cmocka_unit_test(test_long_keys_and_empty_values),
         cmocka_unit_test(test_addresses_that_name_no_upstream),
         cmocka_unit_test(test_ids_and_names_that_are_no_words),
