Believe a refusal only of the request that it names

Cause: "not run" was taken from any response without another request's id. A faulty upstream that repeats a refusal on a kept channel is told apart by the id alone, and not at all where the refusal names none, or where an earlier attempt of the same request was refused on that channel.

A response that names no request counts as lost, whatever its status. After an upstream has answered an attempt, the next attempt of the request there gets a channel of its own.

--- a/Include/internal/caro_channel_pool.h
+++ b/Include/internal/caro_channel_pool.h
@@ -25,6 +25,10 @@
                                      const char *address, bool is_at_most_once,
                                      CaroTime now);
 
+/* Opens a channel to the address, also where an idle one is kept.  Returns
+   NULL when none can be opened. */
+CaroChannel *CaroChannelPool_Open(CaroChannelPool *p, const char *address);
+
 /* Keeps the channel if it is reusable and there is room, else destroys it. */
 void CaroChannelPool_Release(CaroChannelPool *p, CaroHandle target,
                              CaroChannel *c, CaroTime now);
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -15,6 +15,8 @@
 
 typedef struct CaroRelay CaroRelay;
 
+enum { ANSWERED_BY_MAX = 8 };
+
 struct CaroRelay {
     CaroRelays *relays;
     CaroRelay *next;
@@ -31,6 +33,11 @@
     CaroPlacementQuery query;
     struct event *timer;
 
+    /* Targets with a kept channel that carried an earlier attempt; their
+       number may be higher. */
+    CaroHandle answered_by[ANSWERED_BY_MAX];
+    int n_answered_by;
+
     /* The current attempt. */
     CaroHandle target; /* CARO_NO_HANDLE between attempts. */
     CaroChannel *channel;
--- a/Modules/channel_pool.c
+++ b/Modules/channel_pool.c
@@ -110,6 +110,12 @@
             at = &(*at)->next;
         }
     }
+    return CaroChannelPool_Open(p, address);
+}
+
+CaroChannel *
+CaroChannelPool_Open(CaroChannelPool *p, const char *address)
+{
     p->n_opened++;
     return CaroChannel_Open(p->base, address, CONNECT_TIMEOUT);
 }
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -350,6 +350,12 @@
         return;
     }
     CaroTargets_RecordHeard(r->relays->deps.targets, r->target, now);
+    if (id.at == NULL) {
+        /* It may be an earlier request's, which a refusal would belie. */
+        end_attempt(r, CARO_OUTCOME_LOST, "the response names no request",
+                    now);
+        return;
+    }
     record_load(r, head, now);
     r->status = head->status;
     r->is_close_delimited = head->is_close_delimited;
@@ -433,6 +439,30 @@
        is the body of an error: it is dropped. */
 }
 
+/* Records that the target has answered an attempt and keeps the channel. */
+static void
+add_answered_by(CaroRelay *r)
+{
+    if (r->n_answered_by < ANSWERED_BY_MAX) {
+        r->answered_by[r->n_answered_by] = r->target;
+    }
+    r->n_answered_by++;
+}
+
+/* Returns whether a kept channel to the target may have carried an attempt of
+   this request.  A faulty upstream repeats responses, and one to an earlier
+   attempt names the same request as that to the next. */
+static bool
+needs_new_channel(const CaroRelay *r)
+{
+    for (int i = 0; i < r->n_answered_by && i < ANSWERED_BY_MAX; i++) {
+        if (r->answered_by[i] == r->target) {
+            return true;
+        }
+    }
+    return r->n_answered_by > ANSWERED_BY_MAX;
+}
+
 /* Returns the channel to the pool after a complete response.  A channel
    that delivered a response to another request is not reused, nor is that of
    an upstream that leaves. */
@@ -443,6 +473,7 @@
         CaroTargets_GetConst(r->relays->deps.targets, r->target);
     if (r->n_foreign_responses == 0 &&
         target->notice.leaving == CARO_LEAVING_UNKNOWN) {
+        add_answered_by(r);
         CaroChannelPool_Release(r->relays->deps.pool, r->target, r->channel,
                                 now);
         r->channel = NULL;
@@ -948,9 +979,12 @@
     if (r->attempt.tries++ > 0) {
         CaroRetryBudget_RecordRetry(relays->deps.budget, r->service, now);
     }
-    r->channel = CaroChannelPool_Acquire(
-        relays->deps.pool, r->target, target->entry.address,
-        !CaroAttempt_IsRetryable(&r->attempt), now);
+    r->channel =
+        needs_new_channel(r)
+            ? CaroChannelPool_Open(relays->deps.pool, target->entry.address)
+            : CaroChannelPool_Acquire(
+                  relays->deps.pool, r->target, target->entry.address,
+                  !CaroAttempt_IsRetryable(&r->attempt), now);
     if (r->channel == NULL) {
         end_attempt(r, CARO_OUTCOME_UNSENT, "cannot open a connection", now);
         return;
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -231,6 +231,10 @@
 reject(Target *t, struct evhttp_request *req, int status)
 {
     struct evkeyvalq *out = evhttp_request_get_output_headers(req);
+    const char *id = CaroHttp_Header(req, "X-Attempt-Id");
+    if (id != NULL) {
+        evhttp_add_header(out, "X-Attempt-Id", id);
+    }
     evhttp_add_header(out, "X-Not-Executed", "1");
     evhttp_add_header(out, "X-Instance-Id", t->options->name);
     CaroHttp_SendText(req, status, "");
