Play odd entries, repeated refusals and upstreams that leave with processes

The stand-ins announce in responses that they leave, want no requests for some time, refuse and write refusals once more, and the store has entries that cannot be read.

--- a/Tools/fake/registry.c
+++ b/Tools/fake/registry.c
@@ -6,7 +6,8 @@
  * Faults: down (connections are closed without a response), deaf (calls get
  * no response), lose (fraction of writes whose response is lost after they
  * took effect), forget=1 (the history so far is compacted: watches from an
- * earlier revision get status 410).
+ * earlier revision get status 410), odd=1 (lists and watches contain entries
+ * that cannot be read).
  */
 #include "fake.h"
 
@@ -60,6 +61,7 @@
     uint64_t calls;
     bool is_down;
     bool is_unresponsive;
+    bool has_odd_entries;
     double response_loss_rate;
 } Registry;
 
@@ -83,6 +85,19 @@
     json_decref(value);
 }
 
+/* Adds entries that cannot be read to a list of items. */
+static void
+add_odd_entries(const Registry *r, json_t *items)
+{
+    if (r->has_odd_entries) {
+        (void)json_array_append_new(items, json_integer(7));
+        (void)json_array_append_new(
+            items, json_pack("{s:s, s:i, s:I}", "key", "servers/odd", "value",
+                             17, "revision", (json_int_t)r->revision));
+        (void)json_array_append_new(items, json_pack("{s:i}", "revision", 1));
+    }
+}
+
 /* Responds to a watch when it has events, when its deadline has passed or when
    its revision is compacted.  Returns whether it responded. */
 static bool
@@ -104,6 +119,7 @@
         json_decref(events);
         return false;
     }
+    add_odd_entries(r, events);
     reply(w->req, 200,
           json_pack("{s:o, s:I}", "events", events, "at",
                     (json_int_t)r->revision));
@@ -291,6 +307,9 @@
             (void)json_array_append_new(entries, item_json(item));
         }
     }
+    if (!has_more) { /* The next page begins behind the last key. */
+        add_odd_entries(r, entries);
+    }
     reply(req, 200,
           json_pack("{s:o, s:b, s:I}", "entries", entries, "has_more",
                     has_more, "at", (json_int_t)r->revision));
@@ -477,6 +496,7 @@
     r->is_down = Fake_GetNumber(req, "down", r->is_down) > 0.0;
     r->is_unresponsive = Fake_GetNumber(req, "deaf", r->is_unresponsive) > 0.0;
     r->response_loss_rate = Fake_GetNumber(req, "lose", r->response_loss_rate);
+    r->has_odd_entries = Fake_GetNumber(req, "odd", r->has_odd_entries) > 0.0;
     if (Fake_GetNumber(req, "forget", 0.0) > 0.0) {
         r->compacted_revision = r->revision;
     }
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -7,7 +7,17 @@
  * Faults: lose (fraction of plain requests whose response is lost after
  * execution), fail (fraction of plain requests answered with status 500),
  * torn (fraction of streams that end in the middle of an event), leave=1
- * (the instance is registered as draining).
+ * (the instance is registered as draining), announce=1 (responses say that the
+ * instance leaves, its registration does not), refuse (fraction of requests
+ * that are refused), repeat (fraction of requests before whose response the
+ * last refusal on the connection is written once more, every other time
+ * without its id).
+ *
+ * With unavailable=S it refuses all requests for S seconds and says so in
+ * them; /fault then tells how many of them arrived later than
+ * UNAVAILABLE_SETTLE after the first.  With announce=1 it tells how many
+ * requests began later than ANNOUNCE_SETTLE after the first response that said
+ * so.
  *
  * With limit=R it names a limit of R requests a second in its responses; 0
  * ends that.  /fault then tells how many requests arrived since LIMIT_SETTLE
@@ -19,6 +29,7 @@
 #include "internal/caro_clock.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -33,8 +44,19 @@
 #define LIMIT_SETTLE (3 * CARO_SECOND)
 #define LIMIT_WINDOW (4 * CARO_SECOND)
 
+/* Requests that are under way when the first response says so. */
+#define UNAVAILABLE_SETTLE (500 * CARO_MS)
+#define ANNOUNCE_SETTLE (500 * CARO_MS)
+
 enum { ARRIVALS_MAX = 8192 };
 
+/* The last refusal on the connection from a port. */
+typedef struct Refusal {
+    int port;
+    char id[128];
+    UT_hash_handle hh;
+} Refusal;
+
 /* Number of executions of one request id. */
 typedef struct Run {
     char *id;
@@ -58,6 +80,15 @@
     CaroTime arrivals[ARRIVALS_MAX]; /* The last ones in the window. */
     long n_arrivals;                 /* Since LIMIT_SETTLE. */
     long window_max;
+    double refuse_rate;
+    double repeat_rate;
+    Refusal *refusals;
+    long n_repeats;
+    bool is_announcing;
+    CaroTime announced_at; /* First response that said so; 0 before. */
+    CaroTime unavailable_until;
+    CaroTime unavailable_since; /* First refusal that said so; 0 before. */
+    long n_late;                /* Requests against what was announced. */
 } Target;
 
 /* A request in progress. */
@@ -109,6 +140,16 @@
     free_request(r);
 }
 
+static void
+add_announcement(Target *t, struct evkeyvalq *out)
+{
+    if (t->is_announcing) {
+        t->announced_at =
+            t->announced_at == 0 ? CaroClock_Now() : t->announced_at;
+        evhttp_add_header(out, "Server-Leaving", "1");
+    }
+}
+
 static void
 add_headers(const PendingRequest *r)
 {
@@ -123,6 +164,7 @@
         (void)snprintf(load, sizeof(load), "%.3f", r->target->limit);
         evhttp_add_header(out, "Server-Limit", load);
     }
+    add_announcement(r->target, out);
 }
 
 static void
@@ -237,9 +279,78 @@
     }
     evhttp_add_header(out, "X-Not-Executed", "1");
     evhttp_add_header(out, "X-Instance-Id", t->options->name);
+    add_announcement(t, out);
     CaroHttp_SendText(req, status, "");
 }
 
+static int
+port_of(struct evhttp_request *req)
+{
+    char *address;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(req), &address,
+                               &port);
+    return port;
+}
+
+static void
+refuse(Target *t, struct evhttp_request *req, const char *id)
+{
+    int port = port_of(req);
+    Refusal *refusal;
+    HASH_FIND_INT(t->refusals, &port, refusal);
+    if (refusal == NULL) {
+        refusal = calloc(1, sizeof(*refusal));
+        if (refusal == NULL) {
+            abort();
+        }
+        refusal->port = port;
+        HASH_ADD_INT(t->refusals, port, refusal);
+    }
+    CARO_COPY(refusal->id, id);
+    reject(t, req, HTTP_SERVUNAVAIL);
+}
+
+/* Writes the last refusal on the connection once more. */
+static void
+repeat_refusal(Target *t, struct evhttp_request *req)
+{
+    int port = port_of(req);
+    Refusal *refusal;
+    HASH_FIND_INT(t->refusals, &port, refusal);
+    if (refusal == NULL) {
+        return;
+    }
+    struct evbuffer *out = bufferevent_get_output(
+        evhttp_connection_get_bufferevent(evhttp_request_get_connection(req)));
+    evbuffer_add_printf(out, "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n");
+    if (t->n_repeats++ % 2 == 0) {
+        evbuffer_add_printf(out, "X-Attempt-Id: %s\r\n", refusal->id);
+    }
+    evbuffer_add_printf(out, "Content-Length: 0\r\n\r\n");
+}
+
+/* Refuses the request if the instance wants none now, and says for how long.
+ */
+static bool
+refuse_while_unavailable(Target *t, struct evhttp_request *req, CaroTime now)
+{
+    char seconds[32];
+    if (now >= t->unavailable_until) {
+        return false;
+    }
+    if (t->unavailable_since == 0) {
+        t->unavailable_since = now;
+    }
+    t->n_late += now - t->unavailable_since > UNAVAILABLE_SETTLE;
+    (void)snprintf(seconds, sizeof(seconds), "%.3f",
+                   (double)(t->unavailable_until - now) / (double)CARO_SECOND);
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Retry-After",
+                      seconds);
+    reject(t, req, HTTP_SERVUNAVAIL);
+    return true;
+}
+
 static void
 start_stream(PendingRequest *r, const char *tokens)
 {
@@ -285,7 +396,20 @@
         reject(t, req, HTTP_BADREQUEST);
         return;
     }
-    record_arrival(t, CaroClock_Now());
+    CaroTime now = CaroClock_Now();
+    record_arrival(t, now);
+    if (refuse_while_unavailable(t, req, now)) {
+        return;
+    }
+    t->n_late +=
+        t->announced_at != 0 && now - t->announced_at > ANNOUNCE_SETTLE;
+    if (draw_uniform() < t->repeat_rate) {
+        repeat_refusal(t, req);
+    }
+    if (draw_uniform() < t->refuse_rate) {
+        refuse(t, req, id);
+        return;
+    }
     PendingRequest *r = calloc(1, sizeof(*r));
     if (r == NULL) {
         abort();
@@ -324,7 +448,7 @@
 on_fault(struct evhttp_request *req, void *arg)
 {
     Target *t = arg;
-    char text[160];
+    char text[224];
     double limit = Fake_GetNumber(req, "limit", t->limit);
     CaroTime now = CaroClock_Now();
     if (limit != t->limit) {
@@ -337,12 +461,21 @@
     t->fail_rate = Fake_GetNumber(req, "fail", t->fail_rate);
     t->torn_stream_rate = Fake_GetNumber(req, "torn", t->torn_stream_rate);
     t->is_draining = Fake_GetNumber(req, "leave", t->is_draining) > 0.0;
+    t->refuse_rate = Fake_GetNumber(req, "refuse", t->refuse_rate);
+    t->repeat_rate = Fake_GetNumber(req, "repeat", t->repeat_rate);
+    t->is_announcing = Fake_GetNumber(req, "announce", t->is_announcing) > 0.0;
+    double unavailable_s = Fake_GetNumber(req, "unavailable", 0.0);
+    if (unavailable_s > 0.0) {
+        t->unavailable_until =
+            now + (CaroTime)(unavailable_s * (double)CARO_SECOND);
+        t->unavailable_since = 0;
+    }
     (void)snprintf(text, sizeof(text),
                    "running %d\ntotal %ld\narrived %ld\nin_ms %lld\n"
-                   "window_max %ld\n",
+                   "window_max %ld\nlate %ld\nrepeats %ld\n",
                    t->running, t->requests_run, t->n_arrivals,
                    (long long)((now - t->limited_at - LIMIT_SETTLE) / CARO_MS),
-                   t->window_max);
+                   t->window_max, t->n_late, t->n_repeats);
     CaroHttp_SendText(req, HTTP_OK, text);
 }
 
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -8,8 +8,11 @@
 # One seed in three has planned work alone: stops with SIGTERM and restarts,
 # SIGHUP, changes of the configuration.  The others add kills and freezes of
 # gateways and engines, freezes of order services, lost and failed responses,
-# torn streams, and a store that does not answer.  In one seed in four the order
-# services limit their requests.
+# torn streams, a store that does not answer, order services that refuse requests
+# and write refusals once more, that want no requests for some time, and order
+# services and engines that announce in their responses alone that they leave.
+# In one seed in four the order services limit their requests, in one in five the
+# store has entries that cannot be read.
 #
 # A request that ended without an answer is lost, unless its gateway or its
 # upstream had a fault at that time, or the request crossed the gateway's close
@@ -105,6 +108,29 @@
     give_back "t$1"
 }
 
+# An engine announces that it leaves, and another start follows it.
+replace_engine() { # I MS
+    local from
+    from=$(now_ms)
+    record "$from" "$((from + $2))" stream "t$1 announces that it leaves"
+    fleet_fault "$(gateway_target "$1")" announce=1
+    pause "$2"
+    fleet_kill "t$1" TERM
+    wait_gone "t$1"
+    gateway_start_target "$1" >/dev/null
+    record "$from" "$(now_ms)" stream "restart t$1"
+    give_back "t$1"
+}
+
+# An order service announces that it leaves, once a run, and another one takes
+# its place.  It stays, since it knows which orders it has run.
+replace_desk() { # I MS
+    record "$(now_ms)" 0 planned "o$1 announces that it leaves"
+    fleet_fault "$(gateway_desk "$1")" announce=1
+    pause "$2"
+    gateway_start_desk $((fleet_domains + $1)) >/dev/null
+}
+
 upstream_fault() { # NAME ADDRESS AFFECTED QUERY END_QUERY MS
     local from
     from=$(now_ms)
@@ -162,7 +188,7 @@
 # Draws one event.  Everything is drawn before a subshell begins.
 step() { # PLANNED_ONLY
     local i ms what
-    draw 0 $(($1 ? 10 : 20))
+    draw 0 $(($1 ? 10 : 25))
     what=$drawn
     draw 1 $((gateways + 1))
     i=$drawn
@@ -227,6 +253,32 @@
         upstream_fault registry "$(gateway_registry)" none deaf=1 deaf=0 \
             "$ms" &
         ;;
+    20 | 21)
+        draw 1 $((fleet_domains + 1))
+        i=$drawn
+        take "o$i" || return 0
+        upstream_fault "o$i" "$(gateway_desk "$i")" desk \
+            "refuse=0.4&repeat=0.4" "refuse=0&repeat=0" "$ms" &
+        ;;
+    22)
+        draw 1 $((fleet_domains + 1))
+        i=$drawn
+        take "o$i" || return 0
+        upstream_fault "o$i" "$(gateway_desk "$i")" desk \
+            "unavailable=$((ms / 1000 + 1))" "unavailable=0" "$ms" &
+        ;;
+    23)
+        draw 1 $((fleet_domains + 1))
+        i=$drawn
+        take "o$i" || return 0
+        replace_desk "$i" "$ms" &
+        ;;
+    24)
+        draw 1 $((engines + 1))
+        i=$drawn
+        take "t$i" || return 0
+        replace_engine "$i" "$ms" &
+        ;;
     esac
 }
 
@@ -259,12 +311,16 @@
 }
 
 gateway_fleet_start 2 "$gateways" "$engines" >/dev/null
+desk_count=$((2 * fleet_domains)) # With those that may be started.
 planned_only=$((seed % 3 == 0))
 if [ $((seed % 4)) = 1 ]; then
     for i in $(seq 1 "$fleet_domains"); do
         fleet_fault "$(gateway_desk "$i")" limit=8
     done
 fi
+if [ $((seed % 5)) = 2 ]; then
+    fleet_fault "$(gateway_registry)" odd=1
+fi
 gateway_load --seconds "$seconds" --seed "$seed" --workers "$workers" \
     --soak-pause-ms 1600 >"$fleet_dir/load.txt" &
 load=$!
