Bound what load reports of other VMs can add up to

Cause: the numbers of a report were converted to int and added without bounds; two reports of 2^31 - 1 streams overflowed the sum (undefined, and a negative load that attracts requests). Class: input of a peer used without a range. Numbers are cut to 2^24 and sums to 2^28.

Test: load_reports_beyond_all_bounds of test_placement, which the sanitizer ended before (signed integer overflow) and which passes.

--- a/Objects/peer_loads.c
+++ b/Objects/peer_loads.c
@@ -20,7 +20,10 @@
        target that has sent nothing yet. */
     IDLE_MS_MAX = 3600000,
     /* Announcements in one report. */
-    LEAVING_MAX = 16
+    LEAVING_MAX = 16,
+    /* Bounds of a number in a report, and of a sum over reports. */
+    REPORTED_MAX = 1 << 24,
+    SUM_MAX = 1 << 28
 };
 
 /* Load of a peer at one target. */
@@ -74,6 +77,12 @@
     free(b);
 }
 
+static void
+add(int *sum, int number)
+{
+    *sum = *sum + number < SUM_MAX ? *sum + number : SUM_MAX;
+}
+
 /* Recomputes the sums.  A slot that now holds another instance, or the same
    one after a restart, gets none of the streams of its predecessor. */
 static void
@@ -93,9 +102,9 @@
             const PeerLoad *e = &s->loads[i];
             CaroTarget *target = CaroTargets_Get(b->targets, e->target);
             if (target->is_used && target->id_hash == e->id_hash) {
-                target->peer_streams += e->streams;
-                target->peer_prefill_tokens += e->prefill_tokens;
-                target->peer_kv_copies += e->kv_copies;
+                add(&target->peer_streams, e->streams);
+                add(&target->peer_prefill_tokens, e->prefill_tokens);
+                add(&target->peer_kv_copies, e->kv_copies);
             }
         }
     }
@@ -147,6 +156,12 @@
     }
 }
 
+static int
+bounded(u_int number)
+{
+    return number < REPORTED_MAX ? (int)number : REPORTED_MAX;
+}
+
 void
 CaroPeerLoads_Apply(CaroPeerLoads *b, const caro_load_report *report,
                     CaroTargetFailures *failures, CaroTime now)
@@ -179,9 +194,9 @@
         s->loads[s->n++] =
             (PeerLoad){.target = h,
                        .id_hash = load->target,
-                       .streams = (int)load->streams,
-                       .prefill_tokens = (int)load->prefill_tokens,
-                       .kv_copies = (int)load->kv_copies};
+                       .streams = bounded(load->streams),
+                       .prefill_tokens = bounded(load->prefill_tokens),
+                       .kv_copies = bounded(load->kv_copies)};
         CaroTargets_RecordHeard(b->targets, h, now - load->idle_ms * CARO_MS);
         if (load->failure != CARO_FAILURE_NONE) {
             failures->all[failures->n].target = h;
--- a/Test/test_placement.c
+++ b/Test/test_placement.c
@@ -367,6 +367,47 @@
     CaroTargets_Destroy(t);
 }
 
+/* The sums of absurd reports stay in range, and placement still chooses. */
+static void
+test_load_reports_beyond_all_bounds(void **state)
+{
+    (void)state;
+    CaroTargets *t = make_targets();
+    CaroPeerLoads *b = CaroPeerLoads_Create(t);
+    CaroTargetFailures failures;
+    caro_target_load loads[CARO_LOADS_MAX];
+    static const u_int numbers[] = {0x7fffffff, 0xffffffff, 0x80000000};
+    for (int i = 0; i < CARO_LOADS_MAX; i++) {
+        u_int number = numbers[i % 3];
+        loads[i] =
+            (caro_target_load){.target = CaroTargets_GetConst(t, 2)->id_hash,
+                               .streams = number,
+                               .prefill_tokens = number,
+                               .kv_copies = number,
+                               .idle_ms = number,
+                               .failure = (caro_target_failure)(i - 8)};
+    }
+    for (u_int i = 0; i < 400; i++) {
+        char name[16];
+        (void)snprintf(name, sizeof(name), "v%u", i);
+        caro_load_report report = {
+            .sender = name, .boot_id = 5, .sequence = 0xffffffff};
+        report.loads.loads_val = loads;
+        report.loads.loads_len = CARO_LOADS_MAX;
+        CaroPeerLoads_Apply(b, &report, &failures, S);
+    }
+    const CaroTarget *target = CaroTargets_GetConst(t, 2);
+    assert_true(target->peer_streams >= 0 && target->peer_kv_copies >= 0 &&
+                target->peer_prefill_tokens >= 0);
+    CaroPlacementQuery q = query_from("d1");
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    assert_int_not_equal(CaroPlacement_Choose(t, &q, rng, S), 2);
+    (void)CaroPlacement_ChooseKvCopy(t, 0, rng, S);
+    gsl_rng_free(rng);
+    CaroPeerLoads_Destroy(b);
+    CaroTargets_Destroy(t);
+}
+
 /* A target that restarts under its id has none of the streams reported for
    the earlier start.  Their end must not be subtracted from its count. */
 static void
@@ -441,6 +482,7 @@
         cmocka_unit_test(test_leaving_and_failed_targets),
         cmocka_unit_test(test_restarted_target_is_another_target),
         cmocka_unit_test(test_old_load_reports_are_dropped),
+        cmocka_unit_test(test_load_reports_beyond_all_bounds),
         cmocka_unit_test(test_load_report_of_an_earlier_start),
         cmocka_unit_test(test_directory_prefers_the_callers_domain),
     };
