Take back unsent requests only on a notice that this VM read; split the relay

Found by reading: on another VM's report the request was taken back as well. A report now only keeps new requests away. Two more tests of test_relay_leaving, which also show that a request whose channel is still opening goes elsewhere, or is refused.

Retry-After is worked out for 503 alone.

--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -68,9 +68,9 @@
                                   CaroTime now);
 
 /*
- * The target announced, here or to another VM, that it accepts no more
- * requests.  Requests that were chosen for it and not sent go elsewhere; those
- * that were sent run to their end.
+ * The target announced to this VM that it accepts no more requests.  Requests
+ * that were chosen for it and not sent go elsewhere; those that were sent run
+ * to their end.
  */
 void CaroRelays_OnTargetClosed(CaroRelays *relays, CaroHandle target,
                                CaroTime now);
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -108,6 +108,28 @@
 void CaroRelay_Cut(CaroRelay *r, const char *reason, CaroTime now);
 void CaroRelay_Destroy(CaroRelay *r);
 
+/* relay_notices.c: what the head of a response says about its upstream. */
+
+/* Records the requests that the upstream runs and keeps waiting. */
+void CaroRelay_RecordLoad(CaroRelay *r, const CaroHttpHead *head,
+                          CaroTime now);
+
+/* Records a limit of requests.  A response without a limit ends one, unless it
+   is a refusal, which need not come from the upstream's application. */
+void CaroRelay_RecordLimit(CaroRelay *r, const CaroHttpHead *head,
+                           CaroTime now);
+
+/* Records an announcement that the upstream leaves.  Returns whether it is the
+   first that this VM reads.  A response with status 421 comes from another
+   upstream at the address and announces nothing. */
+bool CaroRelay_RecordLeaving(CaroRelay *r, const CaroHttpHead *head,
+                             CaroTime now);
+
+/* Records for how long an upstream that refused the request wants no other.
+   Returns whether that ends later than what was known. */
+bool CaroRelay_RecordUnavailable(CaroRelay *r, const CaroHttpHead *head,
+                                 CaroTime now);
+
 /* relay_attempt.c: attempts at upstreams. */
 
 /* Begins the next attempt, or ends the request when there is none. */
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -494,7 +494,6 @@
             "upstream=%s vm=%s",
             CaroTargets_GetConst(g->targets, failures.leaving[i])->entry.id,
             report->sender);
-        CaroRelays_OnTargetClosed(g->relays, failures.leaving[i], now);
     }
 }
 
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -36,13 +36,6 @@
    read; the next iteration of the loop reads them. */
 #define UNREAD_DELAY (1 * CARO_MS)
 
-/* Longest time for which an upstream is taken at its word that it wants no
-   requests. */
-#define UNAVAILABLE_S_MAX 3600.0
-
-/* Characters of a malformed header that are logged. */
-enum { LOGGED_VALUE_MAX = 40 };
-
 /* Bytes without an event may arrive without end, and put off a timeout only so
    often. */
 enum { PUT_OFFS_MAX = 3 };
@@ -221,106 +214,6 @@
     pause_if_caller_slow(r, now);
 }
 
-static void
-record_load(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
-{
-    CaroTargetLoad load;
-    CaroText value = CaroHttpHead_Find(
-        head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LOAD));
-    if (value.at != NULL && CaroPlatform_ReadLoad(value, &load) == 0) {
-        CaroTargets_RecordLoad(r->relays->deps.targets, r->target,
-                               (int)load.running, (int)load.waiting, now);
-    }
-}
-
-/* A response without a limit ends one, unless it is a refusal, which need not
-   come from the upstream's application. */
-static void
-record_limit(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
-{
-    double limit = -1.0;
-    CaroText value = CaroHttpHead_Find(
-        head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LIMIT));
-    bool is_named =
-        value.at != NULL && CaroPlatform_ReadLimit(value, &limit) == 0;
-    if (value.at != NULL && !is_named) {
-        CaroLog_Warn("relay",
-                     "A limit of an upstream is malformed. id=%s upstream=%s",
-                     r->id,
-                     CaroTargets_GetConst(r->relays->deps.targets, r->target)
-                         ->entry.id);
-    }
-    if (is_named || (value.at == NULL && !r->is_not_run)) {
-        CaroRequestLimits_RecordResponse(r->relays->deps.limits, r->target,
-                                         limit, now);
-    }
-}
-
-/* Reads whether the upstream announces that it leaves.  A response with status
-   421 comes from another one at its address. */
-static void
-record_leaving(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
-{
-    CaroText value = CaroHttpHead_Find(
-        head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LEAVING));
-    if (value.at == NULL || head->status == 421 ||
-        !CaroPlatform_ReadLeaving(value)) {
-        return;
-    }
-    CaroTargets *targets = r->relays->deps.targets;
-    const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
-    bool is_new = target->notice.leaving != CARO_LEAVING_BY_SELF;
-    CaroTargets_RecordLeaving(targets, r->target, now);
-    if (is_new) {
-        CaroLog_Info("relay",
-                     "An upstream announced that it leaves. upstream=%s id=%s "
-                     "status=%d registered_as=%s",
-                     target->entry.id, r->id, head->status,
-                     target->entry.is_leaving ? "leaving" : "ready");
-        CaroRelay_AddCount(r, CARO_COUNT_TARGETS_LEAVING);
-        r->relays->has_unsent_change = true;
-        CaroRelays_OnTargetClosed(r->relays, r->target, now);
-    }
-}
-
-/* Reads for how long an upstream that refused the request wants no other. */
-static void
-record_unavailable(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
-{
-    double seconds;
-    CaroText value = CaroHttpHead_Find(
-        head, CaroPlatform_HeaderName(CARO_HEADER_RETRY_AFTER));
-    if (value.at == NULL || head->status != 503) {
-        return;
-    }
-    CaroTargets *targets = r->relays->deps.targets;
-    const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
-    if (CaroPlatform_ReadRetryAfter(value, &seconds) < 0) {
-        CaroLog_Warn("relay",
-                     "The time of an upstream's refusal is malformed. "
-                     "upstream=%s id=%s value=\"%.*s\"",
-                     target->entry.id, r->id,
-                     (int)(value.size < LOGGED_VALUE_MAX ? value.size
-                                                         : LOGGED_VALUE_MAX),
-                     value.at);
-        return;
-    }
-    bool is_bounded = seconds > UNAVAILABLE_S_MAX;
-    CaroTime wait = (CaroTime)((is_bounded ? UNAVAILABLE_S_MAX : seconds) *
-                               (double)CARO_SECOND);
-    if (wait <= 0 || now + wait <= target->notice.unavailable_until) {
-        return;
-    }
-    CaroTargets_RecordUnavailable(targets, r->target, now + wait);
-    CaroLog_Info("relay",
-                 "An upstream wants no requests for some time. upstream=%s "
-                 "id=%s ms=%lld is_bounded=%d",
-                 target->entry.id, r->id, (long long)(wait / CARO_MS),
-                 is_bounded);
-    CaroRelay_AddCount(r, CARO_COUNT_TARGETS_UNAVAILABLE);
-    CaroRelays_OnTargetClosed(r->relays, r->target, now);
-}
-
 static void
 begin_stream(CaroRelay *r, CaroTime now)
 {
@@ -339,7 +232,9 @@
     CaroTime now = CaroClock_Now();
     CaroText id = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
-    record_leaving(r, head, now);
+    if (CaroRelay_RecordLeaving(r, head, now)) {
+        CaroRelays_OnTargetClosed(r->relays, r->target, now);
+    }
     if (id.at != NULL && !CaroText_Equals(id, r->id)) {
         r->is_skipping_response = true;
         if (++r->n_foreign_responses > FOREIGN_RESPONSES_MAX ||
@@ -356,15 +251,17 @@
                     now);
         return;
     }
-    record_load(r, head, now);
+    CaroRelay_RecordLoad(r, head, now);
     r->status = head->status;
     r->is_close_delimited = head->is_close_delimited;
     r->is_not_run =
         CaroHttpHead_Find(head, CaroPlatform_HeaderName(CARO_HEADER_NOT_RUN))
                 .at != NULL ||
         head->status == 421;
-    record_limit(r, head, now);
-    record_unavailable(r, head, now);
+    CaroRelay_RecordLimit(r, head, now);
+    if (CaroRelay_RecordUnavailable(r, head, now)) {
+        CaroRelays_OnTargetClosed(r->relays, r->target, now);
+    }
     evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
     CaroRelayHead_CopyResponse(r->headers, head);
     bool is_success = head->status >= 200 && head->status <= 299;
@@ -660,8 +557,8 @@
     }
 }
 
-/* Returns a request that was chosen for the target and not yet sent, other
-   than those of the response that closed it, or NULL. */
+/* Returns a request that was chosen for the target and not yet sent, or
+   NULL. */
 static CaroRelay *
 find_unsent(const CaroRelays *relays, CaroHandle target)
 {
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -139,7 +139,7 @@
                         CaroTime now)
 {
     CaroCall *call = r->call;
-    double wait_s = retry_after_s(r, now);
+    double wait_s = status == 503 ? retry_after_s(r, now) : 0.0;
     if (r->is_over_limit && status == 503) {
         CaroTime delay = CaroRequestLimits_Refuse(r->relays->deps.limits,
                                                   r->service, r->id, now);
@@ -150,7 +150,7 @@
                                         : CARO_COUNT_RELAYS_FAILED);
     CaroRelay_LogEnd(r, status, reason, now);
     CaroRelay_Destroy(r);
-    CaroRelay_Refuse(call, status, status == 503 ? wait_s : 0.0);
+    CaroRelay_Refuse(call, status, wait_s);
 }
 
 void
--- a/Objects/peer_loads.c
+++ b/Objects/peer_loads.c
@@ -11,7 +11,7 @@
 /* Reports repeat a failure while other VMs may still wait at the target. */
 #define FAILURE_REPORT_TTL (500 * CARO_MS)
 
-/* An announcement is reported in so many of them, since each may be lost and
+/* An announcement is reported for so long, since each report may be lost and
    reaches a part of a large fleet only. */
 #define LEAVING_REPORT_TTL (4 * CARO_SECOND)
 
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -89,6 +89,9 @@
     char server_address[CARO_ADDRESS_SIZE];
     CaroTime stall;   /* The process stalls so long behind each request. */
     CaroTime stalled; /* Sum of what run_for ran too long. */
+    /* The upstream of the next request announces, while its channel opens,
+       that it leaves. */
+    bool is_closed_early;
 } Fixture;
 
 static inline void
@@ -269,11 +272,28 @@
 
 /* --- the gateway --- */
 
+static inline void
+close_upstream_in_use(Fixture *f)
+{
+    CaroTime now = CaroClock_Now();
+    for (CaroHandle h = 0; h < CaroTargets_Count(f->deps.targets); h++) {
+        if (CaroTargets_GetConst(f->deps.targets, h)->in_flight > 0) {
+            CaroTargets_RecordLeaving(f->deps.targets, h, now);
+            CaroRelays_OnTargetClosed(f->relays, h, now);
+            return;
+        }
+    }
+}
+
 static inline void
 on_request(void *context, CaroCall *call)
 {
     Fixture *f = context;
     CaroRelays_Accept(f->relays, call, &f->route, NULL, CaroClock_Now());
+    if (f->is_closed_early) {
+        f->is_closed_early = false;
+        close_upstream_in_use(f);
+    }
     (void)usleep((useconds_t)f->stall);
 }
 
--- a/Test/test_relay_leaving.c
+++ b/Test/test_relay_leaving.c
@@ -166,6 +166,38 @@
     assert_int_equal(f->up.n_requests, 1);
 }
 
+/* The request was chosen for the upstream, and its channel is still opening.
+ */
+static void
+test_request_that_is_not_sent_yet_goes_elsewhere(void **state)
+{
+    Fixture *f = *state;
+    f->route.kind = CARO_ROUTE_NON_IDEMPOTENT;
+    f->is_closed_early = true;
+    script(f, RESPONSE_KEEP_OPEN, RESPONSE("r1", "done"));
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "\r\n\r\ndone");
+    assert_int_equal(f->up.n_requests, 1);
+    char to[8];
+    read_instance(f->up.requests[0], to);
+    CaroHandle h = CaroTargets_Find(f->deps.targets, to);
+    const CaroTarget *target = CaroTargets_GetConst(f->deps.targets, h);
+    assert_int_equal(target->notice.leaving, CARO_LEAVING_UNKNOWN);
+}
+
+static void
+test_request_that_is_not_sent_yet_is_refused_without_another(void **state)
+{
+    Fixture *f = *state;
+    CaroTargets_Remove(f->deps.targets, 1);
+    f->route.kind = CARO_ROUTE_NON_IDEMPOTENT;
+    f->is_closed_early = true;
+    script(f, RESPONSE_KEEP_OPEN, RESPONSE("r1", "done"));
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "HTTP/1.1 503");
+    assert_int_equal(f->up.n_requests, 0);
+}
+
 static void
 test_stream_of_a_leaving_upstream_runs_to_its_end(void **state)
 {
@@ -195,6 +227,9 @@
         RELAY_TEST(test_new_start_of_an_upstream_is_used),
         RELAY_TEST(
             test_without_another_upstream_the_request_is_refused_at_once),
+        RELAY_TEST(test_request_that_is_not_sent_yet_goes_elsewhere),
+        RELAY_TEST(
+            test_request_that_is_not_sent_yet_is_refused_without_another),
         RELAY_TEST(test_stream_of_a_leaving_upstream_runs_to_its_end),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
