End what a subshell of a fleet has started

Seen once: proc_notices counted 3 orders that ran without an answer, and in three runs side by side 15 that ran twice, beside no fault at all. The logs of a failed run have one attempt of each. Cause: the soak starts order services in subshells, whose list of processes fleet_stop did not have; 22 stand-ins were left behind. One of them held a port of the next fleet that drew its block, registered there, and had run orders with the same ids before.

fleet_stop goes by the files with the pids.

--- a/Tools/bench/gateway.c
+++ b/Tools/bench/gateway.c
@@ -553,6 +553,10 @@
     int answered_but_not_run = 0;
     for (int i = 0; i < load->n_orders; i++) {
         int runs = count_runs(load, load->orders[i].id, targets, n);
+        if (runs > 1) {
+            (void)printf("order ran %d times: id=%s\n", runs,
+                         load->orders[i].id);
+        }
         ran_twice += runs > 1;
         refused_but_ran +=
             load->orders[i].outcome == ORDER_NOT_RUN && runs > 0;
--- a/Tools/bench_fleet.sh
+++ b/Tools/bench_fleet.sh
@@ -58,6 +58,5 @@
     fleet_stop
     fleet_base=0
     fleet_dir=$(mktemp -d)
-    fleet_pids=""
     fleet_reserve
 done
--- a/Tools/fleet.sh
+++ b/Tools/fleet.sh
@@ -8,7 +8,6 @@
 
 bin=${BIN:-build}
 fleet_dir=$(mktemp -d)
-fleet_pids=""
 fleet_base=0
 fleet_lock=""
 export CARO_TOKEN=demo-token
@@ -53,7 +52,6 @@
     echo $! >"$fleet_dir/$name.pid"
     trap - HUP
     disown # Otherwise bash reports its end by a signal.
-    fleet_pids="$fleet_pids $name"
 }
 
 fleet_pid() { cat "$fleet_dir/$1.pid"; }
@@ -193,10 +191,11 @@
 
 # Kills all processes that were started, by pid, and removes the directory.
 fleet_stop() {
-    local name
-    for name in $fleet_pids; do
-        kill -CONT "$(fleet_pid "$name")" 2>/dev/null || true
-        kill -KILL "$(fleet_pid "$name")" 2>/dev/null || true
+    local file
+    # The files also name what a subshell has started.
+    for file in "$fleet_dir"/*.pid; do
+        kill -CONT "$(cat "$file")" 2>/dev/null || true
+        kill -KILL "$(cat "$file")" 2>/dev/null || true
     done
     wait 2>/dev/null || true
     rm -rf "$fleet_dir" "$fleet_lock"
