--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -337,9 +337,9 @@
                                                 .on_cut = on_cut};
 
 static inline void
-put_target(Fixture *f, const char *id)
+put_started(Fixture *f, const char *id, int64_t started_at_ms)
 {
-    CaroTargetEntry e = {.slots = 4};
+    CaroTargetEntry e = {.slots = 4, .started_at_ms = started_at_ms};
     CARO_COPY(e.id, id);
     CARO_COPY(e.address, f->up.address);
     CARO_COPY(e.domain, "d");
@@ -348,6 +348,12 @@
     (void)CaroTargets_Put(f->deps.targets, &e, CaroClock_Now());
 }
 
+static inline void
+put_target(Fixture *f, const char *id)
+{
+    put_started(f, id, 0);
+}
+
 static inline int
 setup(void **state)
 {
--- a/Test/test_relay_leaving.c
+++ b/Test/test_relay_leaving.c
@@ -17,18 +17,6 @@
     (void)snprintf(out, 8, "%.2s", at + strlen("X-Expect-Instance: "));
 }
 
-static void
-put_started(Fixture *f, const char *id, int64_t started_at_ms)
-{
-    CaroTargetEntry e = {.slots = 4, .started_at_ms = started_at_ms};
-    CARO_COPY(e.id, id);
-    CARO_COPY(e.address, f->up.address);
-    CARO_COPY(e.domain, "d");
-    CARO_COPY(e.service, "s");
-    CARO_COPY(e.version, "v1");
-    (void)CaroTargets_Put(f->deps.targets, &e, CaroClock_Now());
-}
-
 /* Sends requests with the ids "m1" to "m4", whose responses are whole, and
    checks that none goes to the instance. */
 static void
