--- a/review/lib.sh
+++ b/review/lib.sh
@@ -39,7 +39,8 @@
 }
 
 case_end() {
-    local file
+    local file job
+    for job in $(jobs -p); do kill "$job" 2>/dev/null || true; done
     for file in "$run_dir"/*.pid; do
         [ -e "$file" ] || continue
         kill -CONT "$(cat "$file")" 2>/dev/null || true
