--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,7 +7,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 . review/lib.sh
-case_begin "$here"
+case_begin "$here/record.txt"
 
 revoke_ms=5000
 route=$(order_route cut-booking /o/ desk)
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,7 +8,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.."
 . review/lib.sh
-case_begin "$here"
+case_begin "$here/record.txt"
 
 apply_ms=2000
 long="Carpenters of Sesvete and Dubrava, Zagreb"
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,7 +1,7 @@
 # Helpers of the review's cases; sourced by each run.sh, which runs in the
 # repository's root.
 #
-#   case_begin DIR          free ports, a temporary folder, DIR/record.txt
+#   case_begin RECORD       free ports, a temporary folder, an empty record
 #   start NAME COMMAND...   runs a program; pid NAME prints its process id
 #   start_store             the project's stand-in of the platform's store
 #   start_gateway I         the program of the deploy file, as gateway I
@@ -11,7 +11,7 @@
 # All processes end, by their process ids, when the script does.
 
 case_begin() {
-    record="$1/record.txt"
+    record=$1
     : >"$record"
     run_dir=$(mktemp -d)
     trap case_end EXIT
