--- a/Controllers/request_check.c
+++ b/Controllers/request_check.c
@@ -9,6 +9,9 @@
    run.  Callers whose VM was killed may reach one that has just started, and
    do not try a third. */
 #define START_HOLD_MAX (250 * CARO_MS)
+/* Retry-After while a configuration cannot be read: an operator has to write
+   another one. */
+#define UNUSABLE_CONFIG_RETRY_DELAY_S 1.0
 /* Retry-After of a VM that cannot serve while another can at once; the caller
    only has to look up its address. */
 #define OTHER_VM_RETRY_DELAY_S 0.05
@@ -39,6 +42,10 @@
             q->uptime < START_HOLD_MAX && !q->is_stopping;
         return result;
     }
+    if (q->has_unusable_config) {
+        return refuse(503, UNUSABLE_CONFIG_RETRY_DELAY_S,
+                      "a newer configuration cannot be read");
+    }
     if (q->host.size == 0 || q->path.size == 0 || q->path.at[0] != '/') {
         return refuse(400, 0.0, "the request has no host or no path");
     }
@@ -50,7 +57,11 @@
                    : refuse(503, OTHER_VM_RETRY_DELAY_S,
                             "the configuration may be out of date");
     }
-    if (!result.route->is_public && CaroRoutes_HasAccounts(q->routes)) {
+    if (result.route->is_unusable) {
+        return refuse(503, UNUSABLE_CONFIG_RETRY_DELAY_S,
+                      "the route cannot be read");
+    }
+    if (!result.route->is_public && CaroRoutes_RequiresAccounts(q->routes)) {
         if (!q->is_config_fresh) {
             return refuse(503, OTHER_VM_RETRY_DELAY_S,
                           "the configuration may be out of date");
@@ -60,6 +71,10 @@
         if (result.account == NULL) {
             return refuse(401, 0.0, "the API key is unknown");
         }
+        if (result.account->is_unusable) {
+            return refuse(503, UNUSABLE_CONFIG_RETRY_DELAY_S,
+                          "the account's name cannot be read");
+        }
     }
     /* A generation takes about as long as the grace period between a stop
        and the kill: one that started now would be truncated, and so would
--- a/Include/caro_gateway_settings.h
+++ b/Include/caro_gateway_settings.h
@@ -5,7 +5,7 @@
  * The settings are one JSON file, validated as described in
  * caro_settings.h.  All addresses are those of this VM, except for the seeds
  * and the store.  Only the host of a seed is used: all VMs listen on the
- * same ports.
+ * same ports.  Names are as of caro_name.h.
  */
 #ifndef CARO_GATEWAY_SETTINGS_H
 #define CARO_GATEWAY_SETTINGS_H
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -39,6 +39,7 @@
     X(STORE_CALLS, "store_calls")                                             \
     X(STORE_FAILURES, "store_failures")                                       \
     X(CONFIG_APPLIED, "config_applied")                                       \
+    X(CONFIG_REJECTED, "config_rejected")                                     \
     X(LOAD_POLLS, "load_polls")                                               \
     X(PAUSES, "pauses_of_this_process")                                       \
     X(RELAYS, "relays")                                                       \
--- a/Include/internal/caro_fields.h
+++ b/Include/internal/caro_fields.h
@@ -17,13 +17,15 @@
 
 /* The type of a JSON value, and the C type in which it is stored. */
 typedef enum {
-    CARO_FIELD_NAME,    /* char[CARO_NAME_SIZE]; a-z, 0-9 and hyphens. */
-    CARO_FIELD_ADDRESS, /* char[CARO_ADDRESS_SIZE]; "ip:port". */
-    CARO_FIELD_TEXT,    /* char[256]; any string that fits. */
-    CARO_FIELD_HEX64,   /* char[65]; 64 hexadecimal digits. */
-    CARO_FIELD_INTEGER, /* int64_t; an integer from min to max. */
-    CARO_FIELD_REAL,    /* double; a number from min to max. */
-    CARO_FIELD_BOOL,    /* bool. */
+    CARO_FIELD_NAME,     /* char[CARO_NAME_SIZE]; a-z, 0-9 and hyphens. */
+    CARO_FIELD_IDENTITY, /* char[CARO_NAME_SIZE]; the identity of any string
+                            that is not empty (caro_name.h). */
+    CARO_FIELD_ADDRESS,  /* char[CARO_ADDRESS_SIZE]; "ip:port". */
+    CARO_FIELD_TEXT,     /* char[256]; any string that fits. */
+    CARO_FIELD_HEX64,    /* char[65]; 64 hexadecimal digits. */
+    CARO_FIELD_INTEGER,  /* int64_t; an integer from min to max. */
+    CARO_FIELD_REAL,     /* double; a number from min to max. */
+    CARO_FIELD_BOOL,     /* bool. */
     CARO_FIELD_NESTED /* An object or array that the caller reads with a table
                          of its own; nothing is stored. */
 } CaroFieldKind;
--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -81,9 +81,13 @@
 int CaroPlatform_ReadPromptParts(CaroText value, CaroPromptParts *parts);
 
 /* Formats the value of CARO_HEADER_KV_COPY_FROM: the KV copy of a request
-   that the target at the address holds. */
-void CaroPlatform_WriteKvCopyName(char *out, size_t size, const char *address,
-                                  const char *request_id);
+   that the target at the address holds.  The caller frees it; NULL without
+   memory. */
+char *CaroPlatform_WriteKvCopyName(const char *address,
+                                   const char *request_id);
+
+/* Bytes of a key of the store with its terminator. */
+enum { CARO_STORE_KEY_SIZE = 201 };
 
 /* Kinds of keys in the store. */
 typedef enum {
@@ -106,8 +110,11 @@
                            const char *rest);
 
 /*
- * Parses the operators' routing configuration.  Returns 0 and a new object
- * that the caller destroys, or CARO_ERR_INPUT with *err filled.
+ * Parses the operators' routing configuration.  Texts and lists may have any
+ * length.  A route or an account that cannot be read in part is marked as
+ * unusable and does not affect the others.  Returns 0 and a new object that
+ * the caller destroys; CARO_ERR_INPUT for a document in which routes or API
+ * keys cannot be told apart, or CARO_ERR_NOMEM, with *err filled.
  */
 int CaroPlatform_ReadConfig(const char *bytes, size_t size,
                             CaroRoutes **routes, CaroError *err);
@@ -135,10 +142,12 @@
 char *CaroPlatform_WriteQuarantine(const CaroPromptParts *parts,
                                    int64_t until_ms);
 
-/* A request of the operators to roll out a version of a service. */
+/* A request of the operators to roll out a version of a service.  Names are
+   as of caro_name.h. */
 typedef struct {
     char service[CARO_NAME_SIZE];
     char version[CARO_NAME_SIZE]; /* The new version. */
+    char *version_text;           /* Its name as the operators wrote it. */
     CaroTime duration;            /* Planned time until its share is 1. */
 } CaroRolloutRequest;
 
@@ -149,11 +158,13 @@
     CARO_ROLLOUT_OUTCOME_ROLLED_BACK
 } CaroRolloutOutcome;
 
-/* Parses a rollout request.  Returns 0, or CARO_ERR_INPUT with *err
-   filled. */
+/* Parses a rollout request, to be released with CaroRolloutRequest_Clear.
+   Returns 0, CARO_ERR_INPUT with *err filled, or CARO_ERR_NOMEM; on failure
+   nothing is to be released. */
 int CaroPlatform_ReadRolloutRequest(const char *bytes, size_t size,
                                     CaroRolloutRequest *request,
                                     CaroError *err);
+void CaroRolloutRequest_Clear(CaroRolloutRequest *request);
 
 /* Parses the outcome of a rollout and the version that was rolled out.
    Returns 0 or CARO_ERR_INPUT. */
--- a/Include/internal/caro_relay_head.h
+++ b/Include/internal/caro_relay_head.h
@@ -12,7 +12,7 @@
 typedef struct {
     const CaroCall *call;
     const char *target_id;    /* Id of the only instance that may run it. */
-    const char *account;      /* Name of the client account, or empty. */
+    const char *account;      /* Name of the client account, or NULL. */
     CaroTime time_left;       /* Time until the deadline of the request. */
     bool is_resumed;          /* The caller has a part of the response. */
     const char *kv_copy_to;   /* Address to copy KV memory to, or NULL. */
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -22,10 +22,11 @@
     CaroRelay *next;
     CaroRelay *prev;
     CaroCall *call;
-    CaroRoute route;
+    CaroRoute route; /* Without its texts and shares, which a new
+                        configuration frees. */
     char service[CARO_NAME_SIZE];
-    char account[CARO_NAME_SIZE];       /* Empty on a public route. */
-    char id[CARO_KEY_SIZE];             /* Request id that the caller sent. */
+    char *account; /* NULL on a public route. */
+    char *id;      /* Request id that the caller sent; empty for none. */
     char version[CARO_NAME_SIZE];       /* Storage of query.version. */
     char failed_domain[CARO_NAME_SIZE]; /* Storage of query.failed_domain. */
     CaroTime started_at;
--- a/Include/internal/caro_request_check.h
+++ b/Include/internal/caro_request_check.h
@@ -5,7 +5,8 @@
  *
  * Requests that cannot be served are refused at once.  A VM whose
  * configuration may be out of date answers that it cannot serve, never that
- * a key or a route is unknown.
+ * a key or a route is unknown.  So does one that knows of a configuration that
+ * it cannot read, since the one before it no longer holds.
  */
 #ifndef CARO_REQUEST_CHECK_H
 #define CARO_REQUEST_CHECK_H
@@ -18,6 +19,8 @@
     const CaroRoutes *routes; /* NULL before the first configuration. */
     bool has_target_list;     /* The registry's targets have been read. */
     bool is_config_fresh;     /* Confirmed recently to be the newest. */
+    bool has_unusable_config; /* There is a newer one that this VM could not
+                                 read.  What it allows is not known. */
     bool is_stopping;
     CaroTime time_to_exit;   /* Of a VM that is stopping; 0 and less: none. */
     CaroTime caller_timeout; /* How long the caller waits; 0 if unknown. */
--- a/Include/internal/caro_routes.h
+++ b/Include/internal/caro_routes.h
@@ -13,13 +13,6 @@
 #include "caro_error.h"
 #include "internal/caro_types.h"
 
-enum {
-    CARO_HOST_SIZE = 128,   /* Bytes of a host name with its terminator. */
-    CARO_PREFIX_SIZE = 256, /* Bytes of a path prefix, likewise. */
-    CARO_SPLIT_MAX = 8,     /* Services in the traffic split of a route. */
-    CARO_API_KEY_SIZE = 128 /* Bytes of an API key with its terminator. */
-};
-
 /* How often requests may be executed, and what is returned. */
 typedef enum {
     CARO_ROUTE_IDEMPOTENT,     /* May be executed more than once. */
@@ -29,15 +22,15 @@
 
 /* One service in the traffic split of a route. */
 typedef struct {
-    char service[CARO_NAME_SIZE];
+    char service[CARO_NAME_SIZE]; /* As of caro_name.h. */
     int64_t weight; /* Relative to the sum of the route's weights. */
 } CaroRouteShare;
 
 /* How requests to a host and path prefix are served. */
 typedef struct {
-    char name[CARO_NAME_SIZE];
-    char host[CARO_HOST_SIZE];
-    char prefix[CARO_PREFIX_SIZE]; /* Starts and ends with a slash. */
+    char name[CARO_NAME_SIZE]; /* As of caro_name.h. */
+    const char *host;
+    const char *prefix; /* Starts and ends with a slash. */
     CaroRouteKind kind;
     CaroTime timeout;     /* Longest wait for a response. */
     CaroTime objective;   /* Response time objective. */
@@ -46,7 +39,9 @@
     int64_t priority;     /* 0 is served first. */
     bool is_public;       /* No API key is required. */
     bool is_resumable;    /* Another target can resume its streams. */
-    CaroRouteShare shares[CARO_SPLIT_MAX];
+    bool is_unusable;     /* Parts of it cannot be read: no request of it can
+                             be served. */
+    const CaroRouteShare *shares;
     int n_shares;
 } CaroRoute;
 
@@ -60,8 +55,9 @@
 
 /* The account of a caller, found by its API key. */
 typedef struct {
-    char name[CARO_NAME_SIZE];
+    const char *name;
     int64_t priority; /* Overrides that of the route; -1 when absent. */
+    bool is_unusable; /* Its name cannot be sent in a header. */
 } CaroClientAccount;
 
 typedef struct CaroRoutes CaroRoutes;
@@ -71,16 +67,17 @@
 CaroRoutes *CaroRoutes_Create(int64_t version);
 void CaroRoutes_Destroy(CaroRoutes *r);
 
-/* Adds a copy of the route.  Returns 0 or CARO_ERR_NOMEM. */
+/* Adds a copy of the route with its texts and shares, of any length and
+   number.  Returns 0 or CARO_ERR_NOMEM. */
 int CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route);
 
-/* Adds a copy of the account; *index is its argument for AddKey.  Returns 0
-   or CARO_ERR_NOMEM. */
+/* Adds a copy of the account and its name; *index is its argument for AddKey.
+   Returns 0 or CARO_ERR_NOMEM. */
 int CaroRoutes_AddAccount(CaroRoutes *r, const CaroClientAccount *account,
                           int *index);
 
-/* Assigns an API key to an account.  Returns 0, CARO_ERR_INPUT for an empty
-   or too long key, or CARO_ERR_NOMEM. */
+/* Assigns an API key to an account.  No request can present an empty key.
+   Returns 0 or CARO_ERR_NOMEM. */
 int CaroRoutes_AddKey(CaroRoutes *r, const char *key, int account);
 
 /* Replaces the limits by a copy of *limits. */
@@ -104,7 +101,7 @@
 
 int64_t CaroRoutes_Version(const CaroRoutes *r);
 int CaroRoutes_Count(const CaroRoutes *r);
-bool CaroRoutes_HasAccounts(const CaroRoutes *r);
+bool CaroRoutes_RequiresAccounts(const CaroRoutes *r);
 const CaroCallerLimits *CaroRoutes_Limits(const CaroRoutes *r);
 
 #endif
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -14,9 +14,12 @@
 #include "internal/caro_target_notices.h"
 #include "internal/caro_types.h"
 
-enum { CARO_TARGETS_MAX = 1024, CARO_TARGET_ID_SIZE = 64 };
+enum {
+    CARO_TARGETS_MAX = 1024,
+    CARO_TARGET_ID_SIZE = 201 /* An id is a part of a key of the store. */
+};
 
-/* The registration entry of a target. */
+/* The registration entry of a target.  Names are as of caro_name.h. */
 typedef struct {
     char id[CARO_TARGET_ID_SIZE];
     char address[CARO_ADDRESS_SIZE];
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -66,6 +66,8 @@
 /* Calls that wait for the first reads of the store after the start; calls
    beyond that are refused. */
 enum { PENDING_CALLS_MAX = 64 };
+/* Bytes of a request id in a log line. */
+enum { LOGGED_ID_MAX = 128 };
 
 struct CaroGateway {
     struct event_base *base;
@@ -93,6 +95,8 @@
     size_t config_size;
     CaroConfigFreshness freshness;
     bool was_config_fresh;
+    int64_t unreadable_revision; /* Of the newest configuration that could not
+                                    be read; 0 for none. */
 
     uint64_t boot_id;
     uint32_t report_sequence;
@@ -117,12 +121,21 @@
         CaroClock_BootTime());
 }
 
+/* Returns whether the configuration in force has been superseded by one that
+   could not be read. */
+static bool
+has_unusable_config(const CaroGateway *g)
+{
+    return g->unreadable_revision > g->freshness.revision;
+}
+
 static bool
 is_ready(void *context)
 {
     const CaroGateway *g = context;
     return g->routes != NULL && CaroRegistry_IsLoaded(g->registry) &&
-           g->stop_requested_at == 0 && is_config_fresh(g);
+           g->stop_requested_at == 0 && is_config_fresh(g) &&
+           !has_unusable_config(g);
 }
 
 /* --- callers --- */
@@ -157,6 +170,7 @@
         .routes = g->routes,
         .has_target_list = CaroRegistry_IsLoaded(g->registry),
         .is_config_fresh = is_config_fresh(g),
+        .has_unusable_config = has_unusable_config(g),
         .is_stopping = g->stop_requested_at != 0,
         .time_to_exit = work_end(g) - now,
         .caller_timeout = ms * CARO_MS,
@@ -183,7 +197,8 @@
         "entry",
         "A request was refused. id=%.*s status=%d config=%lld "
         "proof_age_ms=%lld reason=\"%s\"",
-        (int)id.size, id.at == NULL ? "" : id.at, result->status,
+        (int)(id.size < LOGGED_ID_MAX ? id.size : LOGGED_ID_MAX),
+        id.at == NULL ? "" : id.at, result->status,
         (long long)(g->routes == NULL ? 0 : CaroRoutes_Version(g->routes)),
         (long long)(CaroConfigFreshness_Age(&g->freshness,
                                             CaroClock_BootTime()) /
@@ -303,6 +318,25 @@
 
 /* --- configuration --- */
 
+/* A configuration could not be read.  It is logged once; the registry reads it
+   again and again. */
+static void
+reject_config(CaroGateway *g, int64_t revision, const char *source,
+              const CaroError *err)
+{
+    if (revision <= g->unreadable_revision) {
+        return;
+    }
+    g->unreadable_revision = revision;
+    CaroCounters_Add(&g->counters, CARO_COUNT_CONFIG_REJECTED, 1);
+    CaroLog_Error("config",
+                  "A configuration was rejected; requests are refused until "
+                  "there is another one. revision=%lld in_force=%lld "
+                  "source=%s at=%s reason=\"%s\"",
+                  (long long)revision, (long long)g->freshness.revision,
+                  source, err->peer, err->detail);
+}
+
 /* Applies a configuration from the store or a peer unless it is older than
    the one in force or the same. */
 static int
@@ -315,15 +349,15 @@
         return 0;
     }
     if (CaroPlatform_ReadConfig(bytes, size, &routes, &err) < 0) {
-        CaroLog_Error("config",
-                      "A configuration was rejected. revision=%lld "
-                      "source=%s at=%s reason=\"%s\"",
-                      (long long)revision, source, err.peer, err.detail);
+        reject_config(g, revision, source, &err);
         return err.code;
     }
     char *copy = malloc(size + 1);
     if (copy == NULL) {
         CaroRoutes_Destroy(routes);
+        (void)CaroError_Set(&err, CARO_ERR_NOMEM, "document", "configuration",
+                            "out of memory");
+        reject_config(g, revision, source, &err);
         return CARO_ERR_NOMEM;
     }
     memcpy(copy, bytes, size);
@@ -642,9 +676,11 @@
         }
     }
     return json_pack(
-        "{s:s, s:b, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, s:o, s:o}", "vm",
-        g->settings.vm, "ready", is_ready(g), "config_revision",
-        (json_int_t)g->freshness.revision, "proof_age_ms",
+        "{s:s, s:b, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, s:o, s:o}",
+        "vm", g->settings.vm, "ready", is_ready(g), "config_revision",
+        (json_int_t)g->freshness.revision, "config_rejected",
+        (json_int_t)(has_unusable_config(g) ? g->unreadable_revision : 0),
+        "proof_age_ms",
         (json_int_t)(CaroConfigFreshness_Age(&g->freshness,
                                              CaroClock_BootTime()) /
                      CARO_MS),
--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -4,6 +4,7 @@
 
 #include "internal/caro_directory.h"
 #include "internal/caro_http.h"
+#include "internal/caro_name.h"
 #include "internal/caro_platform.h"
 
 #include <event2/buffer.h>
@@ -35,9 +36,11 @@
 {
     CaroGatewayHttp *h = arg;
     const char *addresses[CARO_DIRECTORY_MAX];
+    char wanted[HEAD_BYTES_MAX];
     char domain[CARO_NAME_SIZE];
     bool has_domain = CaroHttp_Query(req, CaroPlatform_DomainParameter(),
-                                     domain, sizeof(domain));
+                                     wanted, sizeof(wanted));
+    CaroName_Set(domain, has_domain ? wanted : NULL);
     int n = h->handlers->list_addresses(h->context, has_domain ? domain : NULL,
                                         addresses, CARO_DIRECTORY_MAX);
     char *text =
--- a/Modules/prompt_guard.c
+++ b/Modules/prompt_guard.c
@@ -279,7 +279,7 @@
                  const CaroStoreResponse *response, CaroTime sent_at)
 {
     CaroPromptGuard *g = context;
-    char key[CARO_KEY_SIZE];
+    char key[CARO_STORE_KEY_SIZE];
     char name[CARO_NAME_SIZE];
     CaroStoreCall call;
     (void)sent_at;
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -480,7 +480,7 @@
 static void
 read_config(CaroRegistry *r)
 {
-    char key[CARO_KEY_SIZE];
+    char key[CARO_STORE_KEY_SIZE];
     CaroStoreCall call;
     CaroPlatform_WriteKey(key, sizeof(key), CARO_KEY_CONFIG, "");
     if (CaroPlatform_CallGet(&call, key) < 0) {
@@ -537,7 +537,7 @@
         rc = CaroPlatform_CallLease(&call, LEASE_TTL);
     }
     else if (!r->is_registered) {
-        char key[CARO_KEY_SIZE];
+        char key[CARO_STORE_KEY_SIZE];
         char *value = CaroPlatform_WriteVm(r->peer);
         CaroPlatform_WriteKey(key, sizeof(key), CARO_KEY_VM, r->name);
         rc = value == NULL
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -5,6 +5,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Time by which a response is sent before the caller's own timeout. */
 #define RESPONSE_MARGIN (25 * CARO_MS)
@@ -92,8 +93,10 @@
 
 static CaroRelay *
 create_relay(CaroRelays *relays, CaroCall *call, const CaroRoute *route,
-             CaroTime now)
+             const CaroClientAccount *account, CaroTime now)
 {
+    CaroText id = CaroHttpHead_Find(
+        CaroCall_Head(call), CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
     CaroRelay *r = calloc(1, sizeof(*r));
     if (r == NULL) {
         return NULL;
@@ -101,6 +104,12 @@
     r->relays = relays;
     r->call = call;
     r->route = *route;
+    r->route.host = NULL;
+    r->route.prefix = NULL;
+    r->route.shares = NULL;
+    r->route.n_shares = 0;
+    r->account = account == NULL ? NULL : strdup(account->name);
+    r->id = strndup(id.at == NULL ? "" : id.at, id.size);
     r->target = CARO_NO_HANDLE;
     r->kv_copy_at = CARO_NO_HANDLE;
     r->resume_at = CARO_NO_HANDLE;
@@ -117,7 +126,8 @@
     relays->first = r;
     relays->n_relays++;
     if (r->timer == NULL || r->headers == NULL || r->body == NULL ||
-        r->forwarder == NULL) {
+        r->forwarder == NULL || r->id == NULL ||
+        (account != NULL && r->account == NULL)) {
         CaroRelay_Destroy(r);
         return NULL;
     }
@@ -131,9 +141,7 @@
     const CaroHttpHead *head = CaroCall_Head(call);
     const char *service =
         CaroRoute_ChooseService(route, gsl_rng_uniform(relays->deps.rng));
-    CaroText id = CaroHttpHead_Find(
-        head, CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
-    CaroRelay *r = create_relay(relays, call, route, now);
+    CaroRelay *r = create_relay(relays, call, route, account, now);
     int64_t last_id;
     if (r == NULL || service == NULL) {
         if (r != NULL) {
@@ -144,9 +152,8 @@
     }
     CaroCall_SetOwner(call, r);
     CARO_COPY(r->service, service);
-    CARO_COPY(r->account, account == NULL ? "" : account->name);
-    if (id.size == 0 || !CaroText_Copy(id, r->id, sizeof(r->id))) {
-        CaroRelay_RespondStatus(r, 400, "request id missing or too long", now);
+    if (r->id[0] == '\0') {
+        CaroRelay_RespondStatus(r, 400, "request id missing", now);
         return;
     }
     CaroText last = CaroHttpHead_Find(
--- a/Modules/relay_head.c
+++ b/Modules/relay_head.c
@@ -8,6 +8,7 @@
 
 #include "internal/caro_platform.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 static bool
@@ -138,7 +139,7 @@
     copy_request_headers(out, head);
     add_number_header(out, CARO_HEADER_TIME_LEFT, h->time_left / CARO_MS);
     add_header(out, CARO_HEADER_EXPECTED_TARGET, h->target_id);
-    if (h->account[0] != '\0') {
+    if (h->account != NULL) {
         add_header(out, CARO_HEADER_ACCOUNT, h->account);
     }
     if (h->is_resumed) {
@@ -151,10 +152,13 @@
         add_header(out, CARO_HEADER_KV_COPY_TO, h->kv_copy_to);
     }
     if (h->kv_copy_from != NULL) {
-        char name[CARO_ADDRESS_SIZE + CARO_KEY_SIZE + 2];
-        CaroPlatform_WriteKvCopyName(name, sizeof(name), h->kv_copy_from,
-                                     h->request_id);
+        char *name =
+            CaroPlatform_WriteKvCopyName(h->kv_copy_from, h->request_id);
+        if (name == NULL) {
+            return CARO_ERR_NOMEM;
+        }
         add_header(out, CARO_HEADER_KV_COPY_FROM, name);
+        free(name);
     }
     bool had_body = head->is_chunked || head->length >= 0;
     if (size > 0 || had_body) {
--- a/Modules/service_rollouts.c
+++ b/Modules/service_rollouts.c
@@ -10,6 +10,7 @@
 
 #include "internal/caro_clock.h"
 #include "internal/caro_log.h"
+#include "internal/caro_name.h"
 #include "internal/caro_rollout.h"
 #include "internal/caro_rollout_schedule.h"
 
@@ -37,6 +38,7 @@
 typedef struct {
     CaroServiceRollouts *owner;
     bool is_used;
+    char service[CARO_STORE_KEY_SIZE]; /* As in the keys of the store. */
     CaroRolloutRequest request;
     int64_t request_revision;
     CaroTime request_seen_at;
@@ -93,6 +95,7 @@
     }
     for (int i = 0; i < ROLLOUTS_MAX; i++) {
         CaroCanaryTest_Destroy(r->rollouts[i].test);
+        CaroRolloutRequest_Clear(&r->rollouts[i].request);
     }
     CaroUsualTimes_Destroy(r->usual_times);
     free(r);
@@ -105,6 +108,7 @@
     r->n_vms = n_vms;
 }
 
+/* The name of the service is as of caro_name.h. */
 static Rollout *
 find_rollout(const CaroServiceRollouts *r, const char *service)
 {
@@ -118,6 +122,7 @@
     return NULL;
 }
 
+/* The name of the service is as in the keys of the store. */
 static Rollout *
 alloc_rollout(CaroServiceRollouts *r, const char *service)
 {
@@ -125,11 +130,13 @@
         Rollout *rollout = &r->rollouts[i];
         if (!rollout->is_used) {
             CaroCanaryTest_Destroy(rollout->test);
+            CaroRolloutRequest_Clear(&rollout->request);
             memset(rollout, 0, sizeof(*rollout));
             rollout->owner = r;
             rollout->test = CaroCanaryTest_Create();
             rollout->is_used = rollout->test != NULL;
-            CARO_COPY(rollout->request.service, service);
+            CARO_COPY(rollout->service, service);
+            CaroName_Set(rollout->request.service, service);
             return rollout->is_used ? rollout : NULL;
         }
     }
@@ -143,7 +150,9 @@
 {
     CaroRolloutRequest request;
     CaroError err;
-    Rollout *rollout = find_rollout(r, service);
+    char name[CARO_NAME_SIZE];
+    CaroName_Set(name, service);
+    Rollout *rollout = find_rollout(r, name);
     if (bytes == NULL) {
         if (rollout != NULL) {
             CaroLog_Info("moves", "A rollout request was deleted. service=%s",
@@ -155,18 +164,24 @@
     if (rollout != NULL && revision <= rollout->request_revision) {
         return; /* Already known; it was read again by a new list. */
     }
-    if (CaroPlatform_ReadRolloutRequest(bytes, size, &request, &err) < 0 ||
-        strcmp(request.service, service) != 0) {
+    if (CaroPlatform_ReadRolloutRequest(bytes, size, &request, &err) < 0) {
         CaroLog_Error("moves", "A rollout request is malformed. service=%s",
                       service);
         return;
     }
-    if (rollout == NULL && (rollout = alloc_rollout(r, service)) == NULL) {
-        CaroLog_Error("moves",
-                      "The rollout table is full; request ignored. service=%s",
+    bool is_own = strcmp(request.service, name) == 0;
+    if (is_own && rollout == NULL) {
+        rollout = alloc_rollout(r, service);
+    }
+    if (!is_own || rollout == NULL) {
+        CaroLog_Error("moves", "A rollout request is ignored: %s. service=%s",
+                      is_own ? "the table is full"
+                             : "it is for another service",
                       service);
+        CaroRolloutRequest_Clear(&request);
         return;
     }
+    CaroRolloutRequest_Clear(&rollout->request);
     rollout->request = request;
     rollout->request_revision = revision;
     rollout->request_seen_at = now;
@@ -201,8 +216,10 @@
                               const char *bytes, size_t size, int64_t revision)
 {
     char version[CARO_NAME_SIZE];
+    char name[CARO_NAME_SIZE];
     CaroRolloutOutcome outcome;
-    Rollout *rollout = find_rollout(r, service);
+    CaroName_Set(name, service);
+    Rollout *rollout = find_rollout(r, name);
     if (rollout == NULL && bytes != NULL) {
         rollout = alloc_rollout(
             r, service); /* Its request may follow it in the list. */
@@ -566,13 +583,13 @@
 write_outcome(CaroServiceRollouts *r, Rollout *rollout,
               CaroRolloutOutcome outcome, CaroTime now)
 {
-    char key[CARO_KEY_SIZE];
+    char key[CARO_STORE_KEY_SIZE];
     char evidence[EVIDENCE_SIZE];
     CaroStoreCall call;
-    char *value =
-        CaroPlatform_WriteRolloutOutcome(outcome, rollout->request.version);
+    char *value = CaroPlatform_WriteRolloutOutcome(
+        outcome, rollout->request.version_text);
     CaroPlatform_WriteKey(key, sizeof(key), CARO_KEY_ROLLOUT_OUTCOME,
-                          rollout->request.service);
+                          rollout->service);
     int rc = value == NULL
                  ? CARO_ERR_NOMEM
                  : CaroPlatform_CallPut(&call, key, value,
--- a/Objects/routes.c
+++ b/Objects/routes.c
@@ -19,29 +19,32 @@
 #define IDLE_TIMEOUT_DEFAULT (15 * CARO_SECOND)
 
 typedef struct RouteNode {
-    CaroRoute route;
+    CaroRoute route; /* Owns its texts and shares. */
     size_t prefix_size;
     struct RouteNode *next; /* Same host; the prefix is not longer. */
 } RouteNode;
 
 typedef struct Host {
-    char name[CARO_HOST_SIZE];
     RouteNode *routes;
     UT_hash_handle hh;
+    char name[]; /* In lower case, without a port. */
 } Host;
 
 typedef struct Key {
-    char text[CARO_API_KEY_SIZE];
     int account;
     UT_hash_handle hh;
+    char text[];
 } Key;
 
 struct CaroRoutes {
     int64_t version;
     Host *hosts;
+    char *name_buffer; /* Holds the longest name of a host. */
+    size_t name_size_max;
     Key *keys;
     CaroClientAccount *accounts;
     int n_accounts;
+    bool requires_accounts;
     int n_routes;
     CaroCallerLimits limits;
 };
@@ -60,6 +63,17 @@
     return r;
 }
 
+static void
+destroy_node(RouteNode *node)
+{
+    if (node != NULL) {
+        free((char *)node->route.host);
+        free((char *)node->route.prefix);
+        free((CaroRouteShare *)node->route.shares);
+        free(node);
+    }
+}
+
 void
 CaroRoutes_Destroy(CaroRoutes *r)
 {
@@ -74,10 +88,11 @@
         while (host->routes != NULL) {
             RouteNode *node = host->routes;
             host->routes = node->next;
-            free(node);
+            destroy_node(node);
         }
         free(host);
     }
+    free(r->name_buffer);
     Key *key;
     Key *next_key;
     HASH_ITER(hh, r->keys, key, next_key)
@@ -85,44 +100,99 @@
         HASH_DEL(r->keys, key);
         free(key);
     }
+    for (int i = 0; i < r->n_accounts; i++) {
+        free((char *)r->accounts[i].name);
+    }
     free(r->accounts);
     free(r);
 }
 
-/* Copies a host name in lower case, without its port.  Returns its length. */
+/* Returns the size of a host name without its port. */
 static size_t
-normalize_host(char out[CARO_HOST_SIZE], const char *host, size_t size)
+host_name_size(const char *host, size_t size)
 {
-    size_t n = 0;
-    while (n < size && n < CARO_HOST_SIZE - 1 && host[n] != ':') {
-        char c = host[n];
-        out[n++] = (char)(c >= 'A' && c <= 'Z' ? c + 'a' - 'A' : c);
+    const char *colon = memchr(host, ':', size);
+    return colon == NULL ? size : (size_t)(colon - host);
+}
+
+static void
+copy_in_lower_case(char *out, const char *text, size_t size)
+{
+    for (size_t i = 0; i < size; i++) {
+        char c = text[i];
+        out[i] = (char)(c >= 'A' && c <= 'Z' ? c + 'a' - 'A' : c);
     }
-    out[n] = '\0';
-    return n;
 }
 
-int
-CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route)
+static Host *
+find_host(const CaroRoutes *r, const char *host, size_t host_size)
 {
-    char name[CARO_HOST_SIZE];
-    size_t size = normalize_host(name, route->host, strlen(route->host));
-    Host *host;
-    HASH_FIND(hh, r->hosts, name, size, host);
-    if (host == NULL) {
-        host = calloc(1, sizeof(*host));
-        if (host == NULL) {
-            return CARO_ERR_NOMEM;
+    Host *found = NULL;
+    size_t size = host_name_size(host, host_size);
+    if (r->hosts != NULL && size <= r->name_size_max) {
+        copy_in_lower_case(r->name_buffer, host, size);
+        HASH_FIND(hh, r->hosts, r->name_buffer, size, found);
+    }
+    return found;
+}
+
+static Host *
+add_host(CaroRoutes *r, const char *host)
+{
+    size_t size = host_name_size(host, strlen(host));
+    if (r->name_buffer == NULL || size > r->name_size_max) {
+        char *buffer = realloc(r->name_buffer, size + 1);
+        if (buffer == NULL) {
+            return NULL;
         }
-        CARO_COPY(host->name, name);
-        HASH_ADD_KEYPTR(hh, r->hosts, host->name, size, host);
+        r->name_buffer = buffer;
+        r->name_size_max = size;
+    }
+    Host *added = calloc(1, sizeof(*added) + size + 1);
+    if (added != NULL) {
+        copy_in_lower_case(added->name, host, size);
+        HASH_ADD_KEYPTR(hh, r->hosts, added->name, size, added);
     }
+    return added;
+}
+
+/* Returns a copy of the route with its texts and shares, or NULL. */
+static RouteNode *
+copy_route(const CaroRoute *route)
+{
+    size_t size = (size_t)route->n_shares * sizeof(*route->shares);
     RouteNode *node = calloc(1, sizeof(*node));
     if (node == NULL) {
-        return CARO_ERR_NOMEM;
+        return NULL;
     }
+    CaroRouteShare *shares = malloc(size + 1);
     node->route = *route;
+    node->route.host = strdup(route->host);
+    node->route.prefix = strdup(route->prefix);
+    node->route.shares = shares;
+    if (node->route.host == NULL || node->route.prefix == NULL ||
+        shares == NULL) {
+        destroy_node(node);
+        return NULL;
+    }
+    if (size > 0) {
+        memcpy(shares, route->shares, size);
+    }
     node->prefix_size = strlen(route->prefix);
+    return node;
+}
+
+int
+CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route)
+{
+    Host *host = find_host(r, route->host, strlen(route->host));
+    if (host == NULL) {
+        host = add_host(r, route->host);
+    }
+    RouteNode *node = host == NULL ? NULL : copy_route(route);
+    if (node == NULL) {
+        return CARO_ERR_NOMEM;
+    }
     RouteNode **at = &host->routes;
     while (*at != NULL && (*at)->prefix_size > node->prefix_size) {
         at = &(*at)->next;
@@ -143,8 +213,14 @@
         return CARO_ERR_NOMEM;
     }
     r->accounts = all;
+    r->requires_accounts = true;
+    char *name = strdup(account->name);
+    if (name == NULL) {
+        return CARO_ERR_NOMEM;
+    }
     *index = r->n_accounts++;
     r->accounts[*index] = *account;
+    r->accounts[*index].name = name;
     return 0;
 }
 
@@ -152,14 +228,14 @@
 CaroRoutes_AddKey(CaroRoutes *r, const char *text, int account)
 {
     size_t size = strlen(text);
-    if (size == 0 || size >= CARO_API_KEY_SIZE) {
-        return CARO_ERR_INPUT;
+    if (size == 0) {
+        return 0;
     }
-    Key *key = calloc(1, sizeof(*key));
+    Key *key = calloc(1, sizeof(*key) + size + 1);
     if (key == NULL) {
         return CARO_ERR_NOMEM;
     }
-    CARO_COPY(key->text, text);
+    memcpy(key->text, text, size);
     key->account = account;
     HASH_ADD_KEYPTR(hh, r->keys, key->text, size, key);
     return 0;
@@ -175,10 +251,7 @@
 CaroRoutes_Find(const CaroRoutes *r, const char *host, size_t host_size,
                 const char *path, size_t path_size)
 {
-    char name[CARO_HOST_SIZE];
-    size_t size = normalize_host(name, host, host_size);
-    Host *found;
-    HASH_FIND(hh, r->hosts, name, size, found);
+    const Host *found = find_host(r, host, host_size);
     if (found == NULL) {
         return NULL;
     }
@@ -202,11 +275,11 @@
 const char *
 CaroRoute_ChooseService(const CaroRoute *route, double draw)
 {
-    int64_t sum = 0;
+    double sum = 0.0;
     for (int i = 0; i < route->n_shares; i++) {
-        sum += route->shares[i].weight;
+        sum += (double)route->shares[i].weight;
     }
-    double at = draw * (double)sum;
+    double at = draw * sum;
     for (int i = 0; i < route->n_shares; i++) {
         at -= (double)route->shares[i].weight;
         if (at < 0.0) {
@@ -229,9 +302,9 @@
 }
 
 bool
-CaroRoutes_HasAccounts(const CaroRoutes *r)
+CaroRoutes_RequiresAccounts(const CaroRoutes *r)
 {
-    return r->n_accounts > 0;
+    return r->requires_accounts;
 }
 
 const CaroCallerLimits *
--- a/Parser/fields.c
+++ b/Parser/fields.c
@@ -6,6 +6,8 @@
  */
 #include "internal/caro_fields.h"
 
+#include "internal/caro_name.h"
+
 #include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -89,6 +91,13 @@
                                    "1 to 31 of a-z, 0-9 and the hyphen");
         }
         break;
+    case CARO_FIELD_IDENTITY:
+        if (s[0] == '\0') {
+            return CaroFields_Fail(r, path, f->key, "an empty string",
+                                   "a string of 1 byte or more");
+        }
+        CaroName_Set(out, s);
+        return 0;
     case CARO_FIELD_ADDRESS:
         if (!is_address(s)) {
             return CaroFields_Fail(
--- a/Parser/gateway_settings.c
+++ b/Parser/gateway_settings.c
@@ -24,15 +24,15 @@
     }
 
 static const CaroField top_fields[] = {
-    REQUIRED_TEXT("vm", CARO_FIELD_NAME, vm),
+    REQUIRED_TEXT("vm", CARO_FIELD_IDENTITY, vm),
     REQUIRED_TEXT("front", CARO_FIELD_ADDRESS, http_address),
     REQUIRED_TEXT("ready", CARO_FIELD_ADDRESS, readiness_address),
     REQUIRED_TEXT("directory", CARO_FIELD_ADDRESS, directory_address),
     REQUIRED_TEXT("host", CARO_FIELD_TEXT, host),
     INTEGER("peer_port", peer_port, 1, 65535, 7340),
     INTEGER("metrics_port", metrics_port, 0, 65535, 0),
-    REQUIRED_TEXT("domain", CARO_FIELD_NAME, domain),
-    REQUIRED_TEXT("region", CARO_FIELD_NAME, region),
+    REQUIRED_TEXT("domain", CARO_FIELD_IDENTITY, domain),
+    REQUIRED_TEXT("region", CARO_FIELD_IDENTITY, region),
     {"seeds", CARO_FIELD_NESTED, 0, true, 0, 0, 0},
     {"store", CARO_FIELD_NESTED, 0, true, 0, 0, 0},
     {"limits", CARO_FIELD_NESTED, 0, false, 0, 0, 0},
--- a/Test/fuzz_parsers.c
+++ b/Test/fuzz_parsers.c
@@ -120,7 +120,9 @@
         CaroStoreResponse_Clear(&response);
     }
     (void)CaroPlatform_ReadTarget("id", text, size, &entry, &err);
-    (void)CaroPlatform_ReadRolloutRequest(text, size, &request, &err);
+    if (CaroPlatform_ReadRolloutRequest(text, size, &request, &err) == 0) {
+        CaroRolloutRequest_Clear(&request);
+    }
 }
 
 int
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -383,13 +383,14 @@
         CaroPromptGuard_Create(f->deps.targets, NULL, &f->counters);
     f->deps.limits = CaroRequestLimits_Create(f->deps.targets, f->deps.rng);
     f->relays = CaroRelays_Create(&f->deps);
+    static const CaroRouteShare shares[] = {{.service = "s", .weight = 1}};
     f->route = (CaroRoute){.name = "r",
                            .timeout = 3 * CARO_SECOND,
                            .objective = 2 * CARO_SECOND,
                            .gap = 700 * CARO_MS,
                            .attempts_max = 4,
                            .n_shares = 1,
-                           .shares = {{.service = "s", .weight = 1}}};
+                           .shares = shares};
     CaroHttpServerLimits limits = {.head_bytes_max = 8192,
                                    .body_bytes_max = 32 << 20,
                                    .all_bytes_max = 64 << 20,
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -113,21 +113,24 @@
     }
 }
 
+static const CaroRouteShare one_share = {.service = "s", .weight = 1};
+
 static CaroRoutes *
 make_routes(void)
 {
     CaroRoutes *r = CaroRoutes_Create(7);
-    CaroRoute route = {.kind = CARO_ROUTE_STREAM, .n_shares = 1};
+    CaroRoute route = {
+        .kind = CARO_ROUTE_STREAM, .shares = &one_share, .n_shares = 1};
     CaroClientAccount account = {.name = "yard", .priority = 1};
     int index;
-    CARO_COPY(route.host, "A.example");
-    CARO_COPY(route.prefix, "/x/");
+    route.host = "A.example";
+    route.prefix = "/x/";
     CARO_COPY(route.name, "short");
     assert_int_equal(CaroRoutes_Add(r, &route), 0);
-    CARO_COPY(route.prefix, "/x/long/");
+    route.prefix = "/x/long/";
     CARO_COPY(route.name, "long");
     assert_int_equal(CaroRoutes_Add(r, &route), 0);
-    CARO_COPY(route.prefix, "/open/");
+    route.prefix = "/open/";
     CARO_COPY(route.name, "open");
     route.is_public = true;
     assert_int_equal(CaroRoutes_Add(r, &route), 0);
@@ -204,9 +207,10 @@
     CaroRoutes *r = CaroRoutes_Create(7);
     CaroRoute route = {.kind = CARO_ROUTE_IDEMPOTENT,
                        .timeout = 2 * CARO_SECOND,
+                       .shares = &one_share,
                        .n_shares = 1};
-    CARO_COPY(route.host, "a.example");
-    CARO_COPY(route.prefix, "/x/");
+    route.host = "a.example";
+    route.prefix = "/x/";
     assert_int_equal(CaroRoutes_Add(r, &route), 0);
     CaroRequestCheckQuery q = {.routes = r,
                                .has_target_list = true,
--- a/Test/test_store_entries.c
+++ b/Test/test_store_entries.c
@@ -231,6 +231,7 @@
         if (CaroPlatform_ReadRolloutRequest(text, (size_t)n, &request, &err) ==
             0) {
             assert_in_range(request.duration, 0, 30 * 86400 * CARO_SECOND);
+            CaroRolloutRequest_Clear(&request);
         }
     }
 }
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -2,7 +2,8 @@
  * A fake upstream instance of the platform.  It serves a request with the
  * header X-Token-Usage as an engine does, by a stream of events, and any
  * other as a plain service does.  It keeps its registration in the store
- * alive, and reports at GET /ran?id=ID how often a request was executed.
+ * alive, and reports at GET /ran?id=ID how often a request was executed, and
+ * at GET /account the client account that the last request came with.
  *
  * Faults: lose (fraction of plain requests whose response is lost after
  * execution), fail (fraction of plain requests answered with status 500),
@@ -53,7 +54,7 @@
 /* The last refusal on the connection from a port. */
 typedef struct Refusal {
     int port;
-    char id[128];
+    char id[512];
     UT_hash_handle hh;
 } Refusal;
 
@@ -72,8 +73,9 @@
     double fail_rate;
     double torn_stream_rate;
     bool is_draining;
-    int running;       /* Requests in progress. */
-    long requests_run; /* Requests executed. */
+    int running;        /* Requests in progress. */
+    long requests_run;  /* Requests executed. */
+    char account[1024]; /* Of the last of them; empty for none. */
     int64_t started_at_ms;
     double limit; /* Requests a second; 0 for none. */
     CaroTime limited_at;
@@ -101,7 +103,7 @@
     uint64_t seed;   /* Hash of the body; determines the events' text. */
     int64_t sent_id; /* Id of the last event sent. */
     int64_t last_id; /* Id of the stream's last event. */
-    char id[128];
+    char id[512];
 } PendingRequest;
 
 /* Returns a random number in [0, 1). */
@@ -218,7 +220,7 @@
     }
     struct evhttp_request *req = r->req;
     bool is_failed = draw_uniform() < t->fail_rate;
-    char text[192];
+    char text[640];
     add_headers(r);
     (void)snprintf(text, sizeof(text), "ran %s\n", r->id);
     free_request(r);
@@ -415,6 +417,8 @@
         abort();
     }
     const char *body = CaroHttp_Body(req, &size);
+    const char *account = CaroHttp_Header(req, "X-Tenant");
+    CARO_COPY(t->account, account == NULL ? "" : account);
     r->target = t;
     r->req = req;
     r->seed = XXH64(body, size, 0);
@@ -444,6 +448,13 @@
     CaroHttp_SendText(req, HTTP_OK, text);
 }
 
+static void
+on_account(struct evhttp_request *req, void *arg)
+{
+    Target *t = arg;
+    CaroHttp_SendText(req, HTTP_OK, t->account);
+}
+
 static void
 on_fault(struct evhttp_request *req, void *arg)
 {
@@ -498,8 +509,8 @@
     (void)fd;
     (void)what;
     Target *t = arg;
-    char path[160];
-    char registration[512];
+    char path[512];
+    char registration[2048];
     (void)snprintf(path, sizeof(path), "/write?key=servers/%s&ttl_ms=%d",
                    t->options->name, REGISTRATION_TTL_MS);
     int n = snprintf(
@@ -539,6 +550,7 @@
     (void)event_add(heartbeat, &period);
     on_heartbeat(-1, 0, &t);
     evhttp_set_cb(http, "/ran", on_ran, &t);
+    evhttp_set_cb(http, "/account", on_account, &t);
     evhttp_set_cb(http, "/fault", on_fault, &t);
     evhttp_set_gencb(http, on_request, &t);
     int rc = Fake_RunLoop(t.base);
