--- a/Include/internal/caro_routes.h
+++ b/Include/internal/caro_routes.h
@@ -71,6 +71,10 @@
    number.  Returns 0 or CARO_ERR_NOMEM. */
 int CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route);
 
+/* Makes all routes that are not public ask for an API key, also when no
+   account has one. */
+void CaroRoutes_RequireAccounts(CaroRoutes *r);
+
 /* Adds a copy of the account and its name; *index is its argument for AddKey.
    Returns 0 or CARO_ERR_NOMEM. */
 int CaroRoutes_AddAccount(CaroRoutes *r, const CaroClientAccount *account,
--- a/Objects/routes.c
+++ b/Objects/routes.c
@@ -203,6 +203,12 @@
     return 0;
 }
 
+void
+CaroRoutes_RequireAccounts(CaroRoutes *r)
+{
+    r->requires_accounts = true;
+}
+
 int
 CaroRoutes_AddAccount(CaroRoutes *r, const CaroClientAccount *account,
                       int *index)
--- a/Test/proc_gateway.sh
+++ b/Test/proc_gateway.sh
@@ -103,6 +103,14 @@
 gateway_config 3
 wait_status key-1 200 3
 
+echo "== the last client account is removed"
+gateway_config 4 ' '
+wait_status key-1 401 3
+wait_status key-2 401 3
+wait_status "" 401 3
+gateway_config 5
+wait_status key-1 200 3
+
 echo "== an upstream drains right after the store compacted its history"
 fleet_fault "$(gateway_registry)" "forget=1"
 fleet_fault "$(gateway_target 4)" "leave=1"
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -158,6 +158,46 @@
     return CaroRequestCheck_Run(&q);
 }
 
+/* A list of accounts that is there and empty closes all routes that are not
+   public; without the list they are open (review/3). */
+static void
+test_empty_list_of_accounts_admits_no_key(void **state)
+{
+    (void)state;
+    static const char routes[] =
+        "\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+        "\"path_prefix\":\"/x/\",\"kind\":\"idempotent\","
+        "\"service\":\"s\"},{\"name\":\"p\",\"host\":\"a.example\","
+        "\"path_prefix\":\"/p/\",\"kind\":\"idempotent\","
+        "\"service\":\"s\",\"public\":true}]";
+    static const struct {
+        const char *tenants;
+        int status; /* Of a route that is not public, for any key. */
+    } cases[] = {
+        {"", 0},
+        {",\"tenants\":[]", 401},
+        {",\"tenants\":[{\"name\":\"t\"}]", 401},
+        {",\"tenants\":[{\"name\":\"t\",\"api_keys\":[]}]", 401},
+        {",\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"\"]}]", 401},
+    };
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        static const char *const keys[] = {NULL, "", "key-1"};
+        char text[1024];
+        CaroRoutes *r;
+        CaroError err;
+        int n = snprintf(text, sizeof(text), "{\"version\":2,%s%s}", routes,
+                         cases[i].tenants);
+        assert_int_equal(CaroPlatform_ReadConfig(text, (size_t)n, &r, &err),
+                         0);
+        for (size_t j = 0; j < sizeof(keys) / sizeof(keys[0]); j++) {
+            assert_int_equal(check(r, "/x/1", keys[j], true).status,
+                             cases[i].status);
+            assert_int_equal(check(r, "/p/1", keys[j], true).status, 0);
+        }
+        CaroRoutes_Destroy(r);
+    }
+}
+
 static void
 test_request_check_with_fresh_configuration(void **state)
 {
@@ -534,6 +574,7 @@
             test_idempotent_request_is_retried_within_its_attempts),
         cmocka_unit_test(test_only_resumable_stream_is_resumed),
         cmocka_unit_test(test_stream_that_has_begun_waits_for_retry_budget),
+        cmocka_unit_test(test_empty_list_of_accounts_admits_no_key),
         cmocka_unit_test(test_request_check_with_fresh_configuration),
         cmocka_unit_test(test_request_check_with_stale_configuration),
         cmocka_unit_test(
