A response of the store without a list is not an empty list

What callers would see: 503 to everything. A list without `entries` removed all upstreams; a watch without `events` skipped the changes up to its revision; a lease response without a lease was asked for again in each turn of the loop.

Why this works: the adapter says whether the response held a list, and the registry treats one without it as a failed call.

Evidence: three tests in Test/test_registry.c failed before (upstream removed, watch from revision 90, hundreds of calls for a lease) and pass.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -227,10 +227,11 @@
     CaroStoreItem *items;
     int n_items;
     int n_unreadable; /* Items without a key that can be read, left out. */
+    bool has_list;    /* A list of items, which may be empty, was in it. */
     bool has_more;    /* The list continues after the last item. */
     int64_t revision; /* Revision of the whole store; after a write, the
                          revision of the write. */
-    int64_t lease;    /* Id of the lease. */
+    int64_t lease;    /* Id of the lease; 0 for none. */
 } CaroStoreResponse;
 
 /* Parses a response, to be released with CaroStoreResponse_Clear.  Odd items
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -371,7 +371,9 @@
     CaroRegistry *r = context;
     CaroTime now = CaroClock_Now();
     (void)sent_at;
-    if (code < 0 || status != 200) {
+    if (code < 0 || status != 200 || !response->has_list) {
+        /* Without the list nothing is known; with an empty one, all upstreams
+           would be gone. */
         record_store_failure(r, "list", code, status, now);
         r->is_listing = false;
         r->next_watch = back_off(r, &r->watch_backoff, now);
@@ -412,7 +414,7 @@
         r->next_watch = now;
         return;
     }
-    if (code < 0 || status != 200) {
+    if (code < 0 || status != 200 || !response->has_list) {
         /* A waiting watch may be closed without an outage, so outages are
            detected by the reads alone. */
         CaroLog_Info("registry", "A watch failed. code=%d status=%d", code,
@@ -516,7 +518,7 @@
     (void)sent_at;
     r->is_registering = false;
     r->next_register = CaroClock_Now();
-    if (code == 0 && status == 200) {
+    if (code == 0 && status == 200 && response->lease != 0) {
         r->lease = response->lease;
     }
     else {
--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -39,6 +39,10 @@
     const char *odd_items;      /* Stand in lists behind the upstream's. */
     int n_lists;
     bool has_no_history; /* The next watch gets status 410. */
+    const char *list;    /* The response to a list; NULL for the usual. */
+    const char *watched; /* That to the next watch, likewise. */
+    int n_leases;        /* Calls for a lease, which get none. */
+    char watch_uri[256]; /* Of the last call for a watch. */
     long long revision;
 
     CaroStoreClient *client;
@@ -112,8 +116,19 @@
         evhttp_send_error(request, 410, "Gone");
         return;
     }
+    if (strncmp(uri, "/kv-lease", 9) == 0) {
+        f->n_leases++;
+        respond(request, "{}");
+        return;
+    }
+    if (strncmp(uri, "/kv-watch", 9) == 0 && f->watched != NULL) {
+        respond(request, f->watched);
+        f->watched = NULL;
+        return;
+    }
     if (strncmp(uri, "/kv-watch", 9) == 0) {
         f->watch = request;
+        (void)snprintf(f->watch_uri, sizeof(f->watch_uri), "%s", uri);
         evhttp_connection_set_closecb(evhttp_request_get_connection(request),
                                       on_watch_closed, f);
         answer_watch(f);
@@ -129,7 +144,7 @@
                        item, f->odd_items == NULL ? "" : f->odd_items,
                        FIRST_REVISION);
         f->n_lists++;
-        respond(request, text);
+        respond(request, f->list != NULL ? f->list : text);
         return;
     }
     evhttp_send_error(request, 404, "Not Found");
@@ -400,6 +415,58 @@
     assert_false(is_kept(f));
 }
 
+/* A response without the list that was asked for tells nothing; it is not an
+   empty list, by which all upstreams would be gone. */
+static void
+test_response_without_list_removes_no_upstream(void **state)
+{
+    Fixture *f = *state;
+    static const char *const lists[] = {"{\"has_more\":false,\"at\":20}",
+                                        "{\"entries\":null,\"at\":20}",
+                                        "{\"entries\":{},\"at\":20}", "{}"};
+    for (size_t i = 0; i < sizeof(lists) / sizeof(lists[0]); i++) {
+        int n = f->n_lists;
+        f->list = lists[i];
+        f->has_no_history = true;
+        change_other_key(f);
+        for (int step = 0; step < 40 && f->n_lists < n + 2; step++) {
+            run_for(f, 50 * MS);
+        }
+        assert_true(is_kept(f));
+        assert_true(f->n_lists >= n + 2);
+        f->list = NULL;
+        run_for(f, 1500 * MS);
+        assert_true(is_kept(f));
+    }
+    f->list = "{\"entries\":[],\"at\":20}";
+    f->has_no_history = true;
+    change_other_key(f);
+    run_for(f, 1500 * MS);
+    assert_false(is_kept(f));
+}
+
+/* The changes up to the revision of such a response would be missed. */
+static void
+test_watch_without_list_is_repeated(void **state)
+{
+    Fixture *f = *state;
+    f->watched = "{\"at\":90}";
+    change_other_key(f);
+    run_for(f, 1000 * MS);
+    assert_null(f->watched);
+    assert_non_null(strstr(f->watch_uri, "after="));
+    assert_null(strstr(f->watch_uri, "after=90"));
+}
+
+static void
+test_lease_that_was_not_granted_is_not_asked_for_at_once(void **state)
+{
+    Fixture *f = *state;
+    CaroRegistry_SetSelf(f->registry, "vm", "127.0.0.1:1");
+    run_for(f, 1500 * MS);
+    assert_in_range(f->n_leases, 1, 2);
+}
+
 int
 main(void)
 {
@@ -418,6 +485,13 @@
             tear_down),
         cmocka_unit_test_setup_teardown(test_odd_changes_do_not_stop_the_watch,
                                         set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_response_without_list_removes_no_upstream, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(test_watch_without_list_is_repeated,
+                                        set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_lease_that_was_not_granted_is_not_asked_for_at_once, set_up,
+            tear_down),
         cmocka_unit_test_setup_teardown(test_list_with_odd_entries_is_read,
                                         set_up, tear_down),
         cmocka_unit_test_setup_teardown(
