A success with an empty seal is not the upstream's

Evidence: test_invalid_success_response failed before (the body without a seal was forwarded) and passes.

--- a/Modules/relay_head.c
+++ b/Modules/relay_head.c
@@ -192,7 +192,7 @@
 {
     const char *signature = CaroPlatform_HeaderName(CARO_HEADER_SIGNATURE);
     const char *request_id = CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID);
-    if (CaroHttpHead_Find(head, signature).at == NULL) {
+    if (CaroHttpHead_Find(head, signature).size == 0) {
         return "success response without a signature";
     }
     if (!CaroText_Equals(CaroHttpHead_Find(head, request_id), id)) {
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -128,8 +128,8 @@
     assert_null(strstr(f->received, "hal"));
 }
 
-/* A success response without a signature, or with an encoded body, is not
-   accepted as the upstream's. */
+/* A success response without a signature or with an empty one, or with an
+   encoded body, is not accepted as the upstream's. */
 static void
 test_invalid_success_response(void **state)
 {
@@ -141,10 +141,16 @@
     script(f, RESPONSE_KEEP_OPEN,
            "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n"
            "Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nfake");
+    script(f, RESPONSE_KEEP_OPEN,
+           "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal:\r\n"
+           "Content-Length: 4\r\n\r\nfake");
     script(f, RESPONSE_KEEP_OPEN, RESPONSE("r1", "real"));
+    f->route.attempts_max = 5;
     put_target(f, "t3");
+    put_target(f, "t4");
     request(f, "r1", 0, LOOP_STEP);
     wait_for(f, "\r\n\r\nreal");
+    assert_null(strstr(f->received, "fake"));
 }
 
 /* A status that guarantees "not run" is forwarded only together with the
