Only events follow the part of a stream that the caller has

What callers would see (an operator's report): the text of an error in the middle of a stream, or a stream that ends as if complete.

Cause: a success of any status and type was read as events on a route of streams. A 204 was an end of the stream, and a text with an empty line was an event.

Ruled out: bodies of 3xx, 4xx and 5xx, and heads in pieces.

Why this works: a response counts as events only with status 200 and a type of text/event-stream or none; the first event of an attempt that goes on has to have an id; an empty body that ends with its connection is lost. Otherwise the next attempt follows, or the caller's connection is cut.

--- a/Include/internal/caro_event_forwarder.h
+++ b/Include/internal/caro_event_forwarder.h
@@ -30,8 +30,10 @@
 
 /*
  * Consumes bytes of the current attempt and sends the events that they
- * complete.  Returns the number of events that count, CARO_ERR_INPUT when an
- * id is not above the last one, CARO_ERR_FULL when an event is too long, or
+ * complete.  Where an attempt goes on behind events of another, its first
+ * event has to have an id; comments before it are dropped.  Returns the number
+ * of events that count, CARO_ERR_INPUT when an id is not above the last one or
+ * is missing there, CARO_ERR_FULL when an event is too long, or
  * CARO_ERR_NOMEM.
  */
 int CaroEventForwarder_Feed(CaroEventForwarder *f, CaroCall *call,
--- a/Include/internal/caro_relay_head.h
+++ b/Include/internal/caro_relay_head.h
@@ -35,6 +35,10 @@
 const char *CaroRelayHead_CheckSuccess(const CaroHttpHead *head,
                                        const char *id);
 
+/* Returns whether the body is a series of events: status 200 and, if the type
+   is named, text/event-stream. */
+bool CaroRelayHead_IsEventStream(const CaroHttpHead *head);
+
 /* Whether the status guarantees that the request has not run and will not. */
 bool CaroRelayHead_IsNotRun(int status);
 
--- a/Modules/event_forwarder.c
+++ b/Modules/event_forwarder.c
@@ -80,6 +80,21 @@
     f->last_event_at = now;
 }
 
+/* Returns whether all lines of the text are comments or empty. */
+static bool
+is_comment(CaroText text)
+{
+    bool is_line_start = true;
+    for (size_t i = 0; i < text.size; i++) {
+        char c = text.at[i];
+        if (is_line_start && c != ':' && c != '\r' && c != '\n') {
+            return false;
+        }
+        is_line_start = c == '\n';
+    }
+    return true;
+}
+
 int
 CaroEventForwarder_Feed(CaroEventForwarder *f, CaroCall *call, CaroText bytes,
                         CaroTime now)
@@ -91,6 +106,13 @@
         return rc;
     }
     while (CaroEventStream_Next(f->events, &event)) {
+        bool is_resuming = f->needs_ids && f->last_id >= 0 && !f->has_events;
+        if (is_resuming && event.id < 0) {
+            if (!is_comment(event.bytes)) {
+                return CARO_ERR_INPUT;
+            }
+            continue;
+        }
         if (event.id >= 0) {
             if (event.id <= f->last_id) {
                 return CARO_ERR_INPUT;
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -188,7 +188,7 @@
     int n = CaroEventForwarder_Feed(r->forwarder, r->call, bytes, now);
     if (n < 0) {
         end_attempt(r, CARO_OUTCOME_LOST,
-                    n == CARO_ERR_INPUT  ? "events out of order"
+                    n == CARO_ERR_INPUT  ? "the events do not follow the last"
                     : n == CARO_ERR_FULL ? "an event is too long"
                                          : "out of memory",
                     now);
@@ -265,9 +265,12 @@
     evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
     CaroRelayHead_CopyResponse(r->headers, head);
     bool is_success = head->status >= 200 && head->status <= 299;
+    bool is_event_stream = r->route.kind == CARO_ROUTE_STREAM &&
+                           CaroRelayHead_IsEventStream(head);
+    /* A caller that has a part of a stream can be sent nothing but events. */
     if (r->is_not_run || head->status >= 500 ||
         CaroRelayHead_IsNotRun(head->status) ||
-        (r->attempt.has_response_begun && !is_success)) {
+        (r->attempt.has_response_begun && !is_event_stream)) {
         r->failed_at = now;
         CaroRelay_ScheduleTimer(r, now);
         return;
@@ -276,10 +279,14 @@
         return;
     }
     const char *error = CaroRelayHead_CheckSuccess(head, r->id);
+    if (error == NULL && r->route.kind == CARO_ROUTE_STREAM &&
+        !is_event_stream && CaroEventForwarder_LastId(r->forwarder) >= 0) {
+        error = "success response without the rest of the stream";
+    }
     if (error != NULL) {
         end_attempt(r, CARO_OUTCOME_LOST, error, now);
     }
-    else if (r->route.kind == CARO_ROUTE_STREAM) {
+    else if (is_event_stream) {
         begin_stream(r, now);
         CaroRelay_ScheduleTimer(r, now);
     }
@@ -406,8 +413,7 @@
         return;
     }
     if (r->is_event_stream && r->is_close_delimited &&
-        !CaroEventForwarder_HasEvents(r->forwarder) &&
-        CaroEventForwarder_LastId(r->forwarder) < 0) {
+        !CaroEventForwarder_HasEvents(r->forwarder)) {
         record_loss_before_events(r, now);
         end_attempt(r, CARO_OUTCOME_LOST, "the stream ended without an event",
                     now);
--- a/Modules/relay_head.c
+++ b/Modules/relay_head.c
@@ -204,6 +204,20 @@
     return NULL;
 }
 
+bool
+CaroRelayHead_IsEventStream(const CaroHttpHead *head)
+{
+    CaroText type = CaroHttpHead_Find(head, "content-type");
+    size_t size = 0; /* Of the type without its parameters. */
+    while (size < type.size && type.at[size] != ';' && type.at[size] != ' ') {
+        size++;
+    }
+    CaroText name = {type.at, size};
+    return head->status == 200 &&
+           (type.at == NULL ||
+            CaroText_EqualsIgnoreCase(name, "text/event-stream"));
+}
+
 bool
 CaroRelayHead_IsNotRun(int status)
 {
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -92,6 +92,7 @@
     /* The upstream of the next request announces, while its channel opens,
        that it leaves. */
     bool is_closed_early;
+    const char *more_headers; /* Of the caller's requests; NULL for none. */
 } Fixture;
 
 static inline void
@@ -483,8 +484,9 @@
                    "POST /p/%s HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: %s\r\n"
                    "X-Deadline-Ms: 2500\r\nX-Hold: mine\r\n"
                    "Kv-From: other\r\nX-Tenant: other\r\n"
-                   "Content-Length: %zu\r\n\r\n",
-                   id, id, body);
+                   "%sContent-Length: %zu\r\n\r\n",
+                   id, id, f->more_headers == NULL ? "" : f->more_headers,
+                   body);
     f->n_received = 0;
     f->received[0] = '\0';
     send_text(f, head);
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -12,7 +12,8 @@
  * instance leaves, its registration does not), refuse (fraction of requests
  * that are refused), repeat (fraction of requests before whose response the
  * last refusal on the connection is written once more, every other time
- * without its id).
+ * without its id), resume=S (a request for the rest of a stream is answered
+ * with the status S and a text, every other time in chunks; 0 ends that).
  *
  * With unavailable=S it refuses all requests for S seconds and says so in
  * them; /fault then tells how many of them arrived later than
@@ -84,6 +85,8 @@
     long window_max;
     double refuse_rate;
     double repeat_rate;
+    int resume_status; /* Of resumes; 0 to serve them. */
+    long n_resume_errors;
     Refusal *refusals;
     long n_repeats;
     bool is_announcing;
@@ -353,6 +356,34 @@
     return true;
 }
 
+/* Answers the request for the rest of a stream with a text. */
+static void
+fail_resume(PendingRequest *r)
+{
+    Target *t = r->target;
+    struct evhttp_request *req = r->req;
+    int status = t->resume_status;
+    struct evbuffer *text = evbuffer_new();
+    bool has_body = status != 204 && status != 302;
+    if (has_body) {
+        evbuffer_add_printf(text, "HTTP/1.1 500 X\r\n\r\nno such stream\n\n");
+    }
+    record_run(t, r->id);
+    add_headers(r);
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
+                      "text/plain");
+    free_request(r);
+    if (t->n_resume_errors++ % 2 == 0 || !has_body) {
+        evhttp_send_reply(req, status, "X", text);
+    }
+    else {
+        evhttp_send_reply_start(req, status, "X");
+        evhttp_send_reply_chunk(req, text);
+        evhttp_send_reply_end(req);
+    }
+    evbuffer_free(text);
+}
+
 static void
 start_stream(PendingRequest *r, const char *tokens)
 {
@@ -364,6 +395,10 @@
     r->last_id = comma == NULL ? 1 : strtoll(comma + 1, NULL, 10);
     r->sent_id = last == NULL ? 0 : strtoll(last, NULL, 10);
     r->is_torn = draw_uniform() < r->target->torn_stream_rate;
+    if (last != NULL && r->target->resume_status != 0) {
+        fail_resume(r);
+        return;
+    }
     record_run(r->target, r->id);
     add_headers(r);
     evhttp_add_header(evhttp_request_get_output_headers(r->req),
@@ -474,6 +509,7 @@
     t->is_draining = Fake_GetNumber(req, "leave", t->is_draining) > 0.0;
     t->refuse_rate = Fake_GetNumber(req, "refuse", t->refuse_rate);
     t->repeat_rate = Fake_GetNumber(req, "repeat", t->repeat_rate);
+    t->resume_status = (int)Fake_GetNumber(req, "resume", t->resume_status);
     t->is_announcing = Fake_GetNumber(req, "announce", t->is_announcing) > 0.0;
     double unavailable_s = Fake_GetNumber(req, "unavailable", 0.0);
     if (unavailable_s > 0.0) {
