Reset the connection of an HTTP/1.0 caller whose response breaks off

What callers would see: a stream that was cut looks complete, since without chunks the end of the connection is the end of the body.

Cause: the same abort for responses with and without an end of their own. Evidence: test_cut_response_to_an_http_1_0_caller_is_reset failed before (closed in good order) and passes.

--- a/Modules/http_server.c
+++ b/Modules/http_server.c
@@ -58,9 +58,11 @@
     size_t counted_bytes; /* Bytes of the body in the server's body_bytes. */
     CallState state;
     bool is_chunked_response; /* The response is sent in chunks. */
+    bool is_unframed;         /* It ends with the connection (HTTP/1.0). */
     bool closes_connection;   /* The connection ends with the response. */
     bool is_reading;          /* read_request is on the stack. */
     bool is_put_off;          /* The timeout has been put off once. */
+    bool is_reset;            /* The timer closes the connection by a reset. */
     bool has_sent;            /* Bytes were sent since the timer was set. */
     CaroTime idle_since;
     char peer[CARO_ADDRESS_SIZE];
@@ -89,6 +91,12 @@
     return c->state == CALL_RUNNING || c->state == CALL_RESPONDING;
 }
 
+static bool
+has_unsent_bytes(const CaroCall *c)
+{
+    return evbuffer_get_length(bufferevent_get_output(c->bev)) > 0;
+}
+
 static void
 drain_body(CaroCall *c)
 {
@@ -113,6 +121,13 @@
     }
     s->n_connections--;
     event_free(c->timer);
+    if (c->is_unframed &&
+        (c->state == CALL_RESPONDING || c->is_reset || has_unsent_bytes(c))) {
+        /* The end of the connection would be the end of the body. */
+        const struct linger no_linger = {.l_onoff = 1, .l_linger = 0};
+        (void)setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER,
+                         &no_linger, sizeof(no_linger));
+    }
     /* A bufferevent closes its descriptor in a later turn of the loop, and
        not at all when there is none before the exit. */
     evutil_socket_t fd = bufferevent_getfd(c->bev);
@@ -124,12 +139,6 @@
     free(c);
 }
 
-static bool
-has_unsent_bytes(const CaroCall *c)
-{
-    return evbuffer_get_length(bufferevent_get_output(c->bev)) > 0;
-}
-
 /* A part of a request has been read, or its response has not been sent. */
 static bool
 is_busy(const CaroCall *c)
@@ -468,6 +477,10 @@
     (void)fd;
     (void)what;
     CaroCall *c = arg;
+    if (c->is_reset) {
+        destroy_call(c);
+        return;
+    }
     if (extend_timeout(c)) {
         return;
     }
@@ -743,8 +756,8 @@
     /* HTTP/1.0 has no chunks: the end of the connection ends the body. */
     const char *bytes = CaroCall_Head(call)->bytes;
     call->is_chunked_response = strstr(bytes, "HTTP/1.0\r\n") == NULL;
-    call->closes_connection =
-        call->closes_connection || !call->is_chunked_response;
+    call->is_unframed = !call->is_chunked_response;
+    call->closes_connection = call->closes_connection || call->is_unframed;
     write_head(call, status, headers);
     evbuffer_add_printf(out, call->is_chunked_response
                                  ? "Transfer-Encoding: chunked\r\n\r\n"
@@ -782,9 +795,25 @@
     end_response(call);
 }
 
+/* Closes the connection by a reset in the next turn of the loop. */
+static void
+reset_connection(CaroCall *c)
+{
+    (void)bufferevent_disable(c->bev, EV_READ | EV_WRITE);
+    c->owner = NULL;
+    drain_body(c);
+    enter_state(c, CALL_LINGERING);
+    c->is_reset = true;
+    set_timer(c, 0);
+}
+
 void
 CaroCall_AbortResponse(CaroCall *call)
 {
+    if (call->is_unframed) {
+        reset_connection(call);
+        return;
+    }
     call->closes_connection = true;
     end_response(call);
 }
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -86,6 +86,7 @@
     char received[1 << 17];
     size_t n_received;
     bool is_closed;
+    bool is_reset; /* By a reset, which no caller takes for an end. */
     char server_address[CARO_ADDRESS_SIZE];
     CaroTime stall;   /* The process stalls so long behind each request. */
     CaroTime stalled; /* Sum of what run_for ran too long. */
@@ -453,6 +454,7 @@
     Fixture *f = arg;
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
         f->is_closed = true;
+        f->is_reset = (what & BEV_EVENT_ERROR) != 0;
     }
 }
 
--- a/Test/test_relay_resumes.c
+++ b/Test/test_relay_resumes.c
@@ -142,6 +142,28 @@
     }
 }
 
+/* A response to an HTTP/1.0 caller ends with its connection, so that one that
+   breaks off has to be reset. */
+static void
+test_cut_response_to_an_http_1_0_caller_is_reset(void **state)
+{
+    (void)state;
+    static const bool is_resumable[] = {true, false};
+    for (int i = 0; i < 2; i++) {
+        Fixture *f = start();
+        f->route.is_resumable = is_resumable[i];
+        for (int j = 0; j < 3; j++) {
+            script(f, RESPONSE_CLOSE,
+                   STREAM_HEAD("r1") "f\r\nid: 1\ndata: a\n\n\r\n");
+        }
+        send_text(f, "POST /p/r1 HTTP/1.0\r\nHost: a\r\nX-Attempt-Id: r1\r\n"
+                     "X-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n");
+        wait_until_closed(f);
+        assert_true(f->is_reset);
+        stop(f);
+    }
+}
+
 /* Sends the bytes in three pieces, some steps of the loop apart. */
 static void
 send_in_pieces(Fixture *f, const char *bytes)
@@ -281,6 +303,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_stream_goes_on_behind_each_answer),
         cmocka_unit_test(test_stream_without_its_rest_does_not_look_complete),
+        cmocka_unit_test(test_cut_response_to_an_http_1_0_caller_is_reset),
         cmocka_unit_test(test_stream_goes_on_behind_answers_in_pieces),
         cmocka_unit_test(test_resume_without_more_events_ends_the_stream),
         cmocka_unit_test(test_answers_to_a_resume_of_the_caller),
