--- a/Programs/carofake.c
+++ b/Programs/carofake.c
@@ -23,9 +23,12 @@
     if (strcmp(kind, "target") == 0) {
         return FakeTarget_Run(options);
     }
+    if (strcmp(kind, "endless") == 0) {
+        return FakeEndless_Run(options);
+    }
     (void)fprintf(stderr,
                   "carofake: found %s; allowed: engine, orders, store, "
-                  "registry, target\n",
+                  "registry, target, endless\n",
                   kind);
     return 2;
 }
@@ -33,8 +36,9 @@
 int
 main(int argc, char **argv)
 {
-    struct arg_str *kind = arg_str1(
-        NULL, NULL, "KIND", "engine, orders, store, registry or target");
+    struct arg_str *kind =
+        arg_str1(NULL, NULL, "KIND",
+                 "engine, orders, store, registry, target or endless");
     struct arg_str *listen =
         arg_str1(NULL, "listen", "IP:PORT", "address to serve");
     struct arg_str *name = arg_str0(NULL, "name", "NAME", "name in responses");
--- a/Tools/fake/fake.h
+++ b/Tools/fake/fake.h
@@ -36,6 +36,7 @@
 int FakeStore_Run(const FakeOptions *options);
 int FakeRegistry_Run(const FakeOptions *options);
 int FakeTarget_Run(const FakeOptions *options);
+int FakeEndless_Run(const FakeOptions *options);
 
 /* Binds an evhttp server to "ip:port".  On an error, prints a message to
    stderr and returns NULL. */
