Bound the responses of all requests together

What callers would see: a VM ends and takes the requests of others with it.

Cause: what a slow caller leaves of its response was bounded for each request (256 KiB, 64 KiB of a plain response), and the sum was not.

Why this works: all of them have a quarter of the VM's memory, in equal shares; below some hundred requests the bounds of one request are the lower ones.

--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -34,7 +34,9 @@
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
     gsl_rng *rng;
-    const char *domain; /* Failure domain of this VM. */
+    const char *domain;        /* Failure domain of this VM. */
+    size_t response_bytes_max; /* Of responses that callers have not taken, of
+                                  all requests together. */
 } CaroRelayDeps;
 
 /*
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -31,6 +31,8 @@
 
 /* Fraction of the VM's memory for the bodies of requests. */
 #define BODY_MEMORY_FRACTION 0.25
+/* Likewise for responses that callers have not taken. */
+#define RESPONSE_MEMORY_FRACTION 0.25
 /* Fractions of the file descriptors for callers and for idle channels to
    upstreams; the rest is for busy channels, peers, the store and files. */
 #define CALLER_DESCRIPTORS_FRACTION 0.5
@@ -300,10 +302,16 @@
     .on_refused = on_refused,
     .on_cut = on_cut};
 
+static double
+memory_bytes(const CaroGatewaySettings *s)
+{
+    return (double)s->memory_mb * 1048576.0;
+}
+
 static CaroHttpServerLimits
 http_server_limits(const CaroGateway *g, const CaroCallerLimits *l)
 {
-    double memory = (double)g->settings.memory_mb * 1048576.0;
+    double memory = memory_bytes(&g->settings);
     double callers =
         CALLER_DESCRIPTORS_FRACTION * (double)g->settings.descriptors;
     return (CaroHttpServerLimits){.head_bytes_max = (size_t)l->head_bytes_max,
@@ -852,17 +860,20 @@
         return CARO_ERR_NOMEM;
     }
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
-    CaroRelayDeps deps = {.base = g->base,
-                          .targets = g->targets,
-                          .pool = g->pool,
-                          .budget = g->budget,
-                          .rollouts = g->rollouts,
-                          .counters = &g->counters,
-                          .latency = g->latency,
-                          .guard = g->guard,
-                          .limits = g->limits,
-                          .rng = g->rng,
-                          .domain = g->settings.domain};
+    CaroRelayDeps deps = {
+        .base = g->base,
+        .targets = g->targets,
+        .pool = g->pool,
+        .budget = g->budget,
+        .rollouts = g->rollouts,
+        .counters = &g->counters,
+        .latency = g->latency,
+        .guard = g->guard,
+        .limits = g->limits,
+        .rng = g->rng,
+        .domain = g->settings.domain,
+        .response_bytes_max =
+            (size_t)(RESPONSE_MEMORY_FRACTION * memory_bytes(s))};
     g->relays = CaroRelays_Create(&deps);
     g->registry = CaroRegistry_Create(g->store, g->targets, g->rng,
                                       &registry_handlers, g, now);
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -152,10 +152,21 @@
     }
 }
 
+/* The bytes of a response that may be kept: "most", or an equal share of the
+   memory for responses while there are many requests. */
+static size_t
+kept_bytes_max(const CaroRelay *r, size_t most)
+{
+    const CaroRelays *relays = r->relays;
+    size_t share = relays->deps.response_bytes_max / (size_t)relays->n_relays;
+    return share < most ? share : most;
+}
+
 static void
 pause_if_caller_slow(CaroRelay *r, CaroTime now)
 {
-    if (!r->is_paused && CaroCall_PendingBytes(r->call) > PENDING_BYTES_MAX) {
+    if (!r->is_paused && CaroCall_PendingBytes(r->call) >
+                             kept_bytes_max(r, PENDING_BYTES_MAX)) {
         r->is_paused = true;
         r->paused_at = now;
         r->rollout_attempt.is_excused = true;
@@ -298,7 +309,7 @@
 {
     (void)evbuffer_add(r->body, bytes.at, bytes.size);
     size_t size = evbuffer_get_length(r->body);
-    if (size <= BUFFERED_BYTES_MAX) {
+    if (size <= kept_bytes_max(r, BUFFERED_BYTES_MAX)) {
         return;
     }
     if (r->failed_at > 0) {
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -380,7 +380,8 @@
         .counters = &f->counters,
         .latency = CaroLatency_Create(),
         .rng = gsl_rng_alloc(gsl_rng_taus2),
-        .domain = "d"};
+        .domain = "d",
+        .response_bytes_max = 24 << 20};
     f->deps.guard =
         CaroPromptGuard_Create(f->deps.targets, NULL, &f->counters);
     f->deps.limits = CaroRequestLimits_Create(f->deps.targets, f->deps.rng);
--- a/Tools/fake/endless.c
+++ b/Tools/fake/endless.c
@@ -1,7 +1,7 @@
 /*
  * A fake upstream that answers each request with bytes without end, until the
- * caller closes.  Its name says which: see the table.  It prints the ids of the
- * requests, and does not register itself.
+ * caller closes.  Its name says which: see the table.  It prints the ids of
+ * the requests, and does not register itself.
  */
 #include "fake.h"
 
