An entry of the store with very many values is not parsed

What callers would see: all VMs end at once, as another writer leaves one entry.

Cause: a JSON value takes a hundred times its bytes in memory; a registration of 1 MB with 340,000 empty objects took a gateway to 86 MB of 96.

--- a/Test/test_store_entries.c
+++ b/Test/test_store_entries.c
@@ -215,6 +215,34 @@
     }
 }
 
+/* A value of an entry takes a hundred times its bytes in memory: 340,000 of
+   them took a gateway to 86 MB. */
+static void
+test_entry_of_many_values_is_not_parsed(void **state)
+{
+    (void)state;
+    enum { VALUES = 340000 };
+    static const char head[] =
+        "{\"service\":\"s\",\"zone\":\"z\",\"version\":\"v\","
+        "\"state\":\"ready\",\"address\":\"10.0.0.1:80\",\"more\":[";
+    static const char *const values[] = {"{}", "[]", "0", "\"\""};
+    for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+        char *text = malloc(sizeof(head) + (size_t)VALUES * 4);
+        assert_non_null(text);
+        char *at = text + sprintf(text, "%s", head);
+        for (int j = 0; j < VALUES; j++) {
+            at += sprintf(at, "%s%s", j == 0 ? "" : ",", values[i]);
+        }
+        (void)sprintf(at, "]}");
+        CaroTargetEntry e;
+        CaroError err;
+        assert_true(
+            CaroPlatform_ReadTarget("i-1", text, strlen(text), &e, &err) < 0);
+        assert_non_null(strstr(err.detail, "values"));
+        free(text);
+    }
+}
+
 static void
 test_rollout_request_with_an_absurd_duration(void **state)
 {
@@ -246,6 +274,7 @@
         cmocka_unit_test(test_ids_and_names_that_are_no_words),
         cmocka_unit_test(test_numbers_out_of_range),
         cmocka_unit_test(test_nesting),
+        cmocka_unit_test(test_entry_of_many_values_is_not_parsed),
         cmocka_unit_test(test_rollout_request_with_an_absurd_duration),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
