--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -31,12 +31,13 @@
     struct bufferevent *bev;
     CaroHttpReader *reader;
     ChannelState state;
-    bool is_connected;
-    bool has_request;   /* A request is in progress. */
-    bool is_reusable;   /* See CaroChannel_IsReusable. */
-    bool is_destroyed;  /* To be freed when the callbacks have returned. */
-    int callback_depth; /* Callbacks that are running. */
-    int n_interim;      /* Interim responses to the request. */
+    bool is_connected;   /* As libevent has reported. */
+    size_t request_size; /* Bytes of the request. */
+    bool has_request;    /* A request is in progress. */
+    bool is_reusable;    /* See CaroChannel_IsReusable. */
+    bool is_destroyed;   /* To be freed when the callbacks have returned. */
+    int callback_depth;  /* Callbacks that are running. */
+    int n_interim;       /* Interim responses to the request. */
     const CaroChannelEvents *events;
     void *context;
     void (*on_idle_closed)(void *context, CaroChannel *c);
@@ -292,6 +293,7 @@
     c->has_request = true;
     c->is_reusable = false;
     c->n_interim = 0;
+    c->request_size = evbuffer_get_length(request);
     c->state = c->is_connected ? CHANNEL_BUSY : CHANNEL_CONNECTING;
     CaroHttpReader_SkipBody(c->reader, is_head);
     (void)bufferevent_write_buffer(c->bev, request);
@@ -300,7 +302,11 @@
 bool
 CaroChannel_IsSent(const CaroChannel *c)
 {
-    return c->is_connected;
+    /* libevent writes as soon as the connection is there, and reports that
+       later in the same turn of the loop, behind what other channels read. */
+    return c->is_connected ||
+           evbuffer_get_length(bufferevent_get_output(c->bev)) <
+               c->request_size;
 }
 
 bool
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -142,17 +142,19 @@
     give_back "$1"
 }
 
-# Each version has other limits and other routes beside the three in use.
+# Each version has other limits and other routes beside the three in use, with
+# long names.
 version=1
 write_config() { # IDLE_MS EXTRA_ROUTES EXTRA_KEYS
-    local i routes="" keys='"key-1"'
+    local i routes="" keys='"key-1"' long
+    long=$(printf '%060d' "$((version + 1))")
     version=$((version + 1))
     for ((i = 0; i < $2; i++)); do
-        routes="$routes,{\"name\":\"x$i\",\"host\":\"desk.example\",
+        routes="$routes,{\"name\":\"x$i-$long\",\"host\":\"desk.example\",
 \"timeout_ms\":8000,\"path_prefix\":\"/x$i/\",\"kind\":\"idempotent\",
 \"target_latency_ms\":150,\"max_attempts\":2,\"service\":\"desk\"}"
     done
-    for ((i = 0; i < $3; i++)); do keys="$keys,\"key-$version-$i\""; done
+    for ((i = 0; i < $3; i++)); do keys="$keys,\"key-$long-$i\""; done
     record "$(now_ms)" 0 planned "config $version idle_timeout_ms=$1"
     local route='"host":"desk.example","timeout_ms":8000'
     gateway_write op/config "{\"version\":$version,\"routes\":[
@@ -163,7 +165,8 @@
  \"max_attempts\":1,\"service\":\"desk\"},
 {\"name\":\"r-l\",$route,\"path_prefix\":\"/l/\",\"kind\":\"idempotent\",
  \"target_latency_ms\":150,\"max_attempts\":2,\"service\":\"desk\"}$routes],
-\"services\":[],\"tenants\":[{\"name\":\"yard\",\"api_keys\":[$keys]}],
+\"services\":[],\"tenants\":[{\"name\":\"yard\",\"api_keys\":[$keys]},
+{\"name\":\"none $long\",\"api_keys\":[]}],
 \"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":100000,
 \"header_timeout_ms\":700,\"idle_timeout_ms\":$1}}" >/dev/null || true
 }
