--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -313,7 +313,7 @@
     }'
 }
 
-gateway_fleet_start 2 "$gateways" "$engines" >/dev/null
+gateway_fleet_start 2 "$gateways" "$engines" >&2
 desk_count=$((2 * fleet_domains)) # With those that may be started.
 planned_only=$((seed % 3 == 0))
 if [ $((seed % 4)) = 1 ]; then
