--- a/Test/test_names.c
+++ b/Test/test_names.c
@@ -202,7 +202,10 @@
         "\"kind\":\"idempotent\",\"traffic_split\":[],\"public\":true},"
         "{\"name\":\"e\",\"host\":\"h\",\"path_prefix\":\"/a/e/\","
         "\"kind\":\"idempotent\",\"traffic_split\":[{\"service\":\"s\","
-        "\"weight\":1},{\"weight\":1}],\"public\":true}],"
+        "\"weight\":1},{\"weight\":1}],\"public\":true},"
+        "{\"name\":\"f\",\"host\":\"h\",\"path_prefix\":\"/a/f/\","
+        "\"kind\":\"idempotent\",\"service\":\"s\","
+        "\"traffic_split\":7,\"public\":true}],"
         "\"tenants\":[{\"name\":\"t\",\"api_keys\":[\"k1\"]},"
         "{\"name\":\"t\\r\\nX-Hold: 1\",\"api_keys\":[\"k2\"]},"
         "{\"api_keys\":[\"k3\"]},{\"name\":\" t\",\"api_keys\":[\"k4\"]},"
@@ -214,6 +217,7 @@
     assert_int_equal(check_status(r, "/a/c/x", NULL), 503);
     assert_int_equal(check_status(r, "/a/d/x", NULL), 503);
     assert_int_equal(check_status(r, "/a/e/x", NULL), 503);
+    assert_int_equal(check_status(r, "/a/f/x", NULL), 503);
     assert_int_equal(check_status(r, "/a/x", "k2"), 503);
     assert_int_equal(check_status(r, "/a/x", "k3"), 503);
     assert_int_equal(check_status(r, "/a/x", "k4"), 503);
