--- a/Include/internal/caro_log.h
+++ b/Include/internal/caro_log.h
@@ -10,6 +10,11 @@
 #ifndef CARO_LOG_H
 #define CARO_LOG_H
 
+/* Format of a text of any length, of which a line has the first bytes, and the
+   number of these. */
+#define CARO_LOG_TEXT "%.128s"
+enum { CARO_LOG_TEXT_MAX = 128 };
+
 /*
  * Start and stop logging.  "vm" is copied and printed in each line.  Lines are
  * discarded while logging is stopped.
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -179,15 +179,15 @@
 {
     const CaroTargets *targets = r->relays->deps.targets;
     const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
-    CaroLog_Info(
-        "relay",
-        "A stream was resumed. id=%.128s upstream=%s from_copy=%d ms=%lld "
-        "own=%d others=%d reading=%d copies=%d",
-        r->id, target->entry.id, r->is_from_kv_copy,
-        (long long)((now - r->attempt_started_at) / CARO_MS), target->streams,
-        target->peer_streams,
-        target->prefill_tokens + target->peer_prefill_tokens,
-        target->kv_copies);
+    CaroLog_Info("relay",
+                 "A stream was resumed. id=" CARO_LOG_TEXT
+                 " upstream=%s from_copy=%d ms=%lld "
+                 "own=%d others=%d reading=%d copies=%d",
+                 r->id, target->entry.id, r->is_from_kv_copy,
+                 (long long)((now - r->attempt_started_at) / CARO_MS),
+                 target->streams, target->peer_streams,
+                 target->prefill_tokens + target->peer_prefill_tokens,
+                 target->kv_copies);
 }
 
 static void
@@ -643,7 +643,8 @@
     }
     CaroLog_Info(
         "relay",
-        "An attempt ended. id=%.128s upstream=%s outcome=%s ms=%lld "
+        "An attempt ended. id=" CARO_LOG_TEXT
+        " upstream=%s outcome=%s ms=%lld "
         "silent_ms=%lld has_head=%d has_events=%d from_copy=%d "
         "copy_at=%s parts=%s retry=%s reason=\"%s\"",
         r->id, CaroTargets_GetConst(targets, r->target)->entry.id,
--- a/Modules/relay_notices.c
+++ b/Modules/relay_notices.c
@@ -34,7 +34,8 @@
         value.at != NULL && CaroPlatform_ReadLimit(value, &limit) == 0;
     if (value.at != NULL && !is_named) {
         CaroLog_Warn("relay",
-                     "A limit of an upstream is malformed. id=%s upstream=%s",
+                     "A limit of an upstream is malformed. id=" CARO_LOG_TEXT
+                     " upstream=%s",
                      r->id,
                      CaroTargets_GetConst(r->relays->deps.targets, r->target)
                          ->entry.id);
@@ -60,7 +61,8 @@
     CaroTargets_RecordLeaving(targets, r->target, now);
     if (is_new) {
         CaroLog_Info("relay",
-                     "An upstream announced that it leaves. upstream=%s id=%s "
+                     "An upstream announced that it leaves. upstream=%s "
+                     "id=" CARO_LOG_TEXT " "
                      "status=%d registered_as=%s",
                      target->entry.id, r->id, head->status,
                      target->entry.is_leaving ? "leaving" : "ready");
@@ -85,7 +87,7 @@
     if (CaroPlatform_ReadRetryAfter(value, &seconds) < 0) {
         CaroLog_Warn("relay",
                      "The time of an upstream's refusal is malformed. "
-                     "upstream=%s id=%s value=\"%.*s\"",
+                     "upstream=%s id=" CARO_LOG_TEXT " value=\"%.*s\"",
                      target->entry.id, r->id,
                      (int)(value.size < LOGGED_VALUE_MAX ? value.size
                                                          : LOGGED_VALUE_MAX),
@@ -101,7 +103,7 @@
     CaroTargets_RecordUnavailable(targets, r->target, now + wait);
     CaroLog_Info("relay",
                  "An upstream wants no requests for some time. upstream=%s "
-                 "id=%s ms=%lld is_bounded=%d",
+                 "id=" CARO_LOG_TEXT " ms=%lld is_bounded=%d",
                  target->entry.id, r->id, (long long)(wait / CARO_MS),
                  is_bounded);
     CaroRelay_AddCount(r, CARO_COUNT_TARGETS_UNAVAILABLE);
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -93,17 +93,17 @@
 {
     CaroTime first = CaroEventForwarder_FirstWait(r->forwarder);
     CaroTime longest_gap = CaroEventForwarder_LongestGap(r->forwarder);
-    CaroLog_Info(
-        "relay",
-        "A request ended. id=%.128s route=%s account=%.128s status=%d "
-        "ms=%lld tries=%d runs=%lld last_event=%lld first_ms=%lld "
-        "pause_ms=%lld reason=\"%s\"",
-        r->id, r->route.name, r->account == NULL ? "" : r->account, status,
-        (long long)((now - r->started_at) / CARO_MS), r->attempt.tries,
-        (long long)r->attempt.runs,
-        (long long)CaroEventForwarder_LastId(r->forwarder),
-        (long long)(first < 0 ? -1 : first / CARO_MS),
-        (long long)(longest_gap / CARO_MS), reason);
+    CaroLog_Info("relay",
+                 "A request ended. id=" CARO_LOG_TEXT
+                 " route=%s account=" CARO_LOG_TEXT " status=%d "
+                 "ms=%lld tries=%d runs=%lld last_event=%lld first_ms=%lld "
+                 "pause_ms=%lld reason=\"%s\"",
+                 r->id, r->route.name, r->account == NULL ? "" : r->account,
+                 status, (long long)((now - r->started_at) / CARO_MS),
+                 r->attempt.tries, (long long)r->attempt.runs,
+                 (long long)CaroEventForwarder_LastId(r->forwarder),
+                 (long long)(first < 0 ? -1 : first / CARO_MS),
+                 (long long)(longest_gap / CARO_MS), reason);
 }
 
 void
--- a/Modules/request_limits.c
+++ b/Modules/request_limits.c
@@ -324,13 +324,14 @@
     s->free_at = next < now + RETRY_DELAY_MAX ? next : now + RETRY_DELAY_MAX;
     CaroTime delay = s->free_at - now;
     delay = delay > RETRY_DELAY_MIN ? delay : RETRY_DELAY_MIN;
-    CaroLog_Info(
-        "limits",
-        "A request was refused because of limits. id=%.128s service=%s "
-        "limit_per_s=%.3f demand_per_s=%.3f own_per_s=%.3f vms=%d "
-        "reports=%d retry_ms=%lld",
-        id, service, limit, demand, own, l->vms,
-        CaroLimitReports_CountVms(l->peers), (long long)(delay / CARO_MS));
+    CaroLog_Info("limits",
+                 "A request was refused because of limits. id=" CARO_LOG_TEXT
+                 " service=%s "
+                 "limit_per_s=%.3f demand_per_s=%.3f own_per_s=%.3f vms=%d "
+                 "reports=%d retry_ms=%lld",
+                 id, service, limit, demand, own, l->vms,
+                 CaroLimitReports_CountVms(l->peers),
+                 (long long)(delay / CARO_MS));
     return delay;
 }
 
