Move the configuration in force out of gateway.c

CaroActiveConfig holds the newest readable configuration, its text and its freshness, and remembers a newer one that could not be read.

--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -7,6 +7,7 @@
  */
 #include "caro_gateway.h"
 
+#include "internal/caro_active_config.h"
 #include "internal/caro_channel_pool.h"
 #include "internal/caro_clock.h"
 #include "internal/caro_directory.h"
@@ -68,8 +69,6 @@
 /* Calls that wait for the first reads of the store after the start; calls
    beyond that are refused. */
 enum { PENDING_CALLS_MAX = 64 };
-/* Bytes of a request id in a log line. */
-enum { LOGGED_ID_MAX = 128 };
 
 struct CaroGateway {
     struct event_base *base;
@@ -92,13 +91,8 @@
     CaroGatewayHttp *status_http;
     struct event *tick;
 
-    CaroRoutes *routes; /* NULL before the first configuration. */
-    char *config;       /* Text of the configuration, for peers. */
-    size_t config_size;
-    CaroConfigFreshness freshness;
+    CaroActiveConfig *config;
     bool was_config_fresh;
-    int64_t unreadable_revision; /* Of the newest configuration that could not
-                                    be read; 0 for none. */
 
     uint64_t boot_id;
     uint32_t report_sequence;
@@ -118,26 +112,27 @@
 is_config_fresh(const CaroGateway *g)
 {
     return CaroConfigFreshness_IsFresh(
-        &g->freshness,
+        CaroActiveConfig_FreshnessConst(g->config),
         (CaroTime)(g->settings.config_age_max_ms * (double)CARO_MS),
         CaroClock_BootTime());
 }
 
-/* Returns whether the configuration in force has been superseded by one that
-   could not be read. */
-static bool
-has_unusable_config(const CaroGateway *g)
+/* Time since the configuration was confirmed as the newest; -1 before. */
+static CaroTime
+config_age(const CaroGateway *g)
 {
-    return g->unreadable_revision > g->freshness.revision;
+    return CaroConfigFreshness_Age(CaroActiveConfig_FreshnessConst(g->config),
+                                   CaroClock_BootTime());
 }
 
 static bool
 is_ready(void *context)
 {
     const CaroGateway *g = context;
-    return g->routes != NULL && CaroRegistry_IsLoaded(g->registry) &&
-           g->stop_requested_at == 0 && is_config_fresh(g) &&
-           !has_unusable_config(g);
+    return CaroActiveConfig_Routes(g->config) != NULL &&
+           CaroRegistry_IsLoaded(g->registry) && g->stop_requested_at == 0 &&
+           is_config_fresh(g) &&
+           CaroActiveConfig_RejectedRevision(g->config) == 0;
 }
 
 /* --- callers --- */
@@ -169,10 +164,11 @@
         path.size = (size_t)(query - path.at);
     }
     return (CaroRequestCheckQuery){
-        .routes = g->routes,
+        .routes = CaroActiveConfig_Routes(g->config),
         .has_target_list = CaroRegistry_IsLoaded(g->registry),
         .is_config_fresh = is_config_fresh(g),
-        .has_unusable_config = has_unusable_config(g),
+        .has_unusable_config =
+            CaroActiveConfig_RejectedRevision(g->config) != 0,
         .is_stopping = g->stop_requested_at != 0,
         .time_to_exit = work_end(g) - now,
         .caller_timeout = ms * CARO_MS,
@@ -189,6 +185,7 @@
 {
     CaroText id = CaroHttpHead_Find(
         CaroCall_Head(call), CaroPlatform_HeaderName(CARO_HEADER_REQUEST_ID));
+    const CaroRoutes *routes = CaroActiveConfig_Routes(g->config);
     CaroCounters_Add(&g->counters,
                      result->status == 401   ? CARO_COUNT_UNAUTHORIZED
                      : result->status == 404 ? CARO_COUNT_NO_ROUTE
@@ -199,13 +196,10 @@
         "entry",
         "A request was refused. id=%.*s status=%d config=%lld "
         "proof_age_ms=%lld reason=\"%s\"",
-        (int)(id.size < LOGGED_ID_MAX ? id.size : LOGGED_ID_MAX),
+        (int)(id.size < CARO_LOG_TEXT_MAX ? id.size : CARO_LOG_TEXT_MAX),
         id.at == NULL ? "" : id.at, result->status,
-        (long long)(g->routes == NULL ? 0 : CaroRoutes_Version(g->routes)),
-        (long long)(CaroConfigFreshness_Age(&g->freshness,
-                                            CaroClock_BootTime()) /
-                    CARO_MS),
-        result->reason);
+        (long long)(routes == NULL ? 0 : CaroRoutes_Version(routes)),
+        (long long)(config_age(g) / CARO_MS), result->reason);
     CaroRelay_Refuse(call, result->status, result->retry_after_s);
 }
 
@@ -326,70 +320,19 @@
 
 /* --- configuration --- */
 
-/* A configuration could not be read.  It is logged once; the registry reads it
-   again and again. */
-static void
-reject_config(CaroGateway *g, int64_t revision, const char *source,
-              const CaroError *err)
-{
-    if (revision <= g->unreadable_revision) {
-        return;
-    }
-    g->unreadable_revision = revision;
-    CaroCounters_Add(&g->counters, CARO_COUNT_CONFIG_REJECTED, 1);
-    CaroLog_Error("config",
-                  "A configuration was rejected; requests are refused until "
-                  "there is another one. revision=%lld in_force=%lld "
-                  "source=%s at=%s reason=\"%s\"",
-                  (long long)revision, (long long)g->freshness.revision,
-                  source, err->peer, err->detail);
-}
-
-/* Applies a configuration from the store or a peer unless it is older than
-   the one in force or the same. */
+/* Applies a configuration from the store or a peer.  Returns 0, or an error
+   when it could not be read. */
 static int
 apply_config(CaroGateway *g, const char *bytes, size_t size, int64_t revision,
              const char *source)
 {
-    CaroRoutes *routes;
-    CaroError err;
-    if (revision <= g->freshness.revision) {
-        return 0;
-    }
-    if (CaroPlatform_ReadConfig(bytes, size, &routes, &err) < 0) {
-        reject_config(g, revision, source, &err);
-        return err.code;
-    }
-    char *copy = malloc(size + 1);
-    if (copy == NULL) {
-        CaroRoutes_Destroy(routes);
-        (void)CaroError_Set(&err, CARO_ERR_NOMEM, "document", "configuration",
-                            "out of memory");
-        reject_config(g, revision, source, &err);
-        return CARO_ERR_NOMEM;
+    int rc = CaroActiveConfig_Apply(g->config, bytes, size, revision, source);
+    if (rc > 0) {
+        CaroHttpServerLimits limits = http_server_limits(
+            g, CaroRoutes_Limits(CaroActiveConfig_Routes(g->config)));
+        CaroHttpServer_SetLimits(g->http_server, &limits);
     }
-    memcpy(copy, bytes, size);
-    copy[size] = '\0';
-    free(g->config);
-    g->config = copy;
-    g->config_size = size;
-    CaroRoutes_Destroy(g->routes);
-    g->routes = routes;
-    /* When the older revision was confirmed, nothing newer than it existed;
-       so nothing newer than this revision did, and the time still holds. */
-    g->freshness = (CaroConfigFreshness){
-        .revision = revision, .confirmed_at = g->freshness.confirmed_at};
-    CaroHttpServerLimits limits =
-        http_server_limits(g, CaroRoutes_Limits(routes));
-    CaroHttpServer_SetLimits(g->http_server, &limits);
-    CaroCounters_Add(&g->counters, CARO_COUNT_CONFIG_APPLIED, 1);
-    CaroLog_Info("config",
-                 "A configuration was applied. version=%lld revision=%lld "
-                 "routes=%d idle_ms=%lld source=%s",
-                 (long long)CaroRoutes_Version(routes), (long long)revision,
-                 CaroRoutes_Count(routes),
-                 (long long)(limits.idle_timeout / CARO_MS), source);
-    return 0;
+    return rc < 0 ? rc : 0;
 }
 
 static int
@@ -402,7 +345,8 @@
 on_config_confirmed(void *context, int64_t revision, CaroTime sent_at)
 {
     CaroGateway *g = context;
-    CaroConfigFreshness_Record(&g->freshness, revision, sent_at);
+    CaroConfigFreshness_Record(CaroActiveConfig_Freshness(g->config), revision,
+                               sent_at);
 }
 
 static void
@@ -471,7 +415,7 @@
 get_config_freshness(void *context)
 {
     const CaroGateway *g = context;
-    return g->freshness;
+    return *CaroActiveConfig_FreshnessConst(g->config);
 }
 
 static void
@@ -479,14 +423,15 @@
                   CaroTime probed_at)
 {
     CaroGateway *g = context;
-    CaroTime previous_at = g->freshness.confirmed_at;
+    CaroConfigFreshness *freshness = CaroActiveConfig_Freshness(g->config);
+    CaroTime previous_at = freshness->confirmed_at;
     CaroTime now = CaroClock_Now();
     if (age >= 0) {
         CaroTime elapsed = CaroClock_BootTime() - probed_at;
         CaroRegistry_RecordPeerResponse(g->registry, now - elapsed - age, now);
     }
-    CaroConfigFreshness_RecordPeer(&g->freshness, revision, age, probed_at);
-    if (g->freshness.confirmed_at != previous_at) {
+    CaroConfigFreshness_RecordPeer(freshness, revision, age, probed_at);
+    if (freshness->confirmed_at != previous_at) {
         CaroCounters_Add(&g->counters, CARO_COUNT_CONFIG_CONFIRMED_BY_PEERS,
                          1);
     }
@@ -496,10 +441,9 @@
 get_config(void *context, const char **bytes, size_t *size, int64_t *revision)
 {
     const CaroGateway *g = context;
-    *bytes = g->config;
-    *size = g->config_size;
-    *revision = g->freshness.revision;
-    return g->config != NULL;
+    *bytes = CaroActiveConfig_Text(g->config, size);
+    *revision = CaroActiveConfig_FreshnessConst(g->config)->revision;
+    return *bytes != NULL;
 }
 
 static void
@@ -686,13 +630,10 @@
     return json_pack(
         "{s:s, s:b, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, s:o, s:o}",
         "vm", g->settings.vm, "ready", is_ready(g), "config_revision",
-        (json_int_t)g->freshness.revision, "config_rejected",
-        (json_int_t)(has_unusable_config(g) ? g->unreadable_revision : 0),
-        "proof_age_ms",
-        (json_int_t)(CaroConfigFreshness_Age(&g->freshness,
-                                             CaroClock_BootTime()) /
-                     CARO_MS),
-        "vms",
+        (json_int_t)CaroActiveConfig_FreshnessConst(g->config)->revision,
+        "config_rejected",
+        (json_int_t)CaroActiveConfig_RejectedRevision(g->config),
+        "proof_age_ms", (json_int_t)(config_age(g) / CARO_MS), "vms",
         CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet)),
         "requests", CaroRelays_Count(g->relays), "connections",
         CaroHttpServer_CountConnections(g->http_server), "channels_kept",
@@ -785,10 +726,8 @@
             is_fresh
                 ? "The configuration is confirmed as the newest."
                 : "The configuration is no longer confirmed as the newest.",
-            (long long)g->freshness.revision,
-            (long long)(CaroConfigFreshness_Age(&g->freshness,
-                                                CaroClock_BootTime()) /
-                        CARO_MS));
+            (long long)CaroActiveConfig_FreshnessConst(g->config)->revision,
+            (long long)(config_age(g) / CARO_MS));
     }
     if (g->stop_requested_at != 0) {
         tick_stop(g, now);
@@ -835,6 +774,7 @@
 {
     const CaroGatewaySettings *s = &g->settings;
     g->rng = gsl_rng_alloc(gsl_rng_taus2);
+    g->config = CaroActiveConfig_Create(&g->counters);
     g->latency = CaroLatency_Create();
     g->targets = CaroTargets_Create();
     g->peer_loads =
@@ -854,9 +794,9 @@
     g->limits = g->targets == NULL || g->rng == NULL
                     ? NULL
                     : CaroRequestLimits_Create(g->targets, g->rng);
-    if (g->guard == NULL || g->limits == NULL || g->rng == NULL ||
-        g->latency == NULL || g->peer_loads == NULL || g->pool == NULL ||
-        g->budget == NULL || g->rollouts == NULL) {
+    if (g->config == NULL || g->guard == NULL || g->limits == NULL ||
+        g->rng == NULL || g->latency == NULL || g->peer_loads == NULL ||
+        g->pool == NULL || g->budget == NULL || g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
@@ -1004,8 +944,7 @@
     CaroRequestLimits_Destroy(g->limits);
     CaroLatency_Destroy(g->latency);
     CaroTargets_Destroy(g->targets);
-    CaroRoutes_Destroy(g->routes);
-    free(g->config);
+    CaroActiveConfig_Destroy(g->config);
     if (g->rng != NULL) {
         gsl_rng_free(g->rng);
     }
