Tables of upstreams and choices for thousands of them

The table holds 16,384, indexed by hashes of ids and starts. Upstreams of one service and domain form a group, which keeps its recent failures; the rank that decides about the domain is cached until a failure is added or ends. Sums of load reports are kept by difference, where each report recomputed them over all upstreams and senders; own load is collected from the targets in recent use. In a full table a service with fewer upstreams takes a place of the largest one.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -58,7 +58,8 @@
     X(QUARANTINED, "refused_quarantined")                                     \
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
-    X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")
+    X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")                    \
+    X(TARGETS_LEFT_OUT, "upstreams_without_place")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_peer_loads.h
+++ b/Include/internal/caro_peer_loads.h
@@ -43,7 +43,7 @@
 
 /* Fills "loads" with the load of this VM for its next report, and with what it
    lately read of targets that leave.  Returns the number of entries. */
-int CaroPeerLoads_Collect(const CaroTargets *targets,
+int CaroPeerLoads_Collect(CaroTargets *targets,
                           caro_target_load loads[CARO_LOADS_MAX],
                           CaroTime now);
 
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -11,6 +11,7 @@
 #ifndef CARO_REGISTRY_H
 #define CARO_REGISTRY_H
 
+#include "internal/caro_counters.h"
 #include "internal/caro_store_client.h"
 #include "internal/caro_targets.h"
 
@@ -45,10 +46,11 @@
     void (*on_quarantine)(void *context, const char *bytes, size_t size);
 } CaroRegistryHandlers;
 
-/* The client, the table, the generator and the handlers are borrowed.
-   Returns NULL when out of memory. */
+/* The client, the table, the counters, the generator and the handlers are
+   borrowed.  Returns NULL when out of memory. */
 CaroRegistry *CaroRegistry_Create(CaroStoreClient *client,
-                                  CaroTargets *targets, gsl_rng *rng,
+                                  CaroTargets *targets, CaroCounters *counters,
+                                  gsl_rng *rng,
                                   const CaroRegistryHandlers *handlers,
                                   void *context, CaroTime now);
 void CaroRegistry_Destroy(CaroRegistry *r);
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -11,11 +11,14 @@
 #ifndef CARO_TARGETS_H
 #define CARO_TARGETS_H
 
+#include "internal/caro_target_groups.h"
 #include "internal/caro_target_notices.h"
 #include "internal/caro_types.h"
 
 enum {
-    CARO_TARGETS_MAX = 1024,
+    /* 9 MB of a VM of 96 MB; pages of the table are used as targets are
+       registered. */
+    CARO_TARGETS_MAX = 16384,
     CARO_TARGET_ID_SIZE = 201 /* An id is a part of a key of the store. */
 };
 
@@ -109,6 +112,27 @@
 /* Returns one more than the highest handle in use. */
 CaroHandle CaroTargets_Count(const CaroTargets *t);
 
+/* Returns the registered targets by service and failure domain, borrowed. */
+CaroTargetGroups *CaroTargets_Groups(const CaroTargets *t);
+
+/* Returns the group of a registered target. */
+int CaroTargets_GroupOf(const CaroTargets *t, CaroHandle h);
+
+/*
+ * Returns a target whose place a new one of the service may take in a full
+ * table: one of the service with the most targets, if it has at least two
+ * more; else CARO_NO_HANDLE.
+ */
+CaroHandle CaroTargets_FindReplaceable(const CaroTargets *t,
+                                       const char *service);
+
+/*
+ * Returns the targets, n of them, that this VM has used or read a notice of
+ * since RECENT_TTL (5 s) at the least, borrowed until the next call.  Some of
+ * them may be no longer in use.
+ */
+const CaroHandle *CaroTargets_Recent(CaroTargets *t, CaroTime now, int *n);
+
 /* Counts the start and the end of a request of this VM.  End frees the slot
    of a removed target after its last request. */
 void CaroTargets_Begin(CaroTargets *t, CaroHandle h, bool is_stream);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -815,8 +815,8 @@
         .response_bytes_max =
             (size_t)(RESPONSE_MEMORY_FRACTION * memory_bytes(s))};
     g->relays = CaroRelays_Create(&deps);
-    g->registry = CaroRegistry_Create(g->store, g->targets, g->rng,
-                                      &registry_handlers, g, now);
+    g->registry = CaroRegistry_Create(g->store, g->targets, &g->counters,
+                                      g->rng, &registry_handlers, g, now);
     return g->relays == NULL || g->registry == NULL ? CARO_ERR_NOMEM : 0;
 }
 
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -47,6 +47,7 @@
 struct CaroRegistry {
     CaroStoreClient *client;
     CaroTargets *targets;
+    CaroCounters *counters;
     gsl_rng *rng;
     const CaroRegistryHandlers *handlers;
     void *context;
@@ -64,6 +65,7 @@
     CaroTime watch_backoff;
     int64_t malformed_revision; /* Highest of a malformed registration. */
     int64_t logged_revision;    /* Of those that an earlier response had. */
+    bool has_missing;           /* False only if no target is missing. */
 
     bool is_reading_config;
     CaroTime next_config_read;
@@ -83,8 +85,9 @@
 
 CaroRegistry *
 CaroRegistry_Create(CaroStoreClient *client, CaroTargets *targets,
-                    gsl_rng *rng, const CaroRegistryHandlers *handlers,
-                    void *context, CaroTime now)
+                    CaroCounters *counters, gsl_rng *rng,
+                    const CaroRegistryHandlers *handlers, void *context,
+                    CaroTime now)
 {
     CaroRegistry *r = calloc(1, sizeof(*r));
     if (r == NULL) {
@@ -92,6 +95,7 @@
     }
     r->client = client;
     r->targets = targets;
+    r->counters = counters;
     r->rng = rng;
     r->handlers = handlers;
     r->context = context;
@@ -203,6 +207,16 @@
         remove_target(r, old, "it restarted under the same id");
     }
     CaroHandle h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
+    if (h == CARO_NO_HANDLE) {
+        CaroHandle replaced =
+            CaroTargets_FindReplaceable(r->targets, entry.service);
+        CaroCounters_Add(r->counters, CARO_COUNT_TARGETS_LEFT_OUT, 1);
+        if (replaced != CARO_NO_HANDLE) {
+            remove_target(r, replaced,
+                          "the table is full and another service has fewer");
+            h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
+        }
+    }
     if (h == CARO_NO_HANDLE) {
         CaroLog_Error("registry", "The upstream table is full. id=%s most=%d",
                       id, CARO_TARGETS_MAX);
@@ -225,6 +239,7 @@
     }
     else if (!target->is_missing) {
         target->is_missing = true;
+        r->has_missing = true;
         CaroLog_Info(
             "registry",
             "The lease of an upstream expired in an outage of the store. "
@@ -243,13 +258,17 @@
 static void
 remove_expired_targets(CaroRegistry *r, CaroTime now)
 {
-    for (CaroHandle h = 0; h < CaroTargets_Count(r->targets); h++) {
+    bool has_missing = false;
+    for (CaroHandle h = 0; r->has_missing && h < CaroTargets_Count(r->targets);
+         h++) {
         const CaroTarget *target = CaroTargets_GetConst(r->targets, h);
         if (target->is_used && target->is_present && target->is_missing) {
             handle_missing_target(
                 r, h, "it did not register again after an outage", now);
+            has_missing |= target->is_present;
         }
     }
+    r->has_missing = has_missing;
 }
 
 static void
--- a/Objects/peer_loads.c
+++ b/Objects/peer_loads.c
@@ -29,7 +29,7 @@
 /* Load of a peer at one target. */
 typedef struct {
     CaroHandle target;
-    uint32_t id_hash; /* Detects that the slot holds another target by now. */
+    uint32_t start_hash; /* Detects that the slot holds another by now. */
     int streams;
     int prefill_tokens;
     int kv_copies;
@@ -77,37 +77,43 @@
     free(b);
 }
 
-static void
+/* Adds a number to a sum and returns what was added, which is less at the
+   bound. */
+static int
 add(int *sum, int number)
 {
-    *sum = *sum + number < SUM_MAX ? *sum + number : SUM_MAX;
+    int added = number < SUM_MAX - *sum ? number : SUM_MAX - *sum;
+    *sum += added;
+    return added;
 }
 
-/* Recomputes the sums.  A slot that now holds another instance, or the same
-   one after a restart, gets none of the streams of its predecessor. */
 static void
-update_sums(CaroPeerLoads *b)
+add_load(CaroPeerLoads *b, Sender *s, PeerLoad load)
 {
-    Sender *s;
-    Sender *next;
-    for (CaroHandle h = 0; h < CaroTargets_Count(b->targets); h++) {
-        CaroTarget *target = CaroTargets_Get(b->targets, h);
-        target->peer_streams = 0;
-        target->peer_prefill_tokens = 0;
-        target->peer_kv_copies = 0;
-    }
-    HASH_ITER(hh, b->senders, s, next)
-    {
-        for (int i = 0; i < s->n; i++) {
-            const PeerLoad *e = &s->loads[i];
-            CaroTarget *target = CaroTargets_Get(b->targets, e->target);
-            if (target->is_used && target->id_hash == e->id_hash) {
-                add(&target->peer_streams, e->streams);
-                add(&target->peer_prefill_tokens, e->prefill_tokens);
-                add(&target->peer_kv_copies, e->kv_copies);
-            }
+    CaroTarget *target = CaroTargets_Get(b->targets, load.target);
+    load.start_hash = target->start_hash;
+    load.streams = add(&target->peer_streams, load.streams);
+    load.prefill_tokens =
+        add(&target->peer_prefill_tokens, load.prefill_tokens);
+    load.kv_copies = add(&target->peer_kv_copies, load.kv_copies);
+    s->loads[s->n++] = load;
+}
+
+/* Subtracts the loads of a sender.  A slot that now holds another instance, or
+   the same one after a restart, has none of the streams of its predecessor. */
+static void
+subtract_loads(CaroPeerLoads *b, Sender *s)
+{
+    for (int i = 0; i < s->n; i++) {
+        const PeerLoad *e = &s->loads[i];
+        CaroTarget *target = CaroTargets_Get(b->targets, e->target);
+        if (target->is_used && target->start_hash == e->start_hash) {
+            target->peer_streams -= e->streams;
+            target->peer_prefill_tokens -= e->prefill_tokens;
+            target->peer_kv_copies -= e->kv_copies;
         }
     }
+    s->n = 0;
 }
 
 static Sender *
@@ -176,7 +182,7 @@
     s->boot_id = report->boot_id;
     s->sequence = report->sequence;
     s->received_at = now;
-    s->n = 0;
+    subtract_loads(b, s);
     for (u_int i = 0; i < report->loads.loads_len; i++) {
         const caro_target_load *load = &report->loads.loads_val[i];
         if (load->failure == CARO_FAILURE_LEAVING) {
@@ -191,12 +197,11 @@
         if (h == CARO_NO_HANDLE) {
             continue;
         }
-        s->loads[s->n++] =
-            (PeerLoad){.target = h,
-                       .id_hash = load->target,
-                       .streams = bounded(load->streams),
-                       .prefill_tokens = bounded(load->prefill_tokens),
-                       .kv_copies = bounded(load->kv_copies)};
+        add_load(b, s,
+                 (PeerLoad){.target = h,
+                            .streams = bounded(load->streams),
+                            .prefill_tokens = bounded(load->prefill_tokens),
+                            .kv_copies = bounded(load->kv_copies)});
         CaroTargets_RecordHeard(b->targets, h, now - load->idle_ms * CARO_MS);
         if (load->failure != CARO_FAILURE_NONE) {
             failures->all[failures->n].target = h;
@@ -205,7 +210,6 @@
             failures->n++;
         }
     }
-    update_sums(b);
 }
 
 void
@@ -213,18 +217,14 @@
 {
     Sender *s;
     Sender *next;
-    bool is_changed = false;
     HASH_ITER(hh, b->senders, s, next)
     {
         if (now - s->received_at >= LOAD_REPORT_TTL) {
+            subtract_loads(b, s);
             HASH_DEL(b->senders, s);
             free(s);
-            is_changed = true;
         }
     }
-    if (is_changed) {
-        update_sums(b);
-    }
 }
 
 static u_int
@@ -236,13 +236,13 @@
 
 /* Collects what this VM read of targets that leave. */
 static int
-collect_leaving(const CaroTargets *targets,
-                caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
+collect_leaving(const CaroTargets *targets, const CaroHandle *recent,
+                int n_recent, caro_target_load loads[CARO_LOADS_MAX],
+                CaroTime now)
 {
     int n = 0;
-    for (CaroHandle h = 0; h < CaroTargets_Count(targets) && n < LEAVING_MAX;
-         h++) {
-        const CaroTarget *t = CaroTargets_GetConst(targets, h);
+    for (int i = 0; i < n_recent && n < LEAVING_MAX; i++) {
+        const CaroTarget *t = CaroTargets_GetConst(targets, recent[i]);
         if (t->is_used && t->notice.leaving == CARO_LEAVING_BY_SELF &&
             now - t->notice.leaving_at < LEAVING_REPORT_TTL) {
             loads[n++] = (caro_target_load){.target = t->start_hash,
@@ -253,13 +253,14 @@
 }
 
 int
-CaroPeerLoads_Collect(const CaroTargets *targets,
+CaroPeerLoads_Collect(CaroTargets *targets,
                       caro_target_load loads[CARO_LOADS_MAX], CaroTime now)
 {
-    int n = collect_leaving(targets, loads, now);
-    for (CaroHandle h = 0;
-         h < CaroTargets_Count(targets) && n < CARO_LOADS_MAX; h++) {
-        const CaroTarget *t = CaroTargets_GetConst(targets, h);
+    int n_recent;
+    const CaroHandle *recent = CaroTargets_Recent(targets, now, &n_recent);
+    int n = collect_leaving(targets, recent, n_recent, loads, now);
+    for (int i = 0; i < n_recent && n < CARO_LOADS_MAX; i++) {
+        const CaroTarget *t = CaroTargets_GetConst(targets, recent[i]);
         caro_target_failure failure = failure_to_report(t, now);
         if (t->is_used && t->is_present &&
             (t->streams > 0 || t->kv_copies > 0 ||
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -18,9 +18,31 @@
 /* Longer than a lease, which expires after three heartbeats of 1.2 s. */
 #define AVOID_DELAY_GONE (8 * CARO_SECOND)
 
+/* Longer than a notice or a failure is reported to other VMs. */
+#define RECENT_TTL (5 * CARO_SECOND)
+
+enum { BUCKETS = 4096 };
+
+/* What the table itself keeps of a slot. */
+typedef struct {
+    CaroHandle next_by_id; /* The next one of the bucket. */
+    CaroHandle next_by_start;
+    int group; /* Of a registered target, else CARO_NO_HANDLE. */
+    bool is_recent;
+    CaroTime used_at; /* Last use or notice by this VM. */
+} Links;
+
 struct CaroTargets {
     CaroTarget all[CARO_TARGETS_MAX];
+    Links links[CARO_TARGETS_MAX];
     CaroHandle count;
+    CaroHandle first_free; /* No slot below it is free. */
+    /* First registered target of each hash of ids and of starts. */
+    CaroHandle by_id[BUCKETS];
+    CaroHandle by_start[BUCKETS];
+    CaroTargetGroups *groups;
+    CaroHandle recent[CARO_TARGETS_MAX];
+    int n_recent;
     CaroTargetNotices *notices; /* Of starts that are not registered. */
 };
 
@@ -28,9 +50,18 @@
 CaroTargets_Create(void)
 {
     CaroTargets *t = calloc(1, sizeof(*t));
-    if (t != NULL && (t->notices = CaroTargetNotices_Create()) == NULL) {
-        free(t);
-        t = NULL;
+    if (t == NULL) {
+        return NULL;
+    }
+    for (int i = 0; i < BUCKETS; i++) {
+        t->by_id[i] = CARO_NO_HANDLE;
+        t->by_start[i] = CARO_NO_HANDLE;
+    }
+    t->notices = CaroTargetNotices_Create();
+    t->groups = CaroTargetGroups_Create();
+    if (t->notices == NULL || t->groups == NULL) {
+        CaroTargets_Destroy(t);
+        return NULL;
     }
     return t;
 }
@@ -40,34 +71,44 @@
 {
     if (t != NULL) {
         CaroTargetNotices_Destroy(t->notices);
+        CaroTargetGroups_Destroy(t->groups);
         free(t);
     }
 }
 
+static uint32_t
+hash_id(const char *id)
+{
+    return XXH32(id, strlen(id), 0);
+}
+
+/* Returns the first registered target of the bucket from h on that has the
+   hash, or CARO_NO_HANDLE. */
+static CaroHandle
+find_id_hash(const CaroTargets *t, CaroHandle h, uint32_t id_hash)
+{
+    while (h != CARO_NO_HANDLE &&
+           (t->all[h].id_hash != id_hash || !t->all[h].is_present)) {
+        h = t->links[h].next_by_id;
+    }
+    return h;
+}
+
 CaroHandle
 CaroTargets_Find(const CaroTargets *t, const char *id)
 {
-    for (CaroHandle h = 0; h < t->count; h++) {
-        const CaroTarget *target = &t->all[h];
-        if (target->is_used && target->is_present &&
-            strcmp(target->entry.id, id) == 0) {
-            return h;
-        }
+    uint32_t id_hash = hash_id(id);
+    CaroHandle h = find_id_hash(t, t->by_id[id_hash % BUCKETS], id_hash);
+    while (h != CARO_NO_HANDLE && strcmp(t->all[h].entry.id, id) != 0) {
+        h = find_id_hash(t, t->links[h].next_by_id, id_hash);
     }
-    return CARO_NO_HANDLE;
+    return h;
 }
 
 CaroHandle
 CaroTargets_FindByHash(const CaroTargets *t, uint32_t id_hash)
 {
-    for (CaroHandle h = 0; h < t->count; h++) {
-        const CaroTarget *target = &t->all[h];
-        if (target->is_used && target->is_present &&
-            target->id_hash == id_hash) {
-            return h;
-        }
-    }
-    return CARO_NO_HANDLE;
+    return find_id_hash(t, t->by_id[id_hash % BUCKETS], id_hash);
 }
 
 static uint32_t
@@ -79,18 +120,76 @@
     return XXH32(text, (size_t)n, 0);
 }
 
+/* Returns a free slot, or CARO_NO_HANDLE.  It is taken when it is used. */
 static CaroHandle
 find_free(CaroTargets *t)
 {
-    for (CaroHandle h = 0; h < CARO_TARGETS_MAX; h++) {
-        if (!t->all[h].is_used) {
-            if (h >= t->count) {
-                t->count = h + 1;
-            }
-            return h;
-        }
+    while (t->first_free < CARO_TARGETS_MAX && t->all[t->first_free].is_used) {
+        t->first_free++;
+    }
+    if (t->first_free == CARO_TARGETS_MAX) {
+        return CARO_NO_HANDLE;
+    }
+    if (t->first_free >= t->count) {
+        t->count = t->first_free + 1;
+    }
+    return t->first_free;
+}
+
+/* Adds a registered target to the buckets and to its group.  Returns false
+   without memory. */
+static bool
+link_target(CaroTargets *t, CaroHandle h)
+{
+    const CaroTarget *target = &t->all[h];
+    Links *links = &t->links[h];
+    CaroHandle *by_id = &t->by_id[target->id_hash % BUCKETS];
+    CaroHandle *by_start = &t->by_start[target->start_hash % BUCKETS];
+    links->group = CaroTargetGroups_Add(t->groups, target->entry.service,
+                                        target->entry.domain, h);
+    if (links->group == CARO_NO_HANDLE) {
+        return false;
+    }
+    links->next_by_id = *by_id;
+    *by_id = h;
+    links->next_by_start = *by_start;
+    *by_start = h;
+    return true;
+}
+
+/* Takes a registered target out of the buckets and of its group. */
+static void
+unlink_target(CaroTargets *t, CaroHandle h)
+{
+    const CaroTarget *target = &t->all[h];
+    Links *links = &t->links[h];
+    CaroHandle *at = &t->by_id[target->id_hash % BUCKETS];
+    if (links->group == CARO_NO_HANDLE) {
+        return;
+    }
+    CaroTargetGroups_Remove(t->groups, links->group, h);
+    links->group = CARO_NO_HANDLE;
+    while (*at != h) {
+        at = &t->links[*at].next_by_id;
+    }
+    *at = links->next_by_id;
+    at = &t->by_start[target->start_hash % BUCKETS];
+    while (*at != h) {
+        at = &t->links[*at].next_by_start;
+    }
+    *at = links->next_by_start;
+}
+
+/* Adds the target to the recent ones. */
+static void
+add_recent(CaroTargets *t, CaroHandle h, CaroTime now)
+{
+    Links *links = &t->links[h];
+    links->used_at = now > links->used_at ? now : links->used_at;
+    if (!links->is_recent) {
+        links->is_recent = true;
+        t->recent[t->n_recent++] = h;
     }
-    return CARO_NO_HANDLE;
 }
 
 bool
@@ -102,6 +201,21 @@
            strcmp(a->service, b->service) == 0;
 }
 
+/* Frees the slot of a removed target without requests and KV copies. */
+static void
+free_if_unused(CaroTargets *t, CaroHandle h)
+{
+    CaroTarget *target = CaroTargets_Get(t, h);
+    if (!target->is_present && target->in_flight == 0 &&
+        target->kv_copies == 0) {
+        target->is_used = false;
+        t->first_free = h < t->first_free ? h : t->first_free;
+        while (t->count > 0 && !t->all[t->count - 1].is_used) {
+            t->count--;
+        }
+    }
+}
+
 CaroHandle
 CaroTargets_Put(CaroTargets *t, const CaroTargetEntry *entry, CaroTime now)
 {
@@ -117,15 +231,24 @@
             return h;
         }
         memset(&t->all[h], 0, sizeof(t->all[h]));
+        t->links[h].group = CARO_NO_HANDLE;
         t->all[h].is_used = true;
         t->all[h].registered_at = now;
     }
+    else {
+        unlink_target(t, h);
+    }
     t->all[h].entry = *entry;
     if (entry->cold_time > 0) {
         t->all[h].cold_until = now + entry->cold_time;
     }
-    t->all[h].id_hash = XXH32(entry->id, strlen(entry->id), 0);
+    t->all[h].id_hash = hash_id(entry->id);
     t->all[h].start_hash = hash_start(entry);
+    if (!link_target(t, h)) {
+        t->all[h].is_present = false;
+        free_if_unused(t, h);
+        return CARO_NO_HANDLE;
+    }
     CaroTargetNotice kept =
         CaroTargetNotices_Take(t->notices, t->all[h].start_hash);
     CaroTargetNotice_Merge(&t->all[h].notice, &kept);
@@ -134,25 +257,12 @@
     return h;
 }
 
-/* Frees the slot of a removed target without requests and KV copies. */
-static void
-free_if_unused(CaroTargets *t, CaroHandle h)
-{
-    CaroTarget *target = CaroTargets_Get(t, h);
-    if (!target->is_present && target->in_flight == 0 &&
-        target->kv_copies == 0) {
-        target->is_used = false;
-        while (t->count > 0 && !t->all[t->count - 1].is_used) {
-            t->count--;
-        }
-    }
-}
-
 void
 CaroTargets_Remove(CaroTargets *t, CaroHandle h)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
     target->is_present = false;
+    unlink_target(t, h);
     CaroTargetNotices_Add(t->notices, target->start_hash, &target->notice);
     free_if_unused(t, h);
 }
@@ -177,10 +287,55 @@
     return t->count;
 }
 
+CaroTargetGroups *
+CaroTargets_Groups(const CaroTargets *t)
+{
+    return t->groups;
+}
+
+int
+CaroTargets_GroupOf(const CaroTargets *t, CaroHandle h)
+{
+    return t->links[h].group;
+}
+
+CaroHandle
+CaroTargets_FindReplaceable(const CaroTargets *t, const char *service)
+{
+    CaroHandle h = CaroTargetGroups_GetFromLargest(t->groups);
+    if (h == CARO_NO_HANDLE) {
+        return h;
+    }
+    const char *largest = t->all[h].entry.service;
+    return CaroTargetGroups_CountService(t->groups, service) + 1 <
+                   CaroTargetGroups_CountService(t->groups, largest)
+               ? h
+               : CARO_NO_HANDLE;
+}
+
+const CaroHandle *
+CaroTargets_Recent(CaroTargets *t, CaroTime now, int *n)
+{
+    for (int i = 0; i < t->n_recent;) {
+        CaroHandle h = t->recent[i];
+        const CaroTarget *target = &t->all[h];
+        if (target->in_flight == 0 && target->kv_copies == 0 &&
+            now - t->links[h].used_at >= RECENT_TTL) {
+            t->links[h].is_recent = false;
+            t->recent[i] = t->recent[--t->n_recent];
+            continue;
+        }
+        i++;
+    }
+    *n = t->n_recent;
+    return t->recent;
+}
+
 void
 CaroTargets_Begin(CaroTargets *t, CaroHandle h, bool is_stream)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
+    add_recent(t, h, 0);
     target->in_flight++;
     target->streams += is_stream;
 }
@@ -199,6 +354,7 @@
 CaroTargets_BeginKvCopy(CaroTargets *t, CaroHandle h)
 {
     CaroTargets_Get(t, h)->kv_copies++;
+    add_recent(t, h, 0);
 }
 
 void
@@ -233,6 +389,7 @@
     CaroTarget *target = CaroTargets_Get(t, h);
     target->own_failure = failure;
     target->own_failure_at = now;
+    add_recent(t, h, now);
 }
 
 void
@@ -261,6 +418,7 @@
     CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_SELF,
                                .leaving_at = now};
     add_notice(t, h, &notice);
+    add_recent(t, h, now);
 }
 
 CaroHandle
@@ -269,10 +427,10 @@
 {
     CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_PEER,
                                .leaving_at = now};
-    for (CaroHandle h = 0; h < t->count; h++) {
+    CaroHandle h = t->by_start[start_hash % BUCKETS];
+    for (; h != CARO_NO_HANDLE; h = t->links[h].next_by_start) {
         const CaroTarget *target = &t->all[h];
-        if (target->is_used && target->is_present &&
-            target->start_hash == start_hash) {
+        if (target->is_present && target->start_hash == start_hash) {
             bool is_new = target->notice.leaving == CARO_LEAVING_UNKNOWN;
             add_notice(t, h, &notice);
             return is_new ? h : CARO_NO_HANDLE;
@@ -293,6 +451,9 @@
 CaroTargets_RecordSuccess(CaroTargets *t, CaroHandle h)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
+    if (target->avoided_until != 0 && t->links[h].group != CARO_NO_HANDLE) {
+        CaroTargetGroups_ClearFailure(t->groups, t->links[h].group, h);
+    }
     target->failures = 0;
     target->avoided_until = 0;
 }
@@ -315,6 +476,10 @@
     if (now + delay > target->avoided_until) {
         target->avoided_until = now + delay;
     }
+    if (t->links[h].group != CARO_NO_HANDLE) {
+        CaroTargetGroups_RecordFailure(t->groups, t->links[h].group, h, now,
+                                       target->avoided_until);
+    }
 }
 
 /* Registered, not draining, and not unavailable. */
--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -47,6 +47,7 @@
 
     CaroStoreClient *client;
     CaroTargets *targets;
+    CaroCounters counters;
     gsl_rng *rng;
     CaroRegistry *registry;
 } Fixture;
@@ -219,8 +220,8 @@
     f->client = CaroStoreClient_Create(f->base, f->address);
     f->targets = CaroTargets_Create();
     f->rng = gsl_rng_alloc(gsl_rng_taus2);
-    f->registry = CaroRegistry_Create(f->client, f->targets, f->rng, &handlers,
-                                      f, CaroClock_Now());
+    f->registry = CaroRegistry_Create(f->client, f->targets, &f->counters,
+                                      f->rng, &handlers, f, CaroClock_Now());
     f->tick = event_new(f->base, -1, EV_PERSIST, on_tick, f);
     (void)event_add(f->tick, &interval);
     run_for(f, 300 * MS);
