--- a/Modules/prompt_guard.c
+++ b/Modules/prompt_guard.c
@@ -20,6 +20,11 @@
 /* Between two ticks at most this counts: in a stall of this process nothing is
    heard. */
 #define TICK_TIME_MAX (40 * CARO_MS)
+/* A domain is lost when at least DOMAIN_LOST_MIN of its upstreams, and one in
+   DOMAIN_LOST_DIVISOR, fail in this time. */
+#define DOMAIN_LOSS_TIME (300 * CARO_MS)
+#define DOMAIN_LOST_MIN 2
+#define DOMAIN_LOST_DIVISOR 2
 #define DECISION_INTERVAL (60 * CARO_MS)
 /* A change is passed on in this many reports, each to REPORT_FANOUT VMs chosen
    at random: 300 VMs are reached in five steps. */
@@ -146,16 +151,39 @@
     CaroPromptCrashes_Apply(g->table, report, now);
 }
 
-/* Records the oldest loss as a crash unless its upstream was heard since. */
+/* The upstream was lost together with others of its failure domain, as in a
+   loss of power, which no prompt causes. */
+static bool
+is_domain_lost(const CaroPromptGuard *g, const Loss *loss, CaroTime now)
+{
+    CaroTargetGroups *groups = CaroTargets_Groups(g->targets);
+    int group = CaroTargets_GroupOf(g->targets, loss->target);
+    if (group == CARO_NO_HANDLE) {
+        return false;
+    }
+    int all = CaroTargetGroups_Get(groups, group).n;
+    int lost = (all + DOMAIN_LOST_DIVISOR - 1) / DOMAIN_LOST_DIVISOR;
+    CaroTime at = CaroTargetGroups_FailureOfRank(
+        groups, group, lost > DOMAIN_LOST_MIN ? lost : DOMAIN_LOST_MIN, now);
+    return at >= loss->at - DOMAIN_LOSS_TIME;
+}
+
+/* Records the oldest loss as a crash unless its upstream was heard since, or
+   its domain was lost. */
 static void
 confirm_loss(CaroPromptGuard *g, CaroTime now)
 {
     const Loss *loss = &g->losses[0];
     const CaroTarget *target = CaroTargets_GetConst(g->targets, loss->target);
-    bool is_heard = target->is_used &&
-                    upstream_hash(target) == loss->upstream &&
-                    target->last_heard_at > loss->at + HEARD_MARGIN;
-    if (!is_heard) {
+    bool is_same = target->is_used && upstream_hash(target) == loss->upstream;
+    bool is_heard = is_same && target->last_heard_at > loss->at + HEARD_MARGIN;
+    if (is_same && is_domain_lost(g, loss, now)) {
+        CaroLog_Info("guard",
+                     "An upstream was lost with its domain. upstream=%016llx "
+                     "domain=%s",
+                     (unsigned long long)loss->upstream, target->entry.domain);
+    }
+    else if (!is_heard) {
         char parts[CARO_PROMPT_PARTS_TEXT_SIZE];
         CaroCounters_Add(g->counters, CARO_COUNT_PROMPT_CRASHES, 1);
         CaroLog_Warn("guard",
