Stand-in for endless responses: a backlog for all callers of a test

proc_callers_not_reading failed once on beside load (209 of 450 responses began, 225 required). Traced beside load: 258 of 450 requests ended with "connect timeout" and 503, since the stand-in, busy sending, did not accept, and its backlog of 128 was full. The gateway's memory, which the test is about, was within its bound.

--- a/Tools/fake/endless.c
+++ b/Tools/fake/endless.c
@@ -15,7 +15,13 @@
 #include <string.h>
 
 /* Bytes that wait to be sent; more are added as they leave. */
-enum { OUTPUT_MIN = 65536, HEAD_SIZE = 1024 };
+enum {
+    OUTPUT_MIN = 65536,
+    HEAD_SIZE = 1024,
+    /* All callers of a test connect within a second, in which this process may
+       not get to accept them. */
+    BACKLOG = 1024
+};
 
 #define OWN "X-Attempt-Id: %s\r\nX-Response-Seal: s\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n"
@@ -172,7 +178,7 @@
     fake.base = event_base_new();
     struct evconnlistener *listener = evconnlistener_new_bind(
         fake.base, on_accept, &fake, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-        128, (struct sockaddr *)&at, sizeof(at));
+        BACKLOG, (struct sockaddr *)&at, sizeof(at));
     if (listener == NULL) {
         (void)fprintf(stderr, "carofake: cannot listen at %s\n",
                       options->listen);
