--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -346,6 +346,42 @@
 	} demands;
 };
 typedef struct caro_limit_report caro_limit_report;
+#define CARO_STORE_KEY_MAX 200
+#define CARO_CHANGE_VALUE_MAX 6144
+#define CARO_CHANGES_MAX 128
+
+struct caro_store_change {
+	char *key;
+	u_quad_t revision;
+	bool_t is_deleted;
+	bool_t is_omitted;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct caro_store_change caro_store_change;
+
+struct caro_store_changes_args {
+	char *sender;
+	u_quad_t revision;
+};
+typedef struct caro_store_changes_args caro_store_changes_args;
+
+struct caro_store_changes {
+	u_quad_t revision;
+	bool_t reaches_back;
+	bool_t has_more;
+	u_quad_t config_revision;
+	quad_t config_age;
+	quad_t answer_age;
+	quad_t log_age;
+	struct {
+		u_int changes_len;
+		caro_store_change *changes_val;
+	} changes;
+};
+typedef struct caro_store_changes caro_store_changes;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -396,6 +432,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1(caro_limit_report *, CLIENT *);
 extern  caro_limit_report * caro_limit_report_1_svc(caro_limit_report *, struct svc_req *);
+#define CARO_STORE_CHANGES 17
+extern  caro_store_changes * caro_store_changes_1(caro_store_changes_args *, CLIENT *);
+extern  caro_store_changes * caro_store_changes_1_svc(caro_store_changes_args *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -444,6 +483,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1();
 extern  caro_limit_report * caro_limit_report_1_svc();
+#define CARO_STORE_CHANGES 17
+extern  caro_store_changes * caro_store_changes_1();
+extern  caro_store_changes * caro_store_changes_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -481,6 +523,9 @@
 extern  bool_t xdr_caro_target_limit (XDR *, caro_target_limit*);
 extern  bool_t xdr_caro_service_demand (XDR *, caro_service_demand*);
 extern  bool_t xdr_caro_limit_report (XDR *, caro_limit_report*);
+extern  bool_t xdr_caro_store_change (XDR *, caro_store_change*);
+extern  bool_t xdr_caro_store_changes_args (XDR *, caro_store_changes_args*);
+extern  bool_t xdr_caro_store_changes (XDR *, caro_store_changes*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -514,6 +559,9 @@
 extern bool_t xdr_caro_target_limit ();
 extern bool_t xdr_caro_service_demand ();
 extern bool_t xdr_caro_limit_report ();
+extern bool_t xdr_caro_store_change ();
+extern bool_t xdr_caro_store_changes_args ();
+extern bool_t xdr_caro_store_changes ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -268,6 +268,39 @@
     caro_service_demand demands<CARO_DEMANDS_MAX>;
 };
 
+const CARO_STORE_KEY_MAX = 200;
+const CARO_CHANGE_VALUE_MAX = 6144;
+const CARO_CHANGES_MAX = 128;
+
+/* A change of one key of the store. */
+struct caro_store_change {
+    string key<CARO_STORE_KEY_MAX>;
+    unsigned hyper revision;
+    bool is_deleted;
+    bool is_omitted; /* The value is too large for a datagram. */
+    opaque value<CARO_CHANGE_VALUE_MAX>;
+};
+
+/* Asks a reader of the store for the changes after a revision.  Older versions
+   ignore the procedure. */
+struct caro_store_changes_args {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper revision;
+};
+
+/* Ages are in microseconds, from the sending of the reader's own call to the
+   store, on a clock that includes time in suspend; -1 for never. */
+struct caro_store_changes {
+    unsigned hyper revision; /* All changes up to it are in the reply. */
+    bool reaches_back; /* False: the log begins later; no changes follow. */
+    bool has_more; /* There are changes after "revision". */
+    unsigned hyper config_revision;
+    hyper config_age; /* Since config_revision was read as the newest. */
+    hyper answer_age; /* Since the last successful read of the store. */
+    hyper log_age; /* Since the log was known to have all changes. */
+    caro_store_change changes<CARO_CHANGES_MAX>; /* In the store's order. */
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -285,5 +318,6 @@
         caro_load_report CARO_LOAD_REPORT(caro_load_report) = 13;
         caro_prompt_report CARO_PROMPT_REPORT(caro_prompt_report) = 14;
         caro_limit_report CARO_LIMIT_REPORT(caro_limit_report) = 15;
+        caro_store_changes CARO_STORE_CHANGES(caro_store_changes_args) = 17;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -648,3 +648,58 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_store_change (XDR *xdrs, caro_store_change *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, CARO_STORE_KEY_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_deleted))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_omitted))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, CARO_CHANGE_VALUE_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_store_changes_args (XDR *xdrs, caro_store_changes_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_store_changes (XDR *xdrs, caro_store_changes *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reaches_back))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_more))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config_revision))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->config_age))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->answer_age))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->log_age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, CARO_CHANGES_MAX,
+		sizeof (caro_store_change), (xdrproc_t) xdr_caro_store_change))
+		 return FALSE;
+	return TRUE;
+}
