--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -229,9 +229,10 @@
     int n_unreadable; /* Items without a key that can be read, left out. */
     bool has_list;    /* A list of items, which may be empty, was in it. */
     bool has_more;    /* The list continues after the last item. */
-    int64_t revision; /* Revision of the whole store; after a write, the
-                         revision of the write. */
-    int64_t lease;    /* Id of the lease; 0 for none. */
+    bool has_store_revision; /* "revision" is that of the whole store. */
+    int64_t revision;        /* Revision of the whole store; after a write, the
+                                revision of the write. */
+    int64_t lease;           /* Id of the lease; 0 for none. */
 } CaroStoreResponse;
 
 /* Parses a response, to be released with CaroStoreResponse_Clear.  Odd items
