--- a/Controllers/member_choice.c
+++ b/Controllers/member_choice.c
@@ -5,6 +5,7 @@
  */
 #include "internal/caro_membership.h"
 
+#include <assert.h>
 #include <string.h>
 
 #define XXH_INLINE_ALL
@@ -65,6 +66,49 @@
     return n_before < chosen_max;
 }
 
+/* Inserts the VM in the order of the ranks, the highest first, and drops the
+   last one when there is no room. */
+static int
+insert_ranked(CaroHandle *chosen, uint64_t *ranks, int n, int chosen_max,
+              CaroHandle vm, uint64_t rank)
+{
+    int at = n;
+    while (at > 0 && ranks[at - 1] < rank) {
+        at--;
+    }
+    if (at == chosen_max) {
+        return n;
+    }
+    n = n < chosen_max ? n + 1 : n;
+    for (int i = n - 1; i > at; i--) {
+        chosen[i] = chosen[i - 1];
+        ranks[i] = ranks[i - 1];
+    }
+    chosen[at] = vm;
+    ranks[at] = rank;
+    return n;
+}
+
+int
+CaroMembership_ChooseInDomain(const CaroMembership *m, const char *role,
+                              CaroHandle *chosen, int chosen_max)
+{
+    enum { CHOSEN_MAX = 8 };
+    uint64_t ranks[CHOSEN_MAX];
+    const char *domain = CaroMembership_Get(m, CARO_SELF)->domain;
+    uint64_t seed = XXH64(role, strlen(role), 0);
+    int n = 0;
+    assert(chosen_max <= CHOSEN_MAX);
+    for (CaroHandle h = 0; h < CaroMembership_Count(m); h++) {
+        const CaroVm *vm = CaroMembership_Get(m, h);
+        if (CaroMembership_IsUsable(m, h) && strcmp(vm->domain, domain) == 0) {
+            uint64_t rank = XXH64(vm->name, strlen(vm->name), seed);
+            n = insert_ranked(chosen, ranks, n, chosen_max, h, rank);
+        }
+    }
+    return n;
+}
+
 int
 CaroMembership_CountUsable(const CaroMembership *m)
 {
--- a/Include/internal/caro_membership.h
+++ b/Include/internal/caro_membership.h
@@ -135,6 +135,12 @@
 bool CaroMembership_IsChosen(const CaroMembership *m, const char *role,
                              int chosen_max);
 
+/* Fills the handles of the first "chosen_max" usable VMs of this VM's failure
+   domain for "role", in their order; returns their number.  This VM may be
+   among them. */
+int CaroMembership_ChooseInDomain(const CaroMembership *m, const char *role,
+                                  CaroHandle *chosen, int chosen_max);
+
 /* Returns a word for logs and reports. */
 const char *CaroMembership_StateName(caro_member_state state);
 
