Most VMs of a large fleet take the store's changes from a reader

Cause: each VM watches and reads the store, two calls per second per VM. Modules/registry.c is split: registry_items.c applies what was read, registry_changes.c exchanges changes with other VMs.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -59,7 +59,11 @@
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
     X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")                    \
-    X(TARGETS_LEFT_OUT, "upstreams_without_place")
+    X(TARGETS_LEFT_OUT, "upstreams_without_place")                            \
+    X(STORE_READER, "store_reader")                                           \
+    X(STORE_CHANGES_RECEIVED, "store_changes_from_readers")                   \
+    X(STORE_READER_FAILURES, "store_reader_failures")                         \
+    X(STORE_GAPS, "store_lists_after_gaps")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -50,6 +50,16 @@
     void (*on_load_report)(void *context, const caro_load_report *report);
     /* A peer reported parts of prompts that crash upstreams; borrowed. */
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
+    /* Fills the reply to a peer that asks for the changes of the store after a
+       revision; returns false for no reply. */
+    bool (*collect_store_changes)(void *context, int64_t after,
+                                  caro_store_change changes[CARO_CHANGES_MAX],
+                                  caro_store_changes *reply);
+    /* A call for changes, sent at "sent_at" (CaroClock_BootTime) with the
+       revision "asked", has ended; "reply" is borrowed, NULL for none. */
+    void (*on_store_changes)(void *context, CaroHandle vm, int64_t asked,
+                             CaroTime sent_at,
+                             const caro_store_changes *reply);
     /* Another VM's use of limited upstreams. */
     void (*on_limit_report)(void *context, const caro_limit_report *report);
     /* Collects this VM's evidence of rollouts for a heartbeat; returns the
@@ -106,6 +116,15 @@
 void CaroFleet_SendPromptReport(CaroFleet *f, const caro_prompt_report *report,
                                 int fanout);
 
+/* Asks a VM for the changes of the store after a revision; the outcome goes to
+   on_store_changes. */
+void CaroFleet_RequestStoreChanges(CaroFleet *f, CaroHandle vm,
+                                   int64_t revision, CaroTime timeout);
+
+/* Requests the configuration of a VM that has a newer one, unless such a call
+   is in progress. */
+void CaroFleet_FetchConfig(CaroFleet *f, CaroHandle vm);
+
 /* Sends a heartbeat with the latest state to "fanout" usable VMs chosen at
    random, or fewer when there are not as many. */
 void CaroFleet_Announce(CaroFleet *f, int fanout);
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -11,8 +11,10 @@
 #ifndef CARO_REGISTRY_H
 #define CARO_REGISTRY_H
 
+#include "caro_peer.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_store_client.h"
+#include "internal/caro_store_readers.h"
 #include "internal/caro_targets.h"
 
 #include <gsl/gsl_rng.h>
@@ -72,6 +74,42 @@
 void CaroRegistry_RecordPeerResponse(CaroRegistry *r, CaroTime at,
                                      CaroTime now);
 
+/*
+ * In a large fleet a few VMs read the store, and the others ask them for
+ * changes (caro_store_readers.h).  The owner sets what it knows of the fleet
+ * (is_ready: the members are known), sends the call that NextReader asks for,
+ * and passes on its outcome, also for a call without a reply.
+ */
+void CaroRegistry_SetView(CaroRegistry *r, const CaroStoreReadersView *view);
+
+/* Returns the reader to call now with CaroRegistry_Revision; CARO_NO_HANDLE
+   for none. */
+CaroHandle CaroRegistry_NextReader(CaroRegistry *r);
+int64_t CaroRegistry_Revision(const CaroRegistry *r);
+
+/*
+ * Applies the reply of a reader, NULL for none, to a call with the revision
+ * "asked" that was sent at "sent_at", by CaroClock_BootTime.  Returns
+ * CARO_ERR_INPUT for a reply that is dropped, or whether the reader has a
+ * newer configuration, which is to be fetched from it.
+ */
+int CaroRegistry_ApplyChanges(CaroRegistry *r, CaroHandle reader,
+                              int64_t asked, CaroTime sent_at,
+                              const caro_store_changes *reply);
+
+/* A configuration that a peer sent is in force. */
+void CaroRegistry_RecordPeerConfig(CaroRegistry *r, int64_t revision);
+
+/* Fills the reply to another VM that knows a revision; its texts are borrowed
+   until the registry's next call.  Returns false when this VM does not read
+   the store. */
+bool CaroRegistry_CollectChanges(CaroRegistry *r, int64_t after,
+                                 caro_store_change changes[CARO_CHANGES_MAX],
+                                 caro_store_changes *reply);
+
+/* Returns what this VM does now. */
+CaroStoreRole CaroRegistry_Role(const CaroRegistry *r);
+
 /* Returns whether a list has been read completely since the start. */
 bool CaroRegistry_IsLoaded(const CaroRegistry *r);
 
--- /dev/null
+++ b/Include/internal/caro_registry_private.h
@@ -0,0 +1,107 @@
+/*
+ * NAME
+ *     caro_registry_private - state shared by the parts of the registry
+ *
+ * For Modules/registry*.c only.  registry.c makes the calls to the store,
+ * registry_items.c applies what they return, and registry_changes.c exchanges
+ * changes with other VMs.
+ */
+#ifndef CARO_REGISTRY_PRIVATE_H
+#define CARO_REGISTRY_PRIVATE_H
+
+#include "internal/caro_lease_grace.h"
+#include "internal/caro_registry.h"
+#include "internal/caro_store_log.h"
+#include "internal/caro_store_readers.h"
+
+enum { CARO_REGISTRY_WATCHES = 2 };
+
+/* First delay before a failed call to the store is repeated. */
+#define BACKOFF_MIN (100 * CARO_MS)
+
+/* A watch in progress. */
+typedef struct {
+    CaroRegistry *registry;
+    bool is_open;
+    int64_t revision;    /* It asks for the changes after this one. */
+    CaroTime started_at; /* By BootTime. */
+} CaroRegistryWatch;
+
+struct CaroRegistry {
+    CaroStoreClient *client;
+    CaroTargets *targets;
+    CaroCounters *counters;
+    gsl_rng *rng;
+    const CaroRegistryHandlers *handlers;
+    void *context;
+
+    bool is_listing;
+    bool is_loaded;
+    bool needs_list;
+    CaroTime list_sent_at; /* Sending of its first page, by BootTime. */
+    /* The last one that was sent is used; an earlier one may be open. */
+    CaroRegistryWatch watches[CARO_REGISTRY_WATCHES];
+    CaroRegistryWatch *watch; /* NULL while none is used. */
+    int64_t list_revision;    /* Revision of the list's first page. */
+    int64_t watch_revision;   /* The next watch asks for later changes. */
+    uint32_t list_sequence;
+    /* Sequence number of the last list that contained the target. */
+    uint32_t last_list[CARO_TARGETS_MAX];
+    CaroTime next_watch;
+    CaroTime watch_backoff;
+    int64_t malformed_revision; /* Highest of a malformed registration. */
+    int64_t logged_revision;    /* Of those that an earlier response had. */
+    bool has_missing;           /* False only if no target is missing. */
+
+    bool is_reading_config;
+    CaroTime next_config_read;
+    CaroTime config_backoff;
+    int64_t config_revision;
+
+    CaroStoreReaders readers;
+    CaroStoreReadersView view;
+    CaroStoreLog *log;
+    CaroTime answered_at;         /* Sending of the last successful read, by
+                                     BootTime; 0 before. */
+    CaroTime config_confirmed_at; /* Of the last that found config_revision to
+                                     be the newest, likewise. */
+    /* A revision that a reader reported, which this VM lacks; 0 for none. */
+    int64_t wanted_config;
+    CaroTime wanted_since;
+    int64_t peer_config;        /* Highest revision that a peer's call gave. */
+    int64_t seen_config;        /* Highest revision that a read gave. */
+    CaroTime unavailable_since; /* 0 while reads of this VM succeed. */
+    CaroLeaseGrace lease_grace;
+
+    char name[CARO_NAME_SIZE];
+    char peer[CARO_ADDRESS_SIZE];
+    int64_t lease; /* 0 while none is held. */
+    bool is_registered;
+    bool is_registering;
+    CaroTime next_register;
+};
+
+/* Applies all items of a response.  A list repeats what was read before. */
+void CaroRegistry_ApplyItems(CaroRegistry *r,
+                             const CaroStoreResponse *response, CaroTime now);
+
+/* Removes a target whose registration is missing, or marks it as missing
+   during an outage of the store and for the grace period after it. */
+void CaroRegistry_HandleMissingTarget(CaroRegistry *r, CaroHandle h,
+                                      const char *cause, CaroTime now);
+
+/* Removes missing targets that did not register again within the grace
+   period, or whose outage turned out to be none. */
+void CaroRegistry_RemoveExpiredTargets(CaroRegistry *r, CaroTime now);
+
+/* Applies a configuration that was read, unless one as new is in force. */
+void CaroRegistry_ApplyConfig(CaroRegistry *r, const CaroStoreItem *item);
+
+/* Determines this VM's role, and makes the calls due that a new one needs. */
+void CaroRegistry_UpdateRole(CaroRegistry *r, CaroTime now);
+
+/* Returns whether a reader reported a configuration that did not arrive from a
+   peer in time, so that it has to be read from the store. */
+bool CaroRegistry_LacksConfig(const CaroRegistry *r, CaroTime now);
+
+#endif
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -99,9 +99,8 @@
     }
 }
 
-/* Requests the configuration of a peer that has a newer one. */
-static void
-fetch_config(CaroFleet *f, CaroHandle vm)
+void
+CaroFleet_FetchConfig(CaroFleet *f, CaroHandle vm)
 {
     caro_member_update updates[CARO_UPDATES_MAX];
     caro_heartbeat h;
@@ -130,7 +129,7 @@
                                  (int)h->evidence.evidence_len);
     }
     if (vm > 0 && (int64_t)h->config_revision > freshness.revision) {
-        fetch_config(f, vm);
+        CaroFleet_FetchConfig(f, vm);
     }
 }
 
@@ -312,6 +311,24 @@
     CaroRpc_Reply(request, &reply);
 }
 
+static void
+reply_store_changes(CaroFleet *f, CaroRpcRequest *request,
+                    const caro_store_changes_args *args)
+{
+    caro_store_change changes[CARO_CHANGES_MAX];
+    caro_store_changes reply;
+    memset(&reply, 0, sizeof(reply));
+    if (f->handlers->collect_store_changes != NULL &&
+        args->revision <= INT64_MAX &&
+        f->handlers->collect_store_changes(f->context, (int64_t)args->revision,
+                                           changes, &reply)) {
+        CaroRpc_Reply(request, &reply);
+    }
+    else {
+        CaroRpc_Ignore(request);
+    }
+}
+
 static void
 on_call(void *context, CaroRpcRequest *request, uint32_t procedure, void *args)
 {
@@ -342,6 +359,9 @@
     case CARO_CONFIG:
         reply_config(f, request);
         break;
+    case CARO_STORE_CHANGES:
+        reply_store_changes(f, request, args);
+        break;
     case CARO_LOAD_REPORT:
         if (f->handlers->on_load_report != NULL) {
             f->handlers->on_load_report(f->context, args);
@@ -522,6 +542,43 @@
     }
 }
 
+/* A call for changes of the store in progress. */
+typedef struct {
+    CaroFleet *fleet;
+    CaroHandle vm;
+    int64_t asked;
+    CaroTime sent_at; /* By CaroClock_BootTime. */
+} ChangesCall;
+
+static void
+on_changes(void *context, int code, const void *result)
+{
+    ChangesCall *c = context;
+    c->fleet->handlers->on_store_changes(c->fleet->context, c->vm, c->asked,
+                                         c->sent_at,
+                                         code == 0 ? result : NULL);
+    free(c);
+}
+
+void
+CaroFleet_RequestStoreChanges(CaroFleet *f, CaroHandle vm, int64_t revision,
+                              CaroTime timeout)
+{
+    caro_store_changes_args args = {.sender = f->name,
+                                    .revision = (uint64_t)revision};
+    ChangesCall *c = calloc(1, sizeof(*c));
+    if (c == NULL) {
+        abort(); /* The outcome, which the caller waits for, is lost. */
+    }
+    c->fleet = f;
+    c->vm = vm;
+    c->asked = revision;
+    c->sent_at = CaroClock_BootTime();
+    CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
+                 CARO_RPC_UDP, CARO_STORE_CHANGES, &args, timeout, on_changes,
+                 c);
+}
+
 const CaroMembership *
 CaroFleet_GetMembershipConst(const CaroFleet *f)
 {
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -63,6 +63,9 @@
 #define EXIT_MARGIN (200 * CARO_MS)
 /* Wait for callers to take the last responses and to close. */
 #define CLOSE_TIMEOUT (CLOSE_MARGIN - EXIT_MARGIN)
+/* Interval at which the readers of the store are chosen anew, which costs a
+   hash of each VM's name. */
+#define READERS_INTERVAL (100 * CARO_MS)
 /* The route's timeout is shorter: a day. */
 #define CALLER_TIMEOUT_MAX_MS ((int64_t)86400000)
 
@@ -98,6 +101,7 @@
     uint32_t report_sequence;
     uint32_t limit_report_sequence;
     CaroTime next_load_report;
+    CaroTime next_readers;
     CaroTime started_at;
     /* Calls received before the first reads of the store. */
     CaroCall *pending_calls[PENDING_CALLS_MAX];
@@ -449,7 +453,72 @@
 static void
 on_peer_config(void *context, const char *bytes, size_t size, int64_t revision)
 {
-    (void)apply_config(context, bytes, size, revision, "peer");
+    CaroGateway *g = context;
+    if (apply_config(g, bytes, size, revision, "peer") == 0) {
+        CaroRegistry_RecordPeerConfig(g->registry, revision);
+    }
+}
+
+/* Sends the call to a reader of the store that is due. */
+static void
+ask_reader(CaroGateway *g)
+{
+    CaroHandle reader = CaroRegistry_NextReader(g->registry);
+    if (reader != CARO_NO_HANDLE) {
+        CaroFleet_RequestStoreChanges(g->fleet, reader,
+                                      CaroRegistry_Revision(g->registry),
+                                      CARO_STORE_READER_TIMEOUT);
+    }
+}
+
+static void
+on_store_changes(void *context, CaroHandle vm, int64_t asked, CaroTime sent_at,
+                 const caro_store_changes *reply)
+{
+    CaroGateway *g = context;
+    int rc = CaroRegistry_ApplyChanges(g->registry, vm, asked, sent_at, reply);
+    if (rc < 0) {
+        return;
+    }
+    /* After the changes, as a confirmation holds for its revision only. */
+    on_peer_freshness(g, (int64_t)reply->config_revision, reply->config_age,
+                      sent_at);
+    if (rc > 0) {
+        CaroFleet_FetchConfig(g->fleet, vm);
+    }
+    if (reply->has_more) {
+        ask_reader(g);
+    }
+}
+
+static bool
+collect_store_changes(void *context, int64_t after,
+                      caro_store_change changes[CARO_CHANGES_MAX],
+                      caro_store_changes *reply)
+{
+    CaroGateway *g = context;
+    return CaroRegistry_CollectChanges(g->registry, after, changes, reply);
+}
+
+/* Chooses the readers of the store in this failure domain, and asks one. */
+static void
+tick_readers(CaroGateway *g, CaroTime now)
+{
+    if (now >= g->next_readers) {
+        const CaroMembership *m = CaroFleet_GetMembershipConst(g->fleet);
+        CaroStoreReadersView view = {.is_ready =
+                                         CaroFleet_IsJoined(g->fleet, now),
+                                     .n_vms = CaroMembership_CountUsable(m)};
+        int n = CaroMembership_ChooseInDomain(m, "store", view.readers,
+                                              CARO_STORE_READERS);
+        for (int i = 0; i < CARO_STORE_READERS; i++) {
+            view.readers[i] = i < n ? view.readers[i] : CARO_NO_HANDLE;
+            view.is_reader |= view.readers[i] == CARO_SELF;
+        }
+        g->next_readers = now + READERS_INTERVAL;
+        CaroRegistry_SetView(g->registry, &view);
+    }
+    ask_reader(g);
 }
 
 static void
@@ -563,6 +632,8 @@
     .on_peer_freshness = on_peer_freshness,
     .get_config = get_config,
     .on_config = on_peer_config,
+    .collect_store_changes = collect_store_changes,
+    .on_store_changes = on_store_changes,
 };
 
 /* --- readiness, directory, reports --- */
@@ -586,6 +657,8 @@
     CaroGateway *g = context;
     g->counters.values[CARO_COUNT_STORE_CALLS] =
         CaroStoreClient_CountCalls(g->store);
+    g->counters.values[CARO_COUNT_STORE_READER] =
+        CaroRegistry_Role(g->registry) == CARO_STORE_READER;
     return &g->counters;
 }
 
@@ -628,8 +701,11 @@
         }
     }
     return json_pack(
-        "{s:s, s:b, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, s:o, s:o}",
-        "vm", g->settings.vm, "ready", is_ready(g), "config_revision",
+        "{s:s, s:b, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, "
+        "s:o, s:o}",
+        "vm", g->settings.vm, "ready", is_ready(g), "store_role",
+        CaroStoreRole_Name(CaroRegistry_Role(g->registry)), "store_revision",
+        (json_int_t)CaroRegistry_Revision(g->registry), "config_revision",
         (json_int_t)CaroActiveConfig_FreshnessConst(g->config)->revision,
         "config_rejected",
         (json_int_t)CaroActiveConfig_RejectedRevision(g->config),
@@ -705,6 +781,7 @@
     CaroRegistry_Tick(g->registry, now);
     check_pending_calls(g, now);
     CaroFleet_Tick(g->fleet, now);
+    tick_readers(g, now);
     CaroPeerLoads_Tick(g->peer_loads, now);
     CaroServiceRollouts_SetRank(
         g->rollouts,
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -4,12 +4,13 @@
  * Three loops, each with at most one call in progress: a list followed by
  * watches from its revision; reads of the configuration at a fixed
  * interval; and the registration of this VM with its lease.  When the store
- * no longer has the history that a watch asks for, a new list is read.
+ * no longer has the history that a watch asks for, a new list is read.  In
+ * a large fleet a few VMs watch and read (Controllers/store_readers.c); the
+ * others take the changes from them.
  */
-#include "internal/caro_registry.h"
+#include "internal/caro_registry_private.h"
 
 #include "internal/caro_clock.h"
-#include "internal/caro_lease_grace.h"
 #include "internal/caro_log.h"
 
 #include <stdio.h>
@@ -20,12 +21,9 @@
    20 VMs make 60 calls; the store accepts 2,000 a second.  Calls of a
    larger fleet beyond that are refused and retried after a backoff. */
 #define START_JITTER_MAX (40 * CARO_MS)
-/* Two fifths of the 5 s within which a revoked key has to be refused. */
-#define CONFIG_READ_INTERVAL (2 * CARO_SECOND)
-/* Wait after a watch that returned changes, so that changes close together
-   are fetched by one call; a fifth of the 2 s within which a change has to
-   take effect. */
-#define WATCH_BATCH_DELAY (400 * CARO_MS)
+/* A watch whose answer lacks a revision that a read reported this long before
+   is replaced: the store answers in some hundred ms at most. */
+#define WATCH_LAG_MAX (500 * CARO_MS)
 /* Wait between reads until there is a configuration; no request is served
    before. */
 #define CONFIG_INITIAL_DELAY (150 * CARO_MS)
@@ -38,50 +36,11 @@
    outage, and may then use a leaving upstream for 2 s. */
 #define WATCH_WAIT (3 * CARO_SECOND)
 #define WATCH_SLACK (700 * CARO_MS)
-#define BACKOFF_MIN (100 * CARO_MS)
 #define BACKOFF_MAX (800 * CARO_MS)
 /* The registration is only used by VMs that start, to find other VMs. */
 #define LEASE_TTL (60 * CARO_SECOND)
 #define LEASE_RENEW_INTERVAL (20 * CARO_SECOND)
-
-struct CaroRegistry {
-    CaroStoreClient *client;
-    CaroTargets *targets;
-    CaroCounters *counters;
-    gsl_rng *rng;
-    const CaroRegistryHandlers *handlers;
-    void *context;
-
-    bool is_listing;
-    bool is_loaded;
-    bool needs_list;
-    bool is_watching;
-    int64_t list_revision;  /* Revision of the list's first page. */
-    int64_t watch_revision; /* The next watch asks for later changes. */
-    uint32_t list_sequence;
-    /* Sequence number of the last list that contained the target. */
-    uint32_t last_list[CARO_TARGETS_MAX];
-    CaroTime next_watch;
-    CaroTime watch_backoff;
-    int64_t malformed_revision; /* Highest of a malformed registration. */
-    int64_t logged_revision;    /* Of those that an earlier response had. */
-    bool has_missing;           /* False only if no target is missing. */
-
-    bool is_reading_config;
-    CaroTime next_config_read;
-    CaroTime config_backoff;
-    int64_t config_revision;
-
-    CaroTime unavailable_since; /* 0 while reads of this VM succeed. */
-    CaroLeaseGrace lease_grace;
-
-    char name[CARO_NAME_SIZE];
-    char peer[CARO_ADDRESS_SIZE];
-    int64_t lease; /* 0 while none is held. */
-    bool is_registered;
-    bool is_registering;
-    CaroTime next_register;
-};
+#define LEASE_RETRY_INTERVAL (2 * CARO_SECOND)
 
 CaroRegistry *
 CaroRegistry_Create(CaroStoreClient *client, CaroTargets *targets,
@@ -93,6 +52,15 @@
     if (r == NULL) {
         return NULL;
     }
+    r->log = CaroStoreLog_Create();
+    if (r->log == NULL) {
+        free(r);
+        return NULL;
+    }
+    for (int i = 0; i < CARO_REGISTRY_WATCHES; i++) {
+        r->watches[i].registry = r;
+    }
+    CaroStoreReaders_Init(&r->readers, gsl_rng_get(rng));
     r->client = client;
     r->targets = targets;
     r->counters = counters;
@@ -113,7 +81,10 @@
 void
 CaroRegistry_Destroy(CaroRegistry *r)
 {
-    free(r);
+    if (r != NULL) {
+        CaroStoreLog_Destroy(r->log);
+        free(r);
+    }
 }
 
 void
@@ -158,189 +129,6 @@
     }
 }
 
-static void
-remove_target(CaroRegistry *r, CaroHandle h, const char *cause)
-{
-    CaroLog_Info("registry", "An upstream was removed. id=%s cause=\"%s\"",
-                 CaroTargets_GetConst(r->targets, h)->entry.id, cause);
-    CaroTargets_Get(r->targets, h)->is_present = false;
-    r->handlers->on_target(r->context, h);
-    CaroTargets_Remove(r->targets, h);
-}
-
-/* An entry that cannot be read names no upstream, also in the place of one
-   that did.  It is logged once for each change of it. */
-static void
-handle_malformed_target(CaroRegistry *r, const char *id,
-                        const CaroStoreItem *item, const CaroError *err)
-{
-    if (item->revision > r->logged_revision) {
-        CaroLog_Warn("registry",
-                     "The registration of an upstream is malformed. id=%.*s "
-                     "revision=%lld at=%s reason=\"%s\"",
-                     CARO_TARGET_ID_SIZE, id, (long long)item->revision,
-                     err->peer, err->detail);
-    }
-    if (item->revision > r->malformed_revision) {
-        r->malformed_revision = item->revision;
-    }
-    CaroHandle h = CaroTargets_Find(r->targets, id);
-    if (h != CARO_NO_HANDLE) {
-        remove_target(r, h, "its registration is malformed");
-    }
-}
-
-static void
-apply_target(CaroRegistry *r, const char *id, const CaroStoreItem *item)
-{
-    CaroTargetEntry entry;
-    CaroError err;
-    if (CaroPlatform_ReadTarget(id, item->value, item->size, &entry, &err) <
-        0) {
-        handle_malformed_target(r, id, item, &err);
-        return;
-    }
-    CaroHandle old = CaroTargets_Find(r->targets, id);
-    if (old != CARO_NO_HANDLE &&
-        !CaroTargetEntry_IsSameStart(
-            &CaroTargets_GetConst(r->targets, old)->entry, &entry)) {
-        remove_target(r, old, "it restarted under the same id");
-    }
-    CaroHandle h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
-    if (h == CARO_NO_HANDLE) {
-        CaroHandle replaced =
-            CaroTargets_FindReplaceable(r->targets, entry.service);
-        CaroCounters_Add(r->counters, CARO_COUNT_TARGETS_LEFT_OUT, 1);
-        if (replaced != CARO_NO_HANDLE) {
-            remove_target(r, replaced,
-                          "the table is full and another service has fewer");
-            h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
-        }
-    }
-    if (h == CARO_NO_HANDLE) {
-        CaroLog_Error("registry", "The upstream table is full. id=%s most=%d",
-                      id, CARO_TARGETS_MAX);
-        return;
-    }
-    r->last_list[h] = r->list_sequence;
-    r->handlers->on_target(r->context, h);
-}
-
-/* Removes a target whose registration is missing, or marks it as missing
-   during an outage of the store and for the grace period after it. */
-static void
-handle_missing_target(CaroRegistry *r, CaroHandle h, const char *cause,
-                      CaroTime now)
-{
-    CaroTarget *target = CaroTargets_Get(r->targets, h);
-    const CaroLeaseGrace *g = &r->lease_grace;
-    if (!CaroLeaseGrace_Keeps(g, now)) {
-        remove_target(r, h, cause);
-    }
-    else if (!target->is_missing) {
-        target->is_missing = true;
-        r->has_missing = true;
-        CaroLog_Info(
-            "registry",
-            "The lease of an upstream expired in an outage of the store. "
-            "id=%s away_ms=%lld responded_ms=%lld own_away_ms=%lld",
-            target->entry.id,
-            (long long)((g->outage_end - g->outage_start) / CARO_MS),
-            (long long)((now - g->responded_at) / CARO_MS),
-            (long long)(r->unavailable_since == 0
-                            ? 0
-                            : (now - r->unavailable_since) / CARO_MS));
-    }
-}
-
-/* Removes missing targets that did not register again within the grace
-   period, or whose outage turned out to be none. */
-static void
-remove_expired_targets(CaroRegistry *r, CaroTime now)
-{
-    bool has_missing = false;
-    for (CaroHandle h = 0; r->has_missing && h < CaroTargets_Count(r->targets);
-         h++) {
-        const CaroTarget *target = CaroTargets_GetConst(r->targets, h);
-        if (target->is_used && target->is_present && target->is_missing) {
-            handle_missing_target(
-                r, h, "it did not register again after an outage", now);
-            has_missing |= target->is_present;
-        }
-    }
-    r->has_missing = has_missing;
-}
-
-static void
-apply_config(CaroRegistry *r, const CaroStoreItem *item)
-{
-    if (item->value != NULL && item->revision > r->config_revision &&
-        r->handlers->on_config(r->context, item->value, item->size,
-                               item->revision) == 0) {
-        r->config_revision = item->revision;
-    }
-}
-
-static void
-apply_item(CaroRegistry *r, const CaroStoreItem *item, CaroTime now)
-{
-    const char *rest;
-    switch (CaroPlatform_KeyKind(item->key, &rest)) {
-    case CARO_KEY_CONFIG:
-        apply_config(r, item);
-        break;
-    case CARO_KEY_TARGET:
-        if (item->value != NULL) {
-            apply_target(r, rest, item);
-        }
-        else {
-            CaroHandle h = CaroTargets_Find(r->targets, rest);
-            if (h != CARO_NO_HANDLE) {
-                handle_missing_target(r, h, "its registration was deleted",
-                                      now);
-            }
-        }
-        break;
-    case CARO_KEY_ROLLOUT_REQUEST:
-        r->handlers->on_rollout_request(r->context, rest, item->value,
-                                        item->size, item->revision);
-        break;
-    case CARO_KEY_ROLLOUT_OUTCOME:
-        r->handlers->on_rollout_outcome(r->context, rest, item->value,
-                                        item->size, item->revision);
-        break;
-    case CARO_KEY_VM: {
-        char peer[CARO_ADDRESS_SIZE];
-        if (item->value != NULL &&
-            CaroPlatform_ReadVm(item->value, item->size, peer) == 0 &&
-            strcmp(peer, r->peer) != 0) {
-            r->handlers->on_vm(r->context, peer);
-        }
-        break;
-    }
-    case CARO_KEY_QUARANTINE:
-        r->handlers->on_quarantine(r->context, item->value, item->size);
-        break;
-    case CARO_KEY_OTHER:
-        break;
-    }
-}
-
-/* Applies all items of a response.  A list repeats what was read before. */
-static void
-apply_items(CaroRegistry *r, const CaroStoreResponse *response, CaroTime now)
-{
-    for (int i = 0; i < response->n_items; i++) {
-        apply_item(r, &response->items[i], now);
-    }
-    if (response->n_unreadable > 0) {
-        CaroLog_Warn("registry",
-                     "Entries of the store without a key were left out. "
-                     "entries=%d revision=%lld",
-                     response->n_unreadable, (long long)response->revision);
-    }
-}
-
 static void on_list_page(void *context, int code, int status,
                          const CaroStoreResponse *response, CaroTime sent_at);
 
@@ -367,6 +155,8 @@
     r->needs_list = false;
     r->logged_revision = r->malformed_revision;
     r->watch_revision = r->list_revision;
+    CaroStoreLog_Reset(r->log, r->list_revision);
+    CaroStoreLog_RecordComplete(r->log, r->list_sent_at);
     r->watch_backoff = BACKOFF_MIN;
     r->next_watch = now;
     for (CaroHandle h = 0; h < CaroTargets_Count(r->targets); h++) {
@@ -374,8 +164,8 @@
         if (target->is_used && target->is_present) {
             n++;
             if (r->last_list[h] != r->list_sequence) {
-                handle_missing_target(r, h, "it is absent from a new list",
-                                      now);
+                CaroRegistry_HandleMissingTarget(
+                    r, h, "it is absent from a new list", now);
             }
         }
     }
@@ -389,7 +179,6 @@
 {
     CaroRegistry *r = context;
     CaroTime now = CaroClock_Now();
-    (void)sent_at;
     if (code < 0 || status != 200 || !response->has_list) {
         /* Without the list nothing is known; with an empty one, all upstreams
            would be gone. */
@@ -401,8 +190,21 @@
     record_store_response(r, now);
     if (r->list_revision == 0) {
         r->list_revision = response->revision;
+        r->list_sent_at = sent_at;
+    }
+    if (r->readers.role != CARO_STORE_DIRECT &&
+        r->list_revision < r->watch_revision) {
+        /* A replica of the store may be behind what this VM has applied. */
+        CaroLog_Warn("registry",
+                     "A list of the store is older than what is known. "
+                     "revision=%lld known=%lld",
+                     (long long)r->list_revision,
+                     (long long)r->watch_revision);
+        r->is_listing = false;
+        r->next_watch = back_off(r, &r->watch_backoff, now);
+        return;
     }
-    apply_items(r, response, now);
+    CaroRegistry_ApplyItems(r, response, now);
     if (response->has_more && response->n_items == 0 &&
         response->n_unreadable > 0) {
         /* The list cannot be continued, and what it lacks is not gone. */
@@ -421,10 +223,18 @@
 on_watch_response(void *context, int code, int status,
                   const CaroStoreResponse *response, CaroTime sent_at)
 {
-    CaroRegistry *r = context;
+    CaroRegistryWatch *w = context;
+    CaroRegistry *r = w->registry;
     CaroTime now = CaroClock_Now();
     (void)sent_at;
-    r->is_watching = false;
+    bool is_current = w == r->watch;
+    w->is_open = false;
+    if (is_current) {
+        r->watch = NULL;
+    }
+    else if (code < 0 || status != 200) {
+        return; /* Another one took its place. */
+    }
     if (code == 0 && status == 410) {
         CaroLog_Warn("registry",
                      "The store no longer has the history of a watch. at=%lld",
@@ -443,33 +253,113 @@
         return;
     }
     CaroLeaseGrace_RecordResponse(&r->lease_grace, now, now);
-    apply_items(r, response, now);
+    if (w->revision != r->watch_revision || r->is_listing) {
+        /* Later changes were read while it was open. */
+        r->next_watch = is_current ? now : r->next_watch;
+        return;
+    }
+    CaroRegistry_ApplyItems(r, response, now);
     r->logged_revision = r->malformed_revision;
     if (response->revision > r->watch_revision) {
         r->watch_revision = response->revision;
+        CaroStoreLog_Append(r->log, response->items, response->n_items,
+                            response->revision);
     }
     r->watch_backoff = BACKOFF_MIN;
-    r->next_watch = response->n_items > 0 ? now + WATCH_BATCH_DELAY : now;
+    r->next_watch = response->n_items > 0
+                        ? now + CaroStoreRole_WatchDelay(r->readers.role)
+                        : now;
 }
 
 static void
-list_or_watch(CaroRegistry *r)
+read_list(CaroRegistry *r)
+{
+    r->is_listing = true;
+    r->watch = NULL;
+    r->list_revision = 0;
+    r->list_sequence++;
+    read_list_page(r, "");
+}
+
+static void
+start_watch(CaroRegistry *r)
 {
     CaroStoreCall call;
-    if (r->needs_list) {
-        r->is_listing = true;
-        r->list_revision = 0;
-        r->list_sequence++;
-        read_list_page(r, "");
-        return;
+    CaroRegistryWatch *w = NULL;
+    for (int i = 0; i < CARO_REGISTRY_WATCHES; i++) {
+        w = r->watches[i].is_open ? w : &r->watches[i];
+    }
+    if (w == NULL) {
+        return; /* The oldest of them times out in some seconds. */
     }
     if (CaroPlatform_CallWatch(&call, "", r->watch_revision, WATCH_WAIT) < 0) {
         CaroLog_Error("registry", "Out of memory starting a watch.");
         return;
     }
-    r->is_watching = true;
+    w->is_open = true;
+    w->revision = r->watch_revision;
+    w->started_at = CaroClock_BootTime();
+    r->watch = w;
     CaroStoreClient_Call(r->client, &call, WATCH_WAIT + WATCH_SLACK,
-                         on_watch_response, r);
+                         on_watch_response, w);
+}
+
+/* Replaces a watch that does not return the changes that a read has reported,
+   and ends the pause of a reader's watch that is behind. */
+static void
+check_watch(CaroRegistry *r, CaroTime now)
+{
+    CaroTime behind_since = CaroStoreLog_BehindSince(r->log);
+    if (behind_since == 0 || r->readers.role == CARO_STORE_DIRECT) {
+        return;
+    }
+    CaroTime boot = CaroClock_BootTime();
+    if (r->watch != NULL && boot - behind_since > WATCH_LAG_MAX &&
+        boot - r->watch->started_at > WATCH_LAG_MAX) {
+        CaroLog_Warn("registry",
+                     "A watch did not return changes that a read reported. "
+                     "revision=%lld",
+                     (long long)r->watch_revision);
+        r->watch = NULL;
+        r->next_watch = now;
+    }
+    if (r->readers.role == CARO_STORE_READER && r->watch == NULL &&
+        r->watch_backoff == BACKOFF_MIN) {
+        r->next_watch = now;
+    }
+}
+
+/* Returns when the configuration is to be read again. */
+static CaroTime
+next_read(const CaroRegistry *r, CaroTime sent_at, CaroTime now)
+{
+    CaroTime interval = r->config_revision == 0
+                            ? CONFIG_INITIAL_DELAY
+                            : CaroStoreRole_ConfigInterval(r->readers.role);
+    /* The ages that a reader reports count from the sending of its read. */
+    CaroTime elapsed = r->readers.role == CARO_STORE_READER
+                           ? CaroClock_BootTime() - sent_at
+                           : 0;
+    return now + (elapsed < interval ? interval - elapsed : 0);
+}
+
+/* Records when this VM's log and configuration were known to be up to date. */
+static void
+record_read(CaroRegistry *r, const CaroStoreResponse *response,
+            CaroTime sent_at)
+{
+    r->answered_at = sent_at;
+    if (r->readers.role == CARO_STORE_DIRECT ||
+        !CaroStoreRole_ReadsStore(r->readers.role)) {
+        return;
+    }
+    if (response->has_store_revision) {
+        CaroStoreLog_RecordRead(r->log, response->revision, sent_at);
+    }
+    else {
+        /* Nothing tells what the watch lacks. */
+        CaroStoreLog_RecordComplete(r->log, sent_at);
+    }
 }
 
 static void
@@ -485,17 +375,22 @@
         return;
     }
     record_store_response(r, now);
+    record_read(r, response, sent_at);
     r->config_backoff = BACKOFF_MIN;
-    r->next_config_read =
-        now + (r->config_revision == 0 ? CONFIG_INITIAL_DELAY
-                                       : CONFIG_READ_INTERVAL);
+    r->next_config_read = next_read(r, sent_at, now);
     if (status == 200 && response->n_items == 1) {
-        apply_config(r, &response->items[0]);
-        if (response->items[0].revision == r->config_revision) {
+        const CaroStoreItem *item = &response->items[0];
+        CaroRegistry_ApplyConfig(r, item);
+        if (item->revision > r->seen_config) {
+            r->seen_config = item->revision;
+        }
+        if (item->revision == r->config_revision) {
+            r->config_confirmed_at = sent_at;
             r->handlers->on_config_confirmed(r->context, r->config_revision,
                                              sent_at);
         }
     }
+    check_watch(r, now);
 }
 
 static void
@@ -526,7 +421,7 @@
         r->lease = 0; /* It expired; the next attempt requests a new one. */
     }
     r->next_register =
-        now + (r->is_registered ? LEASE_RENEW_INTERVAL : CONFIG_READ_INTERVAL);
+        now + (r->is_registered ? LEASE_RENEW_INTERVAL : LEASE_RETRY_INTERVAL);
 }
 
 static void
@@ -541,7 +436,7 @@
         r->lease = response->lease;
     }
     else {
-        r->next_register += CONFIG_READ_INTERVAL;
+        r->next_register += LEASE_RETRY_INTERVAL;
     }
 }
 
@@ -571,7 +466,7 @@
     }
     if (rc < 0) {
         CaroLog_Error("registry", "Out of memory registering this VM.");
-        r->next_register += CONFIG_READ_INTERVAL;
+        r->next_register += LEASE_RETRY_INTERVAL;
         return;
     }
     r->is_registering = true;
@@ -581,16 +476,27 @@
 void
 CaroRegistry_Tick(CaroRegistry *r, CaroTime now)
 {
-    if (!r->is_listing && !r->is_watching && now >= r->next_watch) {
-        list_or_watch(r);
+    CaroRegistry_UpdateRole(r, now);
+    bool reads_store = CaroStoreRole_ReadsStore(r->readers.role);
+    if (reads_store) {
+        check_watch(r, now);
+    }
+    if (!r->is_listing && r->watch == NULL && now >= r->next_watch) {
+        if (r->needs_list) {
+            read_list(r);
+        }
+        else if (reads_store) {
+            start_watch(r);
+        }
     }
-    if (!r->is_reading_config && now >= r->next_config_read) {
+    if (!r->is_reading_config && now >= r->next_config_read &&
+        (reads_store || CaroRegistry_LacksConfig(r, now))) {
         read_config(r);
     }
     if (!r->is_registering && now >= r->next_register && r->name[0] != '\0') {
         register_self(r);
     }
-    remove_expired_targets(r, now);
+    CaroRegistry_RemoveExpiredTargets(r, now);
 }
 
 void
--- a/Test/layers.sh
+++ b/Test/layers.sh
@@ -45,6 +45,7 @@
 }
 check_private caro_session.h Modules/session*.c
 check_private caro_console_private.h Modules/console*.c
+check_private caro_registry_private.h Modules/registry*.c
 check_private caro_relay_private.h Modules/relay*.c
 
 [ "$failed" -eq 0 ] &&
