Readers stay within the bounds of age while the store is slow

A reader that read each second plus the time of an answer exceeded the 1,300 ms that its followers allow at answers of 300 ms, and a hundred VMs would have turned to the slow store. The pause leaves out the time of both answers.

A VM that reads the store itself takes no reply with an omitted value, which its own watch returns; up to four watches may be open, so that a fallback soon after another one finds a free one.

--- a/Controllers/store_readers.c
+++ b/Controllers/store_readers.c
@@ -229,11 +229,16 @@
 }
 
 CaroTime
-CaroStoreRole_ConfigInterval(CaroStoreRole role)
+CaroStoreRole_ConfigDelay(CaroStoreRole role, CaroTime elapsed)
 {
-    return role == CARO_STORE_READER     ? READER_CONFIG_INTERVAL
-           : role == CARO_STORE_FALLBACK ? FALLBACK_CONFIG_INTERVAL
-                                         : DIRECT_CONFIG_INTERVAL;
+    if (role != CARO_STORE_READER) {
+        return role == CARO_STORE_FALLBACK ? FALLBACK_CONFIG_INTERVAL
+                                           : DIRECT_CONFIG_INTERVAL;
+    }
+    /* An age counts from the sending of a read until the next answer, so the
+       pause leaves out the time of both. */
+    CaroTime delay = READER_CONFIG_INTERVAL - 2 * elapsed;
+    return delay > 0 ? delay : 0;
 }
 
 const char *
--- a/Include/internal/caro_registry_private.h
+++ b/Include/internal/caro_registry_private.h
@@ -14,7 +14,8 @@
 #include "internal/caro_store_log.h"
 #include "internal/caro_store_readers.h"
 
-enum { CARO_REGISTRY_WATCHES = 2 };
+/* The one in use, and earlier ones that have not timed out yet. */
+enum { CARO_REGISTRY_WATCHES = 4 };
 
 /* First delay before a failed call to the store is repeated. */
 #define BACKOFF_MIN (100 * CARO_MS)
--- a/Include/internal/caro_store_readers.h
+++ b/Include/internal/caro_store_readers.h
@@ -108,10 +108,12 @@
    configuration. */
 bool CaroStoreRole_ReadsStore(CaroStoreRole role);
 
-/* Returns the pause of a watch after changes, and the interval between reads
-   of the configuration. */
+/* Returns the pause of a watch after changes. */
 CaroTime CaroStoreRole_WatchDelay(CaroStoreRole role);
-CaroTime CaroStoreRole_ConfigInterval(CaroStoreRole role);
+
+/* Returns the pause before the next read of the configuration after one that
+   the store answered in "elapsed". */
+CaroTime CaroStoreRole_ConfigDelay(CaroStoreRole role, CaroTime elapsed);
 
 /* Return words for logs. */
 const char *CaroStoreRole_Name(CaroStoreRole role);
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -333,14 +333,10 @@
 static CaroTime
 next_read(const CaroRegistry *r, CaroTime sent_at, CaroTime now)
 {
-    CaroTime interval = r->config_revision == 0
-                            ? CONFIG_INITIAL_DELAY
-                            : CaroStoreRole_ConfigInterval(r->readers.role);
-    /* The ages that a reader reports count from the sending of its read. */
-    CaroTime elapsed = r->readers.role == CARO_STORE_READER
-                           ? CaroClock_BootTime() - sent_at
-                           : 0;
-    return now + (elapsed < interval ? interval - elapsed : 0);
+    return now + (r->config_revision == 0
+                      ? CONFIG_INITIAL_DELAY
+                      : CaroStoreRole_ConfigDelay(
+                            r->readers.role, CaroClock_BootTime() - sent_at));
 }
 
 /* Records when this VM's log and configuration were known to be up to date. */
--- a/Modules/registry_changes.c
+++ b/Modules/registry_changes.c
@@ -279,6 +279,9 @@
     bool needs_list = false;
     int64_t revision = (int64_t)reply->revision;
     bool has_omitted = handle_omitted(r, reply, &needs_list, now);
+    if (needs_list && r->readers.role != CARO_STORE_FOLLOWER) {
+        return false; /* Its own watch returns the values. */
+    }
     CaroStoreResponse response = {.items = items};
     response.n_items = copy_items(r, reply, items);
     bool is_copied = response.n_items >= 0;
--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -639,6 +639,12 @@
     static const Reply gaps[] = {
         {.revision = 40, .has_gap = true},
         {.revision = 40, .n = 1, .changes = {OMITTED("servers/i-2", 40)}}};
+    /* While it reads the store itself, its watch returns the value. */
+    set_role(f, false);
+    assert_int_equal(answer(f, &gaps[1]), 0);
+    assert_int_equal(CaroRegistry_Role(f->registry), CARO_STORE_FALLBACK);
+    assert_int_equal(CaroRegistry_Revision(f->registry), FIRST_REVISION);
+    run_for(f, 5000 * MS);
     follow(f);
     for (int i = 0; i < 2; i++) {
         int n = f->n_lists;
--- a/Test/test_store_readers.c
+++ b/Test/test_store_readers.c
@@ -60,7 +60,8 @@
     bool is_watching;
     bool is_watch_dead;
     int64_t watched;
-    CaroTime watch_at; /* Start of the watch in progress, or of the next. */
+    CaroTime watch_at;    /* Start of the watch in progress, or of the next. */
+    CaroTime replaced_at; /* Start of a watch that was replaced; 0 for none. */
     bool is_reading;
     CaroTime read_at;
     CaroTime answered_at;
@@ -83,6 +84,7 @@
     int n_changes;
     gsl_rng *rng;
     double loss;
+    CaroTime round_trip; /* Of a call to the store. */
     CaroTime now;
     CaroTime slowest;
     CaroTime oldest_confirmation;
@@ -178,7 +180,7 @@
             vm->watch_at = f->now + 800 * MS;
         }
     }
-    else if (open >= ROUND_TRIP && revision > vm->watched) {
+    else if (open >= f->round_trip && revision > vm->watched) {
         CaroStoreLog_Append(vm->log, &f->changes[vm->watched],
                             (int)(revision - vm->watched), revision);
         vm->is_watching = false;
@@ -190,6 +192,21 @@
     }
 }
 
+/* The answer to a watch that was replaced is used if it comes first. */
+static void
+step_replaced_watch(Fleet *f, Vm *vm)
+{
+    int64_t revision = store_revision(f, f->now);
+    if (vm->replaced_at != 0 && f->now - vm->replaced_at >= f->round_trip &&
+        revision > vm->watched) {
+        vm->replaced_at = 0;
+        if (CaroStoreLog_Revision(vm->log) == vm->watched) {
+            CaroStoreLog_Append(vm->log, &f->changes[vm->watched],
+                                (int)(revision - vm->watched), revision);
+        }
+    }
+}
+
 /* As the registry does: a reader ends the pause of a watch that is behind, and
    a watch that does not deliver is replaced after 500 ms. */
 static void
@@ -201,6 +218,9 @@
     }
     if (vm->is_watching && f->now - vm->watch_at > 500 * MS &&
         f->now - behind_since > 500 * MS) {
+        if (!vm->is_watch_dead && vm->replaced_at == 0) {
+            vm->replaced_at = vm->watch_at;
+        }
         vm->is_watching = false;
         vm->watch_at = f->now;
     }
@@ -230,7 +250,7 @@
         }
         return;
     }
-    if (open >= ROUND_TRIP) {
+    if (open >= f->round_trip) {
         vm->is_reading = false;
         vm->answered_at = vm->read_at;
         vm->confirmed_at = vm->read_at;
@@ -238,7 +258,7 @@
             CaroStoreLog_RecordRead(vm->log, store_revision(f, vm->read_at),
                                     vm->read_at);
         }
-        vm->read_at += CaroStoreRole_ConfigInterval(vm->s.role);
+        vm->read_at = f->now + CaroStoreRole_ConfigDelay(vm->s.role, open);
     }
 }
 
@@ -364,6 +384,7 @@
         vm->read_at = f->now;
     }
     check_watch(f, vm);
+    step_replaced_watch(f, vm);
     step_watch(f, vm);
     step_read(f, vm);
     step_list(f, vm);
@@ -389,6 +410,7 @@
     f->rng = gsl_rng_alloc(gsl_rng_taus2);
     gsl_rng_set(f->rng, seed);
     f->loss = 0.005;
+    f->round_trip = ROUND_TRIP;
     /* Two changes per second, at random times. */
     CaroTime at = 0;
     while (f->n_changes < CHANGES_MAX) {
@@ -539,6 +561,28 @@
     }
 }
 
+/* Guards against VMs that all turn to the store when it is slow, and make it
+   slower. */
+static void
+test_slow_store_has_no_more_calls(void **state)
+{
+    (void)state;
+    for (CaroTime round_trip = 200 * MS; round_trip <= 600 * MS;
+         round_trip += 200 * MS) {
+        set_up_fleet(&fleet, 100, true, 5);
+        fleet.round_trip = round_trip;
+        double rate = play(&fleet, FAULT_NONE, OF_ONE_READER);
+        print_message("store answers in %d ms: %.1f calls per second, slowest "
+                      "change %d ms, oldest confirmation %d ms\n",
+                      (int)(round_trip / MS), rate, (int)(fleet.slowest / MS),
+                      (int)(fleet.oldest_confirmation / MS));
+        assert_true(rate < 35.0);
+        assert_true(fleet.slowest <= CHANGE_MAX);
+        assert_true(fleet.oldest_confirmation <= FRESHNESS_MAX);
+        tear_down_fleet(&fleet);
+    }
+}
+
 /* Guards against VMs that miss a change, or serve a revoked key, as long as
    their readers fail in any way that the store itself does not share. */
 static void
@@ -901,6 +945,7 @@
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_calls_without_faults),
+        cmocka_unit_test(test_slow_store_has_no_more_calls),
         cmocka_unit_test(test_changes_arrive_in_time_under_faults),
         cmocka_unit_test(test_calls_when_all_readers_fail),
         cmocka_unit_test(
