--- a/Test/proc_store_readers.sh
+++ b/Test/proc_store_readers.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Checks the readers of the store in a fleet of 42 gateways as processes.  It
 # guards against VMs that all call the store, and against configurations and
-# draining upstreams that VMs learn late while the readers of a failure domain are frozen.
+# draining upstreams that VMs learn late while the readers of a domain are
+# frozen.
 set -eu
 . Tools/gateway_fleet.sh
 trap fleet_stop EXIT
