Decode the processing time in load reports

X-Server-Load may have a fourth figure, the present processing time of which 100 is the usual one. ReadLoad gives it as work_percent (0 when absent or no number), CaroTarget keeps it as reported_work_percent, and CaroTargets_HasWorkFigure says whether a target of a service has ever sent one, so that new rules leave the services alone whose targets send three figures. Up to 1,024 services are recorded in 8 KB; further ones are treated as before.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -26,7 +26,8 @@
     CARO_HEADER_API_KEY,         /* Key of the caller; never forwarded. */
     CARO_HEADER_EXPECTED_TARGET, /* Id of the only target that may execute
                                     the request. */
-    CARO_HEADER_TARGET_LOAD,     /* Running and waiting requests, slots. */
+    CARO_HEADER_TARGET_LOAD,     /* Running and waiting requests, slots, and
+                                    the processing time from some targets. */
     CARO_HEADER_TARGET_LIMIT,    /* Requests a second that the target takes
                                     from all VMs together; absent while it
                                     has no limit. */
@@ -56,9 +57,13 @@
     int64_t running; /* Requests in execution. */
     int64_t waiting; /* Requests in its queue. */
     int64_t slots;   /* Requests that it can execute at once. */
+    int64_t
+        work_percent; /* Its present processing time, of which 100 is the
+                         usual one; 0 if the header has no fourth figure. */
 } CaroTargetLoad;
 
-/* Parses CARO_HEADER_TARGET_LOAD.  Returns 0 or CARO_ERR_INPUT. */
+/* Parses CARO_HEADER_TARGET_LOAD.  Returns 0 or CARO_ERR_INPUT.  A fourth
+   figure that is no number counts as absent. */
 int CaroPlatform_ReadLoad(CaroText value, CaroTargetLoad *load);
 
 /* Parses CARO_HEADER_TARGET_LIMIT, a decimal number of at least 0.  Returns 0
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -21,7 +21,7 @@
 /* Longer than a notice or a failure is reported to other VMs. */
 #define RECENT_TTL (5 * CARO_SECOND)
 
-enum { BUCKETS = 4096 };
+enum { BUCKETS = 4096, WORK_SERVICES = 1024 };
 
 /* What the table itself keeps of a slot. */
 typedef struct {
@@ -44,6 +44,9 @@
     CaroHandle recent[CARO_TARGETS_MAX];
     int n_recent;
     CaroTargetNotices *notices; /* Of starts that are not registered. */
+    /* Hashes of the services whose targets report their processing time, in
+       open addressing; 0 for a free slot. */
+    uint64_t work_services[WORK_SERVICES];
 };
 
 CaroTargets *
@@ -372,13 +375,50 @@
     CaroTargets_Get(t, h)->prefill_tokens += tokens;
 }
 
+static uint64_t
+hash_service(const char *service)
+{
+    uint64_t hash = XXH64(service, strlen(service), 0);
+    return hash != 0 ? hash : 1;
+}
+
+/* Returns the slot of the service, else the free one that it would take, or
+   WORK_SERVICES when all are taken by others. */
+static int
+find_work_service(const CaroTargets *t, uint64_t hash)
+{
+    for (int i = 0; i < WORK_SERVICES; i++) {
+        int at = (int)((hash + (uint64_t)i) % WORK_SERVICES);
+        if (t->work_services[at] == hash || t->work_services[at] == 0) {
+            return at;
+        }
+    }
+    return WORK_SERVICES;
+}
+
+bool
+CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service)
+{
+    uint64_t hash = hash_service(service);
+    int at = find_work_service(t, hash);
+    return at < WORK_SERVICES && t->work_services[at] == hash;
+}
+
 void
 CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running, int waiting,
-                       CaroTime now)
+                       int work_percent, CaroTime now)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
+    if (work_percent > 0) {
+        uint64_t hash = hash_service(target->entry.service);
+        int at = find_work_service(t, hash);
+        if (at < WORK_SERVICES) {
+            t->work_services[at] = hash;
+        }
+    }
     target->reported_running = running;
     target->reported_waiting = waiting;
+    target->reported_work_percent = work_percent;
     target->reported_at = now;
 }
 
--- a/Test/test_many_targets.c
+++ b/Test/test_many_targets.c
@@ -189,6 +189,35 @@
     assert_true(at_10000 < 3.2 * at_300);
 }
 
+/* Guards against new rules that apply to services whose targets never reported
+   a processing time, or that end when the target that did is removed. */
+static void
+test_services_that_report_their_processing_time(void **state)
+{
+    (void)state;
+    CaroTargets *t = CaroTargets_Create();
+    CaroHandle a = put(t, 0, "a", "d");
+    CaroHandle b = put(t, 0, "b", "d");
+    CaroTargets_RecordLoad(t, a, 1, 2, 0, S);
+    assert_false(CaroTargets_HasWorkFigure(t, "a"));
+    CaroTargets_RecordLoad(t, b, 1, 2, 182, S);
+    assert_int_equal(CaroTargets_GetConst(t, b)->reported_work_percent, 182);
+    CaroTargets_RecordLoad(t, b, 1, 2, 0, S);
+    assert_int_equal(CaroTargets_GetConst(t, b)->reported_work_percent, 0);
+    CaroTargets_Remove(t, b);
+    assert_true(CaroTargets_HasWorkFigure(t, "b"));
+    assert_false(CaroTargets_HasWorkFigure(t, "a"));
+    /* More services than are recorded. */
+    for (int i = 0; i < 1100; i++) {
+        char service[CARO_NAME_SIZE];
+        (void)snprintf(service, sizeof(service), "s%d", i);
+        CaroTargets_RecordLoad(t, put(t, i, service, "d"), 1, 2, 100, S);
+    }
+    assert_true(CaroTargets_HasWorkFigure(t, "b"));
+    assert_false(CaroTargets_HasWorkFigure(t, "a"));
+    CaroTargets_Destroy(t);
+}
+
 int
 main(void)
 {
@@ -197,6 +226,7 @@
         cmocka_unit_test(test_full_table_is_shared_among_services),
         cmocka_unit_test(test_last_usable_target_is_found),
         cmocka_unit_test(test_loads_of_peers_after_restarts),
+        cmocka_unit_test(test_services_that_report_their_processing_time),
         cmocka_unit_test(test_cost_of_choice_does_not_grow),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -139,6 +139,30 @@
     CaroStoreCall_Clear(&call);
 }
 
+/* Guards against a load report that is lost, or read with a figure that it
+   does not have, because its fourth figure is absent or odd. */
+static void
+test_fourth_figure_of_the_load(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *value;
+        int64_t work_percent;
+    } cases[] = {{"3,1,8,182", 182}, {"3,1,8", 0},
+                 {"3,1,8,", 0},      {"3,1,8,x", 0},
+                 {"3,1,8,-5", 0},    {"3,1,8,100,7", 100},
+                 {"3,1,8,0", 0},     {"3,1,8,999999999999", 1000000}};
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        CaroTargetLoad load;
+        CaroText value = {cases[i].value, strlen(cases[i].value)};
+        assert_int_equal(CaroPlatform_ReadLoad(value, &load), 0);
+        assert_int_equal(load.running, 3);
+        assert_int_equal(load.waiting, 1);
+        assert_int_equal(load.slots, 8);
+        assert_int_equal(load.work_percent, cases[i].work_percent);
+    }
+}
+
 static void
 test_headers(void **state)
 {
@@ -379,6 +403,7 @@
         cmocka_unit_test(test_target_registration),
         cmocka_unit_test(test_store_calls_and_responses),
         cmocka_unit_test(test_headers),
+        cmocka_unit_test(test_fourth_figure_of_the_load),
         cmocka_unit_test(test_event_stream_returns_complete_events),
         cmocka_unit_test(test_event_stream_time_is_linear),
         cmocka_unit_test(test_gateway_settings),
