Adaptive timeout between events of a stream

A stream counted as silent after 0.45 of the gap objective. Intervals of healthy engines reach that: 285 ms while an engine at 0.55 of the usual speed processes a prompt, 327 ms at a fast one whose work is 2.5 times slower for a moment. The stream moved, the engine was taken for lost, and the prompts that it was processing followed.

The timeout now follows the longest recent interval of the engine, the prompts queued there and at the engine with the KV copy, and the predicted prefill of a stream without an event, for services whose servers report a processing time. All others keep the constants. A stream that other streams overtook counts as preempted and moves as early as before.

Ruled out: docs/design/event-timeout.md, "Ways weighed".

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -59,7 +59,10 @@
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
     X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")                    \
-    X(TARGETS_LEFT_OUT, "upstreams_without_place")
+    X(TARGETS_LEFT_OUT, "upstreams_without_place")                            \
+    X(SILENT_MOVED, "silent_streams_moved")                                   \
+    X(PREEMPTED_MOVED, "preempted_streams_moved")                             \
+    X(SILENCES_ENDED, "silences_waited_out")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -7,6 +7,7 @@
 
 #include "internal/caro_attempt.h"
 #include "internal/caro_event_forwarder.h"
+#include "internal/caro_event_pace.h"
 #include "internal/caro_relay.h"
 
 /* Retry-After of requests for which there is no upstream; an engine that
@@ -59,7 +60,10 @@
     bool is_over_limit;       /* Only full targets are left. */
     bool is_target_suspected; /* Another stream found the target silent. */
     bool is_silence_recorded; /* The target was recorded as silent. */
+    CaroTime suspected_at;    /* Time of the last report of that. */
     bool has_prefill_ahead;   /* Other prompts were queued at the target. */
+    int tokens_ahead;         /* Their tokens. */
+    uint32_t events_at_target; /* CaroEventPace_Count at the last event. */
     int prefill_tokens; /* Pending prefill at the target; 0 after an event. */
     int prompt_tokens;  /* Prompt of the request; 0 for plain requests. */
     CaroPromptParts prompt_parts; /* None for plain requests. */
@@ -78,6 +82,7 @@
     CaroRelayDeps deps;
     CaroRelay *first;
     int n_relays;
+    CaroEventPace *event_pace;
     int vms;                /* See CaroRelays_SetVms. */
     bool has_unsent_change; /* See CaroRelays_ConsumeChange. */
 };
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -17,9 +17,15 @@
 CaroRelays_Create(const CaroRelayDeps *deps)
 {
     CaroRelays *relays = calloc(1, sizeof(*relays));
-    if (relays != NULL) {
-        relays->deps = *deps;
-        relays->vms = 1;
+    if (relays == NULL) {
+        return NULL;
+    }
+    relays->deps = *deps;
+    relays->vms = 1;
+    relays->event_pace = CaroEventPace_Create();
+    if (relays->event_pace == NULL) {
+        free(relays);
+        return NULL;
     }
     return relays;
 }
@@ -33,6 +39,7 @@
     while (relays->first != NULL) {
         CaroRelay_Destroy(relays->first);
     }
+    CaroEventPace_Destroy(relays->event_pace);
     free(relays);
 }
 
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -32,6 +32,9 @@
 /* Wait before a new search for an upstream, or for budget, for a stream that
    has begun. */
 #define PLACEMENT_RETRY_DELAY (40 * CARO_MS)
+/* An adaptive timeout depends on other streams and engines, and may become
+   shorter while a stream is silent. */
+#define RECHECK_DELAY (20 * CARO_MS)
 /* A timeout is put off by this for bytes that have arrived and not been
    read; the next iteration of the loop reads them. */
 #define UNREAD_DELAY (1 * CARO_MS)
@@ -45,10 +48,60 @@
                         CaroTime now);
 static void handle_silence(CaroRelay *r, CaroTime now);
 
+static bool
+has_adaptive_timeout(const CaroRelay *r)
+{
+    return CaroRelay_IsStream(r) &&
+           CaroTargets_HasWorkFigure(r->relays->deps.targets, r->service);
+}
+
+static bool
+has_prefill(const CaroTarget *target)
+{
+    return target->prefill_tokens + target->peer_prefill_tokens > 0;
+}
+
+/* Events of other streams of this VM at the target since the last one of this
+   stream. */
+static uint32_t
+events_of_others(const CaroRelay *r, const CaroTarget *target)
+{
+    uint32_t count =
+        CaroEventPace_Count(r->relays->event_pace, target->start_hash);
+    return count > r->events_at_target ? count - r->events_at_target : 0;
+}
+
+static void
+add_adaptive_state(const CaroRelay *r, CaroEventTimeoutQuery *q, CaroTime now)
+{
+    const CaroTargets *targets = r->relays->deps.targets;
+    const CaroEventPace *pace = r->relays->event_pace;
+    const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
+    const CaroTarget *kv_holder =
+        r->kv_copy_at == CARO_NO_HANDLE
+            ? NULL
+            : CaroTargets_GetConst(targets, r->kv_copy_at);
+    q->is_adaptive = true;
+    /* An event since then shows that the target was only slow. */
+    q->is_target_suspected =
+        r->is_target_suspected && r->suspected_at > target->last_heard_at;
+    q->has_kv_copy = kv_holder != NULL && CaroTarget_IsUsable(kv_holder, now);
+    q->is_kv_holder_busy = kv_holder != NULL && has_prefill(kv_holder);
+    q->is_preempted = CaroEventTimeout_IsOvertaken(events_of_others(r, target),
+                                                   target->streams);
+    q->longest_interval =
+        CaroEventPace_LongestInterval(pace, target->start_hash, now);
+    q->has_prefill = has_prefill(target);
+    q->prompt_tokens = r->prompt_tokens;
+    q->tokens_ahead = r->tokens_ahead;
+    q->us_per_token =
+        CaroEventPace_PrefillTime(pace, target->start_hash, r->service);
+}
+
 static CaroEventTimeoutQuery
-timeout_query(const CaroRelay *r)
+timeout_query(const CaroRelay *r, CaroTime now)
 {
-    return (CaroEventTimeoutQuery){
+    CaroEventTimeoutQuery q = {
         .route = &r->route,
         .has_events = CaroEventForwarder_HasEvents(r->forwarder),
         .is_target_suspected = r->is_target_suspected,
@@ -56,11 +109,15 @@
         .has_prefill_ahead = r->has_prefill_ahead,
         .is_first_run = r->attempt.runs == 0,
         .has_forwarded_events = CaroEventForwarder_LastId(r->forwarder) >= 0};
+    if (has_adaptive_timeout(r)) {
+        add_adaptive_state(r, &q, now);
+    }
+    return q;
 }
 
-/* Time at which the current attempt counts as silent. */
+/* Time at which the current attempt counts as silent, as known at "now". */
 static CaroTime
-silence_deadline(const CaroRelay *r)
+silence_deadline(const CaroRelay *r, CaroTime now)
 {
     if (r->failed_at > 0 &&
         (r->is_not_run || CaroAttempt_IsRetryable(&r->attempt))) {
@@ -70,7 +127,7 @@
         r->target == CARO_NO_HANDLE) {
         return r->attempt.deadline;
     }
-    CaroEventTimeoutQuery q = timeout_query(r);
+    CaroEventTimeoutQuery q = timeout_query(r, now);
     const CaroTarget *target =
         CaroTargets_GetConst(r->relays->deps.targets, r->target);
     return CaroEventTimeout_Deadline(&q, r->last_event_at,
@@ -80,7 +137,17 @@
 void
 CaroRelay_ScheduleTimer(CaroRelay *r, CaroTime now)
 {
-    CaroTime at = silence_deadline(r);
+    CaroTime at = silence_deadline(r, now);
+    bool may_change = !r->is_paused && r->target != CARO_NO_HANDLE &&
+                      CaroEventForwarder_HasEvents(r->forwarder) &&
+                      has_adaptive_timeout(r);
+    if (may_change) {
+        CaroTime shortest =
+            r->last_event_at + CaroEventTimeout_Shortest(&r->route);
+        CaroTime check =
+            shortest > now + RECHECK_DELAY ? shortest : now + RECHECK_DELAY;
+        at = check < at ? check : at;
+    }
     CaroRelay_SetTimer(r, at < r->attempt.deadline ? at : r->attempt.deadline,
                        now);
 }
@@ -134,7 +201,7 @@
             CaroRelay_SetTimer(r, now + PLACEMENT_RETRY_DELAY, now);
         }
     }
-    else if (!is_expired && now < silence_deadline(r)) {
+    else if (!is_expired && now < silence_deadline(r, now)) {
         CaroRelay_ScheduleTimer(r, now);
     }
     else if (put_off_timeout(r, now)) {
@@ -190,6 +257,31 @@
                  target->kv_copies);
 }
 
+/* Records what the arrival of an event says about the pace of its engine. */
+static void
+record_pace(CaroRelay *r, bool is_first, CaroTime now)
+{
+    CaroEventPace *pace = r->relays->event_pace;
+    const CaroTarget *target =
+        CaroTargets_GetConst(r->relays->deps.targets, r->target);
+    if (!has_adaptive_timeout(r)) {
+        return;
+    }
+    CaroTime interval = now - r->last_event_at;
+    if (!is_first) {
+        CaroEventPace_RecordInterval(pace, target->start_hash, interval, now);
+        if (interval >= CaroEventTimeout_Shortest(&r->route)) {
+            CaroRelay_AddCount(r, CARO_COUNT_SILENCES_ENDED);
+        }
+    }
+    else if (!r->is_from_kv_copy && !r->has_prefill_ahead) {
+        CaroEventPace_RecordPrefill(pace, target->start_hash, r->service,
+                                    r->prompt_tokens,
+                                    now - r->attempt_started_at, now);
+    }
+    r->events_at_target = CaroEventPace_Count(pace, target->start_hash);
+}
+
 static void
 forward_events(CaroRelay *r, CaroText bytes, CaroTime now)
 {
@@ -206,6 +298,7 @@
         return;
     }
     if (n > 0) {
+        record_pace(r, is_first, now);
         r->last_event_at = now;
         r->put_offs = 0;
         CaroTargets_RecordHeard(r->relays->deps.targets, r->target, now);
@@ -566,10 +659,13 @@
                              CaroTime now)
 {
     for (CaroRelay *r = relays->first; r != NULL; r = r->next) {
-        if (r->target == target && CaroRelay_IsStream(r) &&
-            !r->is_target_suspected) {
+        if (r->target == target && CaroRelay_IsStream(r)) {
+            bool is_first = !r->is_target_suspected;
             r->is_target_suspected = true;
-            CaroRelay_ScheduleTimer(r, now);
+            r->suspected_at = now;
+            if (is_first || has_adaptive_timeout(r)) {
+                CaroRelay_ScheduleTimer(r, now);
+            }
         }
     }
 }
@@ -718,6 +814,36 @@
     return CaroPlacement_HasUsable(r->relays->deps.targets, &q, now);
 }
 
+/* Logs why a silent stream is moved. */
+static void
+report_silence(const CaroRelay *r, CaroTime now)
+{
+    CaroEventTimeoutQuery q = timeout_query(r, now);
+    CaroEventTimeoutRule rule = CaroEventTimeout_Rule(&q);
+    const CaroTarget *target =
+        CaroTargets_GetConst(r->relays->deps.targets, r->target);
+    CaroCounters_Add(r->relays->deps.counters,
+                     rule == CARO_TIMEOUT_PREEMPTED
+                         ? CARO_COUNT_PREEMPTED_MOVED
+                         : CARO_COUNT_SILENT_MOVED,
+                     1);
+    CaroLog_Info(
+        "relay",
+        "A silent stream is moved. id=" CARO_LOG_TEXT
+        " upstream=%s rule=%s silent_ms=%lld timeout_ms=%lld heard_ms=%lld "
+        "longest_ms=%lld us_per_token=%.0f ahead=%d reading=%d copy=%d "
+        "copy_busy=%d suspected=%d",
+        r->id, target->entry.id, CaroEventTimeoutRule_Name(rule),
+        (long long)((now - r->last_event_at) / CARO_MS),
+        (long long)(CaroEventTimeout_Get(&q) / CARO_MS),
+        (long long)(target->last_heard_at == 0
+                        ? -1
+                        : (now - target->last_heard_at) / CARO_MS),
+        (long long)(q.longest_interval / CARO_MS), q.us_per_token,
+        q.tokens_ahead, target->prefill_tokens + target->peer_prefill_tokens,
+        q.has_kv_copy, q.is_kv_holder_busy, q.is_target_suspected);
+}
+
 /* Ends a silent attempt if another can replace it.  Otherwise the upstream
    may still respond, whereas the request would be given up; the silence is
    considered again after another timeout. */
@@ -727,12 +853,15 @@
     CaroRetryLimit limit = CaroAttempt_CheckRetry(
         &r->attempt, true, has_retry_budget(r, now), now);
     if (limit == CARO_RETRY_ALLOWED && has_other_target(r, now)) {
+        if (has_adaptive_timeout(r)) {
+            report_silence(r, now);
+        }
         end_attempt(r, CARO_OUTCOME_SILENT,
                     "the upstream sent nothing in time", now);
         return;
     }
     record_failure(r, CARO_OUTCOME_SILENT, now);
-    CaroEventTimeoutQuery q = timeout_query(r);
+    CaroEventTimeoutQuery q = timeout_query(r, now);
     CaroTime next = now + CaroEventTimeout_Get(&q);
     CaroRelay_SetTimer(
         r, next < r->attempt.deadline ? next : r->attempt.deadline, now);
@@ -880,8 +1009,8 @@
     }
     const CaroTarget *target =
         CaroTargets_GetConst(relays->deps.targets, r->target);
-    r->has_prefill_ahead =
-        target->prefill_tokens + target->peer_prefill_tokens > 0;
+    r->tokens_ahead = target->prefill_tokens + target->peer_prefill_tokens;
+    r->has_prefill_ahead = r->tokens_ahead > 0;
     begin_rollout_attempt(r, target, now);
     CaroTargets_Begin(relays->deps.targets, r->target, CaroRelay_IsStream(r));
     relays->has_unsent_change |= CaroRelay_IsStream(r);
