Do not count a connection as failed that stayed unread

Servers cut off a response that stays unread for some seconds. When this VM had stopped reading because its caller was slow, the closed connection counted as a failure: the upstream was avoided, reported to the other VMs, and its version got a sample. A close within a second after the end of a pause of at least a second, or in such a pause, is no failure any more; the request continues as after any lost attempt.

--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -49,6 +49,10 @@
     int put_offs;           /* Times that a timeout was put off since then. */
     bool is_paused; /* Reading is stopped because the caller is slow. */
     CaroTime paused_at;
+    /* Until then the upstream may have closed the connection because this VM
+       did not read it. */
+    CaroTime unread_until;
+    bool is_cut_unread;        /* It did so. */
     bool is_skipping_response; /* The response is another request's. */
     int n_foreign_responses;   /* The channel delivered them. */
     size_t foreign_bytes;      /* Bytes of their bodies. */
@@ -138,6 +142,9 @@
 
 /* relay_attempt.c: attempts at upstreams. */
 
+/* Reads the upstream again after the caller was slow. */
+void CaroRelay_EndPause(CaroRelay *r, CaroTime now);
+
 /* Begins the next attempt, or ends the request when there is none. */
 void CaroRelay_BeginAttempt(CaroRelay *r, CaroTime now);
 void CaroRelay_ScheduleTimer(CaroRelay *r, CaroTime now);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -201,10 +201,7 @@
 {
     CaroRelay *r = CaroCall_Owner(call);
     if (r != NULL && r->is_paused && r->channel != NULL) {
-        r->is_paused = false;
-        r->last_event_at += now - r->paused_at;
-        CaroChannel_Pause(r->channel, false);
-        CaroRelay_ScheduleTimer(r, now);
+        CaroRelay_EndPause(r, now);
     }
 }
 
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -32,6 +32,11 @@
 /* Wait before a new search for an upstream, or for budget, for a stream that
    has begun. */
 #define PLACEMENT_RETRY_DELAY (40 * CARO_MS)
+/* Servers cut off a response that stays unread for some seconds. */
+#define UNREAD_TIME_MIN (1 * CARO_SECOND)
+/* Time after reading is resumed within which the end of such a connection is
+   found, behind the bytes that the sockets held. */
+#define UNREAD_CLOSE_TIME (1 * CARO_SECOND)
 /* An adaptive timeout depends on other streams and engines, and may become
    shorter while a stream is silent. */
 #define RECHECK_DELAY (20 * CARO_MS)
@@ -241,6 +246,30 @@
     }
 }
 
+/* Pauses that follow shortly count as one: the bytes of the sockets are read
+   first, and the caller may be slow again. */
+void
+CaroRelay_EndPause(CaroRelay *r, CaroTime now)
+{
+    r->is_paused = false;
+    if (now - r->paused_at >= UNREAD_TIME_MIN ||
+        r->paused_at < r->unread_until) {
+        r->unread_until = now + UNREAD_CLOSE_TIME;
+    }
+    r->last_event_at += now - r->paused_at;
+    CaroChannel_Pause(r->channel, false);
+    CaroRelay_ScheduleTimer(r, now);
+}
+
+/* Returns whether the upstream may have closed the connection because its
+   response stayed unread. */
+static bool
+may_be_cut_unread(const CaroRelay *r, CaroTime now)
+{
+    return now < r->unread_until ||
+           (r->is_paused && now - r->paused_at >= UNREAD_TIME_MIN);
+}
+
 static void
 log_resume(const CaroRelay *r, CaroTime now)
 {
@@ -525,6 +554,7 @@
     }
     if (r->is_event_stream &&
         CaroEventForwarder_HasPartialEvent(r->forwarder)) {
+        r->is_cut_unread = r->is_close_delimited && may_be_cut_unread(r, now);
         end_attempt(r, CARO_OUTCOME_LOST, "the stream ended within an event",
                     now);
         return;
@@ -561,6 +591,7 @@
     CaroOutcome unsent =
         code == CARO_ERR_NOT_FOUND ? CARO_OUTCOME_GONE : CARO_OUTCOME_UNSENT;
     if (is_sent && code == CARO_ERR_IO) {
+        r->is_cut_unread = may_be_cut_unread(r, now);
         record_loss_before_events(r, now);
     }
     end_attempt(r, is_sent ? outcome_without_end(r) : unsent, reason, now);
@@ -587,7 +618,7 @@
                    ? CARO_TARGET_NO_FAILURE
                    : CARO_TARGET_SILENT;
     case CARO_OUTCOME_LOST:
-        return CARO_TARGET_FAILING;
+        return r->is_cut_unread ? CARO_TARGET_NO_FAILURE : CARO_TARGET_FAILING;
     case CARO_OUTCOME_UNSENT:
         return CaroTarget_IsOpen(target, now) ? CARO_TARGET_FAILING
                                               : CARO_TARGET_NO_FAILURE;
@@ -705,6 +736,9 @@
 add_failure_sample(CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
     CaroAttemptResult result = CARO_ATTEMPT_FAILED;
+    if (r->is_cut_unread) {
+        return;
+    }
     switch (outcome) {
     case CARO_OUTCOME_SILENT:
     case CARO_OUTCOME_EXPIRED:
@@ -742,13 +776,13 @@
         "An attempt ended. id=" CARO_LOG_TEXT
         " upstream=%s outcome=%s ms=%lld "
         "silent_ms=%lld has_head=%d has_events=%d from_copy=%d "
-        "copy_at=%s parts=%s retry=%s reason=\"%s\"",
+        "copy_at=%s unread=%d parts=%s retry=%s reason=\"%s\"",
         r->id, CaroTargets_GetConst(targets, r->target)->entry.id,
         CaroOutcome_Name(outcome),
         (long long)((now - r->attempt_started_at) / CARO_MS),
         (long long)((now - r->last_event_at) / CARO_MS), r->is_event_stream,
         CaroEventForwarder_HasEvents(r->forwarder), r->is_from_kv_copy,
-        kv_copy, parts, CaroRetryLimit_Name(limit), reason);
+        kv_copy, r->is_cut_unread, parts, CaroRetryLimit_Name(limit), reason);
 }
 
 static void
@@ -992,6 +1026,8 @@
     r->is_skipping_response = false;
     r->is_forwarding = false;
     r->is_paused = false;
+    r->unread_until = 0;
+    r->is_cut_unread = false;
     evbuffer_drain(r->body, evbuffer_get_length(r->body));
     CaroEventForwarder_BeginAttempt(r->forwarder);
     r->target = choose_target(r, now);
