--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -63,7 +63,10 @@
     X(STORE_READER, "store_reader")                                           \
     X(STORE_CHANGES_RECEIVED, "store_changes_from_readers")                   \
     X(STORE_READER_FAILURES, "store_reader_failures")                         \
-    X(STORE_GAPS, "store_lists_after_gaps")
+    X(STORE_GAPS, "store_lists_after_gaps")                                   \
+    X(SILENT_MOVED, "silent_streams_moved")                                   \
+    X(PREEMPTED_MOVED, "preempted_streams_moved")                             \
+    X(SILENCES_ENDED, "silences_waited_out")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -7,6 +7,7 @@
 
 #include "internal/caro_attempt.h"
 #include "internal/caro_event_forwarder.h"
+#include "internal/caro_event_pace.h"
 #include "internal/caro_relay.h"
 
 /* Retry-After of requests for which there is no upstream; an engine that
@@ -48,6 +49,10 @@
     int put_offs;           /* Times that a timeout was put off since then. */
     bool is_paused; /* Reading is stopped because the caller is slow. */
     CaroTime paused_at;
+    /* Until then the upstream may have closed the connection because this VM
+       did not read it. */
+    CaroTime unread_until;
+    bool is_cut_unread;        /* It did so. */
     bool is_skipping_response; /* The response is another request's. */
     int n_foreign_responses;   /* The channel delivered them. */
     size_t foreign_bytes;      /* Bytes of their bodies. */
@@ -59,7 +64,10 @@
     bool is_over_limit;       /* Only full targets are left. */
     bool is_target_suspected; /* Another stream found the target silent. */
     bool is_silence_recorded; /* The target was recorded as silent. */
+    CaroTime suspected_at;    /* Time of the last report of that. */
     bool has_prefill_ahead;   /* Other prompts were queued at the target. */
+    int tokens_ahead;         /* Their tokens. */
+    uint32_t events_at_target; /* CaroEventPace_Count at the last event. */
     int prefill_tokens; /* Pending prefill at the target; 0 after an event. */
     int prompt_tokens;  /* Prompt of the request; 0 for plain requests. */
     CaroPromptParts prompt_parts; /* None for plain requests. */
@@ -78,6 +86,7 @@
     CaroRelayDeps deps;
     CaroRelay *first;
     int n_relays;
+    CaroEventPace *event_pace;
     int vms;                /* See CaroRelays_SetVms. */
     bool has_unsent_change; /* See CaroRelays_ConsumeChange. */
 };
@@ -133,6 +142,9 @@
 
 /* relay_attempt.c: attempts at upstreams. */
 
+/* Reads the upstream again after the caller was slow. */
+void CaroRelay_EndPause(CaroRelay *r, CaroTime now);
+
 /* Begins the next attempt, or ends the request when there is none. */
 void CaroRelay_BeginAttempt(CaroRelay *r, CaroTime now);
 void CaroRelay_ScheduleTimer(CaroRelay *r, CaroTime now);
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -32,6 +32,14 @@
 /* Wait before a new search for an upstream, or for budget, for a stream that
    has begun. */
 #define PLACEMENT_RETRY_DELAY (40 * CARO_MS)
+/* Servers cut off a response that stays unread for some seconds. */
+#define UNREAD_TIME_MIN (1 * CARO_SECOND)
+/* Time after reading is resumed within which the end of such a connection is
+   found, behind the bytes that the sockets held. */
+#define UNREAD_CLOSE_TIME (1 * CARO_SECOND)
+/* An adaptive timeout depends on other streams and engines, and may become
+   shorter while a stream is silent. */
+#define RECHECK_DELAY (20 * CARO_MS)
 /* A timeout is put off by this for bytes that have arrived and not been
    read; the next iteration of the loop reads them. */
 #define UNREAD_DELAY (1 * CARO_MS)
@@ -45,10 +53,60 @@
                         CaroTime now);
 static void handle_silence(CaroRelay *r, CaroTime now);
 
+static bool
+has_adaptive_timeout(const CaroRelay *r)
+{
+    return CaroRelay_IsStream(r) &&
+           CaroTargets_HasWorkFigure(r->relays->deps.targets, r->service);
+}
+
+static bool
+has_prefill(const CaroTarget *target)
+{
+    return target->prefill_tokens + target->peer_prefill_tokens > 0;
+}
+
+/* Events of other streams of this VM at the target since the last one of this
+   stream. */
+static uint32_t
+events_of_others(const CaroRelay *r, const CaroTarget *target)
+{
+    uint32_t count =
+        CaroEventPace_Count(r->relays->event_pace, target->start_hash);
+    return count > r->events_at_target ? count - r->events_at_target : 0;
+}
+
+static void
+add_adaptive_state(const CaroRelay *r, CaroEventTimeoutQuery *q, CaroTime now)
+{
+    const CaroTargets *targets = r->relays->deps.targets;
+    const CaroEventPace *pace = r->relays->event_pace;
+    const CaroTarget *target = CaroTargets_GetConst(targets, r->target);
+    const CaroTarget *kv_holder =
+        r->kv_copy_at == CARO_NO_HANDLE
+            ? NULL
+            : CaroTargets_GetConst(targets, r->kv_copy_at);
+    q->is_adaptive = true;
+    /* An event since then shows that the target was only slow. */
+    q->is_target_suspected =
+        r->is_target_suspected && r->suspected_at > target->last_heard_at;
+    q->has_kv_copy = kv_holder != NULL && CaroTarget_IsUsable(kv_holder, now);
+    q->is_kv_holder_busy = kv_holder != NULL && has_prefill(kv_holder);
+    q->is_preempted = CaroEventTimeout_IsOvertaken(events_of_others(r, target),
+                                                   target->streams);
+    q->longest_interval =
+        CaroEventPace_LongestInterval(pace, target->start_hash, now);
+    q->has_prefill = has_prefill(target);
+    q->prompt_tokens = r->prompt_tokens;
+    q->tokens_ahead = r->tokens_ahead;
+    q->us_per_token =
+        CaroEventPace_PrefillTime(pace, target->start_hash, r->service);
+}
+
 static CaroEventTimeoutQuery
-timeout_query(const CaroRelay *r)
+timeout_query(const CaroRelay *r, CaroTime now)
 {
-    return (CaroEventTimeoutQuery){
+    CaroEventTimeoutQuery q = {
         .route = &r->route,
         .has_events = CaroEventForwarder_HasEvents(r->forwarder),
         .is_target_suspected = r->is_target_suspected,
@@ -56,11 +114,15 @@
         .has_prefill_ahead = r->has_prefill_ahead,
         .is_first_run = r->attempt.runs == 0,
         .has_forwarded_events = CaroEventForwarder_LastId(r->forwarder) >= 0};
+    if (has_adaptive_timeout(r)) {
+        add_adaptive_state(r, &q, now);
+    }
+    return q;
 }
 
-/* Time at which the current attempt counts as silent. */
+/* Time at which the current attempt counts as silent, as known at "now". */
 static CaroTime
-silence_deadline(const CaroRelay *r)
+silence_deadline(const CaroRelay *r, CaroTime now)
 {
     if (r->failed_at > 0 &&
         (r->is_not_run || CaroAttempt_IsRetryable(&r->attempt))) {
@@ -70,7 +132,7 @@
         r->target == CARO_NO_HANDLE) {
         return r->attempt.deadline;
     }
-    CaroEventTimeoutQuery q = timeout_query(r);
+    CaroEventTimeoutQuery q = timeout_query(r, now);
     const CaroTarget *target =
         CaroTargets_GetConst(r->relays->deps.targets, r->target);
     return CaroEventTimeout_Deadline(&q, r->last_event_at,
@@ -80,7 +142,17 @@
 void
 CaroRelay_ScheduleTimer(CaroRelay *r, CaroTime now)
 {
-    CaroTime at = silence_deadline(r);
+    CaroTime at = silence_deadline(r, now);
+    bool may_change = !r->is_paused && r->target != CARO_NO_HANDLE &&
+                      CaroEventForwarder_HasEvents(r->forwarder) &&
+                      has_adaptive_timeout(r);
+    if (may_change) {
+        CaroTime shortest =
+            r->last_event_at + CaroEventTimeout_Shortest(&r->route);
+        CaroTime check =
+            shortest > now + RECHECK_DELAY ? shortest : now + RECHECK_DELAY;
+        at = check < at ? check : at;
+    }
     CaroRelay_SetTimer(r, at < r->attempt.deadline ? at : r->attempt.deadline,
                        now);
 }
@@ -134,7 +206,7 @@
             CaroRelay_SetTimer(r, now + PLACEMENT_RETRY_DELAY, now);
         }
     }
-    else if (!is_expired && now < silence_deadline(r)) {
+    else if (!is_expired && now < silence_deadline(r, now)) {
         CaroRelay_ScheduleTimer(r, now);
     }
     else if (put_off_timeout(r, now)) {
@@ -174,6 +246,30 @@
     }
 }
 
+/* Pauses that follow shortly count as one: the bytes of the sockets are read
+   first, and the caller may be slow again. */
+void
+CaroRelay_EndPause(CaroRelay *r, CaroTime now)
+{
+    r->is_paused = false;
+    if (now - r->paused_at >= UNREAD_TIME_MIN ||
+        r->paused_at < r->unread_until) {
+        r->unread_until = now + UNREAD_CLOSE_TIME;
+    }
+    r->last_event_at += now - r->paused_at;
+    CaroChannel_Pause(r->channel, false);
+    CaroRelay_ScheduleTimer(r, now);
+}
+
+/* Returns whether the upstream may have closed the connection because its
+   response stayed unread. */
+static bool
+may_be_cut_unread(const CaroRelay *r, CaroTime now)
+{
+    return now < r->unread_until ||
+           (r->is_paused && now - r->paused_at >= UNREAD_TIME_MIN);
+}
+
 static void
 log_resume(const CaroRelay *r, CaroTime now)
 {
@@ -190,6 +286,31 @@
                  target->kv_copies);
 }
 
+/* Records what the arrival of an event says about the pace of its engine. */
+static void
+record_pace(CaroRelay *r, bool is_first, CaroTime now)
+{
+    CaroEventPace *pace = r->relays->event_pace;
+    const CaroTarget *target =
+        CaroTargets_GetConst(r->relays->deps.targets, r->target);
+    if (!has_adaptive_timeout(r)) {
+        return;
+    }
+    CaroTime interval = now - r->last_event_at;
+    if (!is_first) {
+        CaroEventPace_RecordInterval(pace, target->start_hash, interval, now);
+        if (interval >= CaroEventTimeout_Shortest(&r->route)) {
+            CaroRelay_AddCount(r, CARO_COUNT_SILENCES_ENDED);
+        }
+    }
+    else if (!r->is_from_kv_copy && !r->has_prefill_ahead) {
+        CaroEventPace_RecordPrefill(pace, target->start_hash, r->service,
+                                    r->prompt_tokens,
+                                    now - r->attempt_started_at, now);
+    }
+    r->events_at_target = CaroEventPace_Count(pace, target->start_hash);
+}
+
 static void
 forward_events(CaroRelay *r, CaroText bytes, CaroTime now)
 {
@@ -206,6 +327,7 @@
         return;
     }
     if (n > 0) {
+        record_pace(r, is_first, now);
         r->last_event_at = now;
         r->put_offs = 0;
         CaroTargets_RecordHeard(r->relays->deps.targets, r->target, now);
@@ -432,6 +554,7 @@
     }
     if (r->is_event_stream &&
         CaroEventForwarder_HasPartialEvent(r->forwarder)) {
+        r->is_cut_unread = r->is_close_delimited && may_be_cut_unread(r, now);
         end_attempt(r, CARO_OUTCOME_LOST, "the stream ended within an event",
                     now);
         return;
@@ -468,6 +591,7 @@
     CaroOutcome unsent =
         code == CARO_ERR_NOT_FOUND ? CARO_OUTCOME_GONE : CARO_OUTCOME_UNSENT;
     if (is_sent && code == CARO_ERR_IO) {
+        r->is_cut_unread = may_be_cut_unread(r, now);
         record_loss_before_events(r, now);
     }
     end_attempt(r, is_sent ? outcome_without_end(r) : unsent, reason, now);
@@ -494,7 +618,7 @@
                    ? CARO_TARGET_NO_FAILURE
                    : CARO_TARGET_SILENT;
     case CARO_OUTCOME_LOST:
-        return CARO_TARGET_FAILING;
+        return r->is_cut_unread ? CARO_TARGET_NO_FAILURE : CARO_TARGET_FAILING;
     case CARO_OUTCOME_UNSENT:
         return CaroTarget_IsOpen(target, now) ? CARO_TARGET_FAILING
                                               : CARO_TARGET_NO_FAILURE;
@@ -566,10 +690,13 @@
                              CaroTime now)
 {
     for (CaroRelay *r = relays->first; r != NULL; r = r->next) {
-        if (r->target == target && CaroRelay_IsStream(r) &&
-            !r->is_target_suspected) {
+        if (r->target == target && CaroRelay_IsStream(r)) {
+            bool is_first = !r->is_target_suspected;
             r->is_target_suspected = true;
-            CaroRelay_ScheduleTimer(r, now);
+            r->suspected_at = now;
+            if (is_first || has_adaptive_timeout(r)) {
+                CaroRelay_ScheduleTimer(r, now);
+            }
         }
     }
 }
@@ -609,6 +736,9 @@
 add_failure_sample(CaroRelay *r, CaroOutcome outcome, CaroTime now)
 {
     CaroAttemptResult result = CARO_ATTEMPT_FAILED;
+    if (r->is_cut_unread) {
+        return;
+    }
     switch (outcome) {
     case CARO_OUTCOME_SILENT:
     case CARO_OUTCOME_EXPIRED:
@@ -646,13 +776,13 @@
         "An attempt ended. id=" CARO_LOG_TEXT
         " upstream=%s outcome=%s ms=%lld "
         "silent_ms=%lld has_head=%d has_events=%d from_copy=%d "
-        "copy_at=%s parts=%s retry=%s reason=\"%s\"",
+        "copy_at=%s unread=%d parts=%s retry=%s reason=\"%s\"",
         r->id, CaroTargets_GetConst(targets, r->target)->entry.id,
         CaroOutcome_Name(outcome),
         (long long)((now - r->attempt_started_at) / CARO_MS),
         (long long)((now - r->last_event_at) / CARO_MS), r->is_event_stream,
         CaroEventForwarder_HasEvents(r->forwarder), r->is_from_kv_copy,
-        kv_copy, parts, CaroRetryLimit_Name(limit), reason);
+        kv_copy, r->is_cut_unread, parts, CaroRetryLimit_Name(limit), reason);
 }
 
 static void
@@ -718,6 +848,36 @@
     return CaroPlacement_HasUsable(r->relays->deps.targets, &q, now);
 }
 
+/* Logs why a silent stream is moved. */
+static void
+report_silence(const CaroRelay *r, CaroTime now)
+{
+    CaroEventTimeoutQuery q = timeout_query(r, now);
+    CaroEventTimeoutRule rule = CaroEventTimeout_Rule(&q);
+    const CaroTarget *target =
+        CaroTargets_GetConst(r->relays->deps.targets, r->target);
+    CaroCounters_Add(r->relays->deps.counters,
+                     rule == CARO_TIMEOUT_PREEMPTED
+                         ? CARO_COUNT_PREEMPTED_MOVED
+                         : CARO_COUNT_SILENT_MOVED,
+                     1);
+    CaroLog_Info(
+        "relay",
+        "A silent stream is moved. id=" CARO_LOG_TEXT
+        " upstream=%s rule=%s silent_ms=%lld timeout_ms=%lld heard_ms=%lld "
+        "longest_ms=%lld us_per_token=%.0f ahead=%d reading=%d copy=%d "
+        "copy_busy=%d suspected=%d",
+        r->id, target->entry.id, CaroEventTimeoutRule_Name(rule),
+        (long long)((now - r->last_event_at) / CARO_MS),
+        (long long)(CaroEventTimeout_Get(&q) / CARO_MS),
+        (long long)(target->last_heard_at == 0
+                        ? -1
+                        : (now - target->last_heard_at) / CARO_MS),
+        (long long)(q.longest_interval / CARO_MS), q.us_per_token,
+        q.tokens_ahead, target->prefill_tokens + target->peer_prefill_tokens,
+        q.has_kv_copy, q.is_kv_holder_busy, q.is_target_suspected);
+}
+
 /* Ends a silent attempt if another can replace it.  Otherwise the upstream
    may still respond, whereas the request would be given up; the silence is
    considered again after another timeout. */
@@ -727,12 +887,15 @@
     CaroRetryLimit limit = CaroAttempt_CheckRetry(
         &r->attempt, true, has_retry_budget(r, now), now);
     if (limit == CARO_RETRY_ALLOWED && has_other_target(r, now)) {
+        if (has_adaptive_timeout(r)) {
+            report_silence(r, now);
+        }
         end_attempt(r, CARO_OUTCOME_SILENT,
                     "the upstream sent nothing in time", now);
         return;
     }
     record_failure(r, CARO_OUTCOME_SILENT, now);
-    CaroEventTimeoutQuery q = timeout_query(r);
+    CaroEventTimeoutQuery q = timeout_query(r, now);
     CaroTime next = now + CaroEventTimeout_Get(&q);
     CaroRelay_SetTimer(
         r, next < r->attempt.deadline ? next : r->attempt.deadline, now);
@@ -863,6 +1026,8 @@
     r->is_skipping_response = false;
     r->is_forwarding = false;
     r->is_paused = false;
+    r->unread_until = 0;
+    r->is_cut_unread = false;
     evbuffer_drain(r->body, evbuffer_get_length(r->body));
     CaroEventForwarder_BeginAttempt(r->forwarder);
     r->target = choose_target(r, now);
@@ -880,8 +1045,8 @@
     }
     const CaroTarget *target =
         CaroTargets_GetConst(relays->deps.targets, r->target);
-    r->has_prefill_ahead =
-        target->prefill_tokens + target->peer_prefill_tokens > 0;
+    r->tokens_ahead = target->prefill_tokens + target->peer_prefill_tokens;
+    r->has_prefill_ahead = r->tokens_ahead > 0;
     begin_rollout_attempt(r, target, now);
     CaroTargets_Begin(relays->deps.targets, r->target, CaroRelay_IsStream(r));
     relays->has_unsent_change |= CaroRelay_IsStream(r);
