--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -30,6 +30,7 @@
     [CARO_LOAD_REPORT] = PROCEDURE(caro_load_report, caro_load_report),
     [CARO_PROMPT_REPORT] = PROCEDURE(caro_prompt_report, caro_prompt_report),
     [CARO_LIMIT_REPORT] = PROCEDURE(caro_limit_report, caro_limit_report),
+    [CARO_RETRY_LOAN] = PROCEDURE(caro_retry_loan, caro_retry_grant),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -347,6 +347,18 @@
 };
 typedef struct caro_limit_report caro_limit_report;
 
+struct caro_retry_loan {
+	char *sender;
+	u_int service;
+	u_int retries;
+};
+typedef struct caro_retry_loan caro_retry_loan;
+
+struct caro_retry_grant {
+	u_int retries;
+};
+typedef struct caro_retry_grant caro_retry_grant;
+
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
 
@@ -396,6 +408,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1(caro_limit_report *, CLIENT *);
 extern  caro_limit_report * caro_limit_report_1_svc(caro_limit_report *, struct svc_req *);
+#define CARO_RETRY_LOAN 16
+extern  caro_retry_grant * caro_retry_loan_1(caro_retry_loan *, CLIENT *);
+extern  caro_retry_grant * caro_retry_loan_1_svc(caro_retry_loan *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -444,6 +459,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1();
 extern  caro_limit_report * caro_limit_report_1_svc();
+#define CARO_RETRY_LOAN 16
+extern  caro_retry_grant * caro_retry_loan_1();
+extern  caro_retry_grant * caro_retry_loan_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -481,6 +499,8 @@
 extern  bool_t xdr_caro_target_limit (XDR *, caro_target_limit*);
 extern  bool_t xdr_caro_service_demand (XDR *, caro_service_demand*);
 extern  bool_t xdr_caro_limit_report (XDR *, caro_limit_report*);
+extern  bool_t xdr_caro_retry_loan (XDR *, caro_retry_loan*);
+extern  bool_t xdr_caro_retry_grant (XDR *, caro_retry_grant*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -514,6 +534,8 @@
 extern bool_t xdr_caro_target_limit ();
 extern bool_t xdr_caro_service_demand ();
 extern bool_t xdr_caro_limit_report ();
+extern bool_t xdr_caro_retry_loan ();
+extern bool_t xdr_caro_retry_grant ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -268,6 +268,19 @@
     caro_service_demand demands<CARO_DEMANDS_MAX>;
 };
 
+/* Asks the receiver to lend retries to a service.  Older versions ignore the
+   procedure. */
+struct caro_retry_loan {
+    string sender<CARO_NAME_MAX>;
+    unsigned int service; /* Hash of the service's name. */
+    unsigned int retries;
+};
+
+/* The receiver counts them as its own retries, also if the reply is lost. */
+struct caro_retry_grant {
+    unsigned int retries;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -285,5 +298,6 @@
         caro_load_report CARO_LOAD_REPORT(caro_load_report) = 13;
         caro_prompt_report CARO_PROMPT_REPORT(caro_prompt_report) = 14;
         caro_limit_report CARO_LIMIT_REPORT(caro_limit_report) = 15;
+        caro_retry_grant CARO_RETRY_LOAN(caro_retry_loan) = 16;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -648,3 +648,27 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_retry_loan (XDR *xdrs, caro_retry_loan *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retries))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_retry_grant (XDR *xdrs, caro_retry_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->retries))
+		 return FALSE;
+	return TRUE;
+}
