VMs lend each other retries over the network

The gateway answers CARO_RETRY_LOAN and divides the slack by all VMs that may be running: members, also dead ones unless they announced to leave, or the addresses that the store lists, if they are more. So both sides of a partition together use the slack once.

Counters: retries_lent, retries_borrowed, retry_loans_refused, retries_expired.

--- a/Controllers/membership.c
+++ b/Controllers/membership.c
@@ -114,6 +114,9 @@
     }
     e->vm.state = state;
     e->vm.state_since = now;
+    if (state == CARO_MEMBER_LEAVING || state == CARO_MEMBER_ALIVE) {
+        e->vm.has_left = state == CARO_MEMBER_LEAVING;
+    }
     m->has_urgent_update = true;
     CaroMembershipEvent event = {.kind = CARO_MEMBER_CHANGED, .vm = h};
     event.before = before;
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -59,7 +59,11 @@
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
     X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")                    \
-    X(TARGETS_LEFT_OUT, "upstreams_without_place")
+    X(TARGETS_LEFT_OUT, "upstreams_without_place")                            \
+    X(RETRIES_LENT, "retries_lent")                                           \
+    X(RETRIES_BORROWED, "retries_borrowed")                                   \
+    X(RETRY_LOANS_REFUSED, "retry_loans_refused")                             \
+    X(RETRIES_EXPIRED, "retries_expired")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -52,6 +52,9 @@
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
     /* Another VM's use of limited upstreams. */
     void (*on_limit_report)(void *context, const caro_limit_report *report);
+    /* A peer asked for retries; the handler has to reply. */
+    void (*on_retry_loan)(void *context, CaroRpcRequest *request,
+                          const caro_retry_loan *args);
     /* Collects this VM's evidence of rollouts for a heartbeat; returns the
        count. */
     int (*collect_evidence)(void *context,
@@ -122,6 +125,14 @@
 /* Returns the membership, borrowed, for the directory and for reports. */
 const CaroMembership *CaroFleet_GetMembershipConst(const CaroFleet *f);
 
+/*
+ * Returns the number of VMs that may be running: this one and the other
+ * members, also those that are not reached, but without those that announced
+ * to leave and are gone; or the known addresses, if they are more, as those of
+ * a partition that start in it know no other members.
+ */
+int CaroFleet_CountKnown(const CaroFleet *f);
+
 /* Returns whether another VM has sent its member list, or long enough has
    passed since the start to assume that there is no other VM. */
 bool CaroFleet_IsJoined(const CaroFleet *f, CaroTime now);
--- a/Include/internal/caro_membership.h
+++ b/Include/internal/caro_membership.h
@@ -35,6 +35,7 @@
     uint64_t boot_id; /* Identity of one start of the process; random. */
     caro_member_state state;
     CaroTime state_since; /* When the state was entered here. */
+    bool has_left;        /* It announced to leave and was not alive since. */
 } CaroVm;
 
 typedef struct CaroMembership CaroMembership;
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -17,6 +17,7 @@
 #include "internal/caro_prompt_guard.h"
 #include "internal/caro_request_limits.h"
 #include "internal/caro_retry_budget.h"
+#include "internal/caro_retry_lending.h"
 #include "internal/caro_routes.h"
 #include "internal/caro_service_rollouts.h"
 
@@ -28,6 +29,7 @@
     CaroTargets *targets;
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
+    CaroRetryLending *lending; /* NULL: the VM borrows no retries. */
     CaroServiceRollouts *rollouts;
     CaroCounters *counters;
     CaroLatency *latency;
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -15,7 +15,8 @@
 #include <string.h>
 
 enum {
-    ADDRESSES_MAX = 64,
+    /* A VM that starts learns from them how many share the retry budget. */
+    ADDRESSES_MAX = CARO_VMS_MAX,
     LEAVE_FANOUT = 64,
     JOIN_FANOUT = 3,
     /* VMs in one failure domain of the largest known deployment. */
@@ -354,6 +355,14 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_RETRY_LOAN:
+        if (f->handlers->on_retry_loan != NULL) {
+            f->handlers->on_retry_loan(f->context, request, args);
+        }
+        else {
+            CaroRpc_Ignore(request);
+        }
+        break;
     case CARO_LIMIT_REPORT:
         if (f->handlers->on_limit_report != NULL) {
             f->handlers->on_limit_report(f->context, args);
@@ -528,6 +537,18 @@
     return f->membership;
 }
 
+int
+CaroFleet_CountKnown(const CaroFleet *f)
+{
+    int count = CaroMembership_Count(f->membership);
+    int known = 0;
+    for (CaroHandle vm = 0; vm < count; vm++) {
+        const CaroVm *v = CaroMembership_Get(f->membership, vm);
+        known += !v->has_left || v->state != CARO_MEMBER_DEAD;
+    }
+    return known > f->n_addresses ? known : f->n_addresses + 1;
+}
+
 bool
 CaroFleet_IsJoined(const CaroFleet *f, CaroTime now)
 {
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -23,6 +23,7 @@
 #include "internal/caro_relay.h"
 #include "internal/caro_request_check.h"
 #include "internal/caro_request_limits.h"
+#include "internal/caro_retry_lending.h"
 #include "internal/caro_service_rollouts.h"
 
 #include <assert.h>
@@ -79,6 +80,7 @@
     CaroTargets *targets;
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
+    CaroRetryLending *lending;
     CaroPeerLoads *peer_loads;
     CaroServiceRollouts *rollouts;
     CaroPromptGuard *guard;
@@ -555,7 +557,16 @@
     }
 }
 
+static void
+on_retry_loan(void *context, CaroRpcRequest *request,
+              const caro_retry_loan *args)
+{
+    CaroGateway *g = context;
+    CaroRetryLending_OnCall(g->lending, request, args, CaroClock_Now());
+}
+
 static const CaroFleetHandlers fleet_handlers = {
+    .on_retry_loan = on_retry_loan,
     .on_limit_report = on_limit_report,
     .on_prompt_report = on_prompt_report,
     .on_load_report = on_load_report,
@@ -717,7 +728,7 @@
     int vms =
         CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet));
     tick_limits(g, vms, now);
-    CaroRelays_SetVms(g->relays, vms);
+    CaroRelays_SetVms(g->relays, CaroRetryLending_Tick(g->lending, now));
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
         g->was_config_fresh = is_fresh;
@@ -784,6 +795,10 @@
     g->budget = CaroRetryBudget_Create(
         s->retry_ratio, s->retry_slack,
         (CaroTime)(s->retry_window_s * (double)CARO_SECOND));
+    g->lending = g->budget == NULL || g->rng == NULL
+                     ? NULL
+                     : CaroRetryLending_Create(g->budget, &g->counters, g->rng,
+                                               g->settings.vm);
     g->store = CaroStoreClient_Create(g->base, s->store_address);
     g->rollouts =
         g->store == NULL
@@ -796,15 +811,17 @@
                     : CaroRequestLimits_Create(g->targets, g->rng);
     if (g->config == NULL || g->guard == NULL || g->limits == NULL ||
         g->rng == NULL || g->latency == NULL || g->peer_loads == NULL ||
-        g->pool == NULL || g->budget == NULL || g->rollouts == NULL) {
+        g->pool == NULL || g->lending == NULL || g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
+    CaroRetryBudget_Start(g->budget, now);
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
     CaroRelayDeps deps = {
         .base = g->base,
         .targets = g->targets,
         .pool = g->pool,
         .budget = g->budget,
+        .lending = g->lending,
         .rollouts = g->rollouts,
         .counters = &g->counters,
         .latency = g->latency,
@@ -867,6 +884,7 @@
                    ? NULL
                    : CaroFleet_Create(base, &self, &fleet_options, g->rng,
                                       &fleet_handlers, g, now, err);
+    CaroRetryLending_SetFleet(g->lending, g->fleet);
     g->status_http =
         g->fleet == NULL
             ? NULL
@@ -937,6 +955,7 @@
     CaroRegistry_Destroy(g->registry);
     CaroStoreClient_Destroy(g->store);
     CaroChannelPool_Destroy(g->pool);
+    CaroRetryLending_Destroy(g->lending);
     CaroRetryBudget_Destroy(g->budget);
     CaroPeerLoads_Destroy(g->peer_loads);
     CaroServiceRollouts_Destroy(g->rollouts);
