A lost stream that has begun waits for retry budget

Cause: after a refusal a stream that had begun waited for budget, after a loss it was cut at once (71 of 92 attempts without budget at 295 VMs were of streams that had begun).

Measured: test_relay, 66 tests, and test_gateway_rules, 19, under sanitizers.

--- a/Controllers/attempt.c
+++ b/Controllers/attempt.c
@@ -115,12 +115,23 @@
            (limit == CARO_RETRY_ALLOWED || limit == CARO_RETRY_NO_BUDGET);
 }
 
+/* Returns the end of a wait for the budget to resume a lost stream.  After the
+   gap objective the caller gets the rest sooner from another VM, at which it
+   resumes a stream that was cut. */
+static CaroTime
+budget_wait_end(const CaroAttempt *a)
+{
+    CaroTime end = a->last_event_at + a->gap;
+    return a->gap > 0 && end < a->deadline ? end : a->deadline;
+}
+
 CaroStep
 CaroAttempt_End(CaroAttempt *a, CaroOutcome outcome, bool has_budget,
                 CaroTime now)
 {
     bool has_run = CaroOutcome_CountsAsRun(outcome);
     CaroRetryLimit limit = CaroAttempt_CheckRetry(a, has_run, has_budget, now);
+    a->wait_end = a->deadline;
     if (has_run) {
         a->may_have_run = true;
         a->runs++;
@@ -146,5 +157,10 @@
     case CARO_OUTCOME_SILENT:
         break;
     }
+    if (limit == CARO_RETRY_NO_BUDGET && can_wait(a, limit) &&
+        now < budget_wait_end(a)) {
+        a->wait_end = budget_wait_end(a);
+        return CARO_STEP_WAIT;
+    }
     return limit == CARO_RETRY_ALLOWED ? CARO_STEP_RETRY : give_up(a);
 }
--- a/Include/internal/caro_attempt.h
+++ b/Include/internal/caro_attempt.h
@@ -25,8 +25,9 @@
 
 /* What to do with the request next. */
 typedef enum {
-    CARO_STEP_RETRY, /* Send it to another upstream now. */
-    CARO_STEP_WAIT,  /* Try again after a short delay, once there is budget. */
+    CARO_STEP_RETRY,   /* Send it to another upstream now. */
+    CARO_STEP_WAIT,    /* Try again after a short delay, once there is budget,
+                          until "wait_end". */
     CARO_STEP_FORWARD, /* Forward the upstream's failure response. */
     CARO_STEP_REFUSE,  /* Refuse it: it has not run and will not run. */
     CARO_STEP_FAIL,    /* Respond that its outcome is unknown. */
@@ -55,7 +56,10 @@
     int64_t attempts_max;    /* Limit of "runs". */
     int tries;               /* Attempts, whether the request ran or not. */
     CaroTime deadline;
-    bool is_barred; /* No further attempt may be made. */
+    CaroTime gap;           /* Objective between two events; 0 for none. */
+    CaroTime last_event_at; /* For CaroAttempt_End; see "wait_end". */
+    CaroTime wait_end;      /* Set with CARO_STEP_WAIT. */
+    bool is_barred;         /* No further attempt may be made. */
 } CaroAttempt;
 
 /* Return a word for logs. */
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -163,7 +163,8 @@
     }
     r->attempt = (CaroAttempt){.kind = route->kind,
                                .is_resumable = route->is_resumable,
-                               .attempts_max = route->attempts_max};
+                               .attempts_max = route->attempts_max,
+                               .gap = route->gap};
     r->query =
         (CaroPlacementQuery){.service = r->service,
                              .domain = relays->deps.domain,
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -96,11 +96,33 @@
     return CARO_OUTCOME_LOST;
 }
 
+/* Returns whether the caller has a part of the stream, from this VM or from
+   another one. */
+static bool
+is_stream_begun(const CaroRelay *r)
+{
+    return CaroRelay_IsStream(r) &&
+           (r->attempt.has_response_begun ||
+            CaroEventForwarder_LastId(r->forwarder) >= 0);
+}
+
 static bool
 has_retry_budget(const CaroRelay *r, CaroTime now)
 {
-    return CaroRetryBudget_AllowsRetry(r->relays->deps.budget, r->service,
-                                       r->relays->vms, now);
+    CaroRetryBudget *budget = r->relays->deps.budget;
+    int vms = r->relays->vms;
+    return CaroRelay_IsStream(r) && !is_stream_begun(r)
+               ? CaroRetryBudget_AllowsUnbegun(budget, r->service, vms, now)
+               : CaroRetryBudget_AllowsRetry(budget, r->service, vms, now);
+}
+
+/* Asks other VMs for the retry that a stream which has begun lacks. */
+static void
+borrow_retry(const CaroRelay *r, CaroTime now)
+{
+    if (r->relays->deps.lending != NULL && is_stream_begun(r)) {
+        CaroRetryLending_Request(r->relays->deps.lending, r->service, now);
+    }
 }
 
 /* Puts a timeout off while bytes of the upstream wait to be read: after a
@@ -130,7 +152,11 @@
         if (has_retry_budget(r, now)) {
             CaroRelay_BeginAttempt(r, now);
         }
+        else if (now >= r->attempt.wait_end) {
+            CaroRelay_Cut(r, "no retry budget", now);
+        }
         else {
+            borrow_retry(r, now);
             CaroRelay_SetTimer(r, now + PLACEMENT_RETRY_DELAY, now);
         }
     }
@@ -669,6 +695,7 @@
         prepare_next_attempt(r, outcome, now);
     }
     CaroRelay_ReleaseTarget(r);
+    r->attempt.last_event_at = r->last_event_at;
     switch (CaroAttempt_End(&r->attempt, outcome, has_budget, now)) {
     case CARO_STEP_RETRY:
         CaroRelay_AddCount(r, CARO_COUNT_RELAY_RETRIES);
@@ -676,6 +703,9 @@
         break;
     case CARO_STEP_WAIT:
         r->query.n_tried = 0; /* A target that failed is better than none. */
+        if (!has_budget) {
+            borrow_retry(r, now);
+        }
         CaroRelay_SetTimer(r, now + PLACEMENT_RETRY_DELAY, now);
         break;
     case CARO_STEP_FORWARD:
@@ -731,6 +761,9 @@
                     "the upstream sent nothing in time", now);
         return;
     }
+    if (limit == CARO_RETRY_NO_BUDGET) {
+        borrow_retry(r, now);
+    }
     record_failure(r, CARO_OUTCOME_SILENT, now);
     CaroEventTimeoutQuery q = timeout_query(r);
     CaroTime next = now + CaroEventTimeout_Get(&q);
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -113,6 +113,44 @@
     }
 }
 
+/* Guards against the cut of a lost stream while the deployment has budget that
+   this VM lacks; a wait that ends after the gap objective helps no caller. */
+static void
+test_lost_stream_waits_for_retry_budget_up_to_its_gap(void **state)
+{
+    (void)state;
+    CaroOutcome lost[] = {CARO_OUTCOME_LOST, CARO_OUTCOME_SILENT,
+                          CARO_OUTCOME_FAILED};
+    for (size_t i = 0; i < sizeof(lost) / sizeof(*lost); i++) {
+        CaroAttempt a = make_attempt(CARO_ROUTE_STREAM, true);
+        a.has_response_begun = true;
+        a.attempts_max = 4;
+        a.gap = 700 * CARO_MS;
+        a.last_event_at = S;
+        assert_int_equal(
+            CaroAttempt_End(&a, lost[i], false, S + 300 * CARO_MS),
+            CARO_STEP_WAIT);
+        assert_int_equal(a.wait_end, S + 700 * CARO_MS);
+        assert_int_equal(
+            CaroAttempt_End(&a, lost[i], false, S + 700 * CARO_MS),
+            CARO_STEP_ABORT);
+        a.last_event_at = 9500 * CARO_MS;
+        assert_int_equal(CaroAttempt_End(&a, lost[i], false, 9600 * CARO_MS),
+                         CARO_STEP_WAIT);
+        assert_int_equal(a.wait_end, a.deadline);
+        /* Its last run: no budget could help. */
+        assert_int_equal(CaroAttempt_End(&a, lost[i], false, 9600 * CARO_MS),
+                         CARO_STEP_ABORT);
+        /* Nothing has begun that could be lost. */
+        a = make_attempt(CARO_ROUTE_STREAM, true);
+        a.gap = 700 * CARO_MS;
+        a.last_event_at = S;
+        assert_int_equal(CaroAttempt_End(&a, lost[i], false, S),
+                         lost[i] == CARO_OUTCOME_FAILED ? CARO_STEP_FORWARD
+                                                        : CARO_STEP_FAIL);
+    }
+}
+
 static const CaroRouteShare one_share = {.service = "s", .weight = 1};
 
 static CaroRoutes *
@@ -574,6 +612,8 @@
             test_idempotent_request_is_retried_within_its_attempts),
         cmocka_unit_test(test_only_resumable_stream_is_resumed),
         cmocka_unit_test(test_stream_that_has_begun_waits_for_retry_budget),
+        cmocka_unit_test(
+            test_lost_stream_waits_for_retry_budget_up_to_its_gap),
         cmocka_unit_test(test_empty_list_of_accounts_admits_no_key),
         cmocka_unit_test(test_request_check_with_fresh_configuration),
         cmocka_unit_test(test_request_check_with_stale_configuration),
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -515,6 +515,49 @@
     assert_int_equal(f->up.n_requests, 2);
 }
 
+/* Begins a stream whose upstream closes the connection after an event, at a VM
+   without retry budget. */
+static void
+lose_stream_without_budget(Fixture *f)
+{
+    CaroRelays_SetVms(f->relays, 1000);
+    f->route.kind = CARO_ROUTE_STREAM;
+    f->route.is_resumable = true;
+    script(f, RESPONSE_CLOSE, STREAM_HEAD("r1") "f\r\nid: 1\ndata: a\n\n\r\n");
+    script(f, RESPONSE_KEEP_OPEN,
+           STREAM_HEAD("r1") "f\r\nid: 2\ndata: c\n\n\r\n0\r\n\r\n");
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "id: 1\n");
+    run_for(f, f->route.gap / 2);
+    assert_false(f->is_closed);
+    assert_int_equal(f->up.n_requests, 1);
+}
+
+/* Guards against the cut of a stream whose VM has no budget for some
+   milliseconds. */
+static void
+test_lost_stream_is_resumed_when_retries_are_borrowed(void **state)
+{
+    Fixture *f = *state;
+    lose_stream_without_budget(f);
+    CaroTime now = CaroClock_Now();
+    CaroRetryBudget_Borrow(f->deps.budget, "s", 1, now, now);
+    wait_for(f, "data: c\n\n\r\n0\r\n\r\n");
+    assert_int_equal(f->up.n_requests, 2);
+}
+
+/* Its caller resumes it elsewhere rather than wait until the deadline. */
+static void
+test_lost_stream_without_budget_is_cut_after_its_gap(void **state)
+{
+    Fixture *f = *state;
+    lose_stream_without_budget(f);
+    run_for(f, f->route.gap);
+    assert_true(f->is_closed);
+    assert_int_equal(CaroRelays_Count(f->relays), 0);
+    assert_int_equal(f->up.n_requests, 1);
+}
+
 /* The silence of a kept attempt is a failure of its target all the same, once
    and not each time that the attempt is considered. */
 static void
@@ -1283,6 +1326,8 @@
         RELAY_TEST(test_silent_stream_without_retry_budget_is_not_cut),
         RELAY_TEST(test_silent_stream_without_another_upstream_is_not_cut),
         RELAY_TEST(test_silent_stream_is_resumed_when_retry_budget_returns),
+        RELAY_TEST(test_lost_stream_is_resumed_when_retries_are_borrowed),
+        RELAY_TEST(test_lost_stream_without_budget_is_cut_after_its_gap),
         RELAY_TEST(test_target_of_kept_silent_stream_is_avoided),
         RELAY_TEST(
             test_stream_waits_for_budget_when_its_next_upstream_is_full),
