--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -761,7 +761,7 @@
                     "the upstream sent nothing in time", now);
         return;
     }
-    if (limit == CARO_RETRY_NO_BUDGET) {
+    if (limit == CARO_RETRY_NO_BUDGET && has_other_target(r, now)) {
         borrow_retry(r, now);
     }
     record_failure(r, CARO_OUTCOME_SILENT, now);
