--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -66,7 +66,11 @@
     X(STORE_GAPS, "store_lists_after_gaps")                                   \
     X(SILENT_MOVED, "silent_streams_moved")                                   \
     X(PREEMPTED_MOVED, "preempted_streams_moved")                             \
-    X(SILENCES_ENDED, "silences_waited_out")
+    X(SILENCES_ENDED, "silences_waited_out")                                  \
+    X(RETRIES_LENT, "retries_lent")                                           \
+    X(RETRIES_BORROWED, "retries_borrowed")                                   \
+    X(RETRY_LOANS_REFUSED, "retry_loans_refused")                             \
+    X(RETRIES_EXPIRED, "retries_expired")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -32,6 +32,7 @@
     [CARO_LIMIT_REPORT] = PROCEDURE(caro_limit_report, caro_limit_report),
     [CARO_STORE_CHANGES] =
         PROCEDURE(caro_store_changes_args, caro_store_changes),
+    [CARO_RETRY_LOAN] = PROCEDURE(caro_retry_loan, caro_retry_grant),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -383,6 +383,18 @@
 };
 typedef struct caro_store_changes caro_store_changes;
 
+struct caro_retry_loan {
+	char *sender;
+	u_int service;
+	u_int retries;
+};
+typedef struct caro_retry_loan caro_retry_loan;
+
+struct caro_retry_grant {
+	u_int retries;
+};
+typedef struct caro_retry_grant caro_retry_grant;
+
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
 
@@ -432,6 +444,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1(caro_limit_report *, CLIENT *);
 extern  caro_limit_report * caro_limit_report_1_svc(caro_limit_report *, struct svc_req *);
+#define CARO_RETRY_LOAN 16
+extern  caro_retry_grant * caro_retry_loan_1(caro_retry_loan *, CLIENT *);
+extern  caro_retry_grant * caro_retry_loan_1_svc(caro_retry_loan *, struct svc_req *);
 #define CARO_STORE_CHANGES 17
 extern  caro_store_changes * caro_store_changes_1(caro_store_changes_args *, CLIENT *);
 extern  caro_store_changes * caro_store_changes_1_svc(caro_store_changes_args *, struct svc_req *);
@@ -483,6 +498,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1();
 extern  caro_limit_report * caro_limit_report_1_svc();
+#define CARO_RETRY_LOAN 16
+extern  caro_retry_grant * caro_retry_loan_1();
+extern  caro_retry_grant * caro_retry_loan_1_svc();
 #define CARO_STORE_CHANGES 17
 extern  caro_store_changes * caro_store_changes_1();
 extern  caro_store_changes * caro_store_changes_1_svc();
@@ -526,6 +544,8 @@
 extern  bool_t xdr_caro_store_change (XDR *, caro_store_change*);
 extern  bool_t xdr_caro_store_changes_args (XDR *, caro_store_changes_args*);
 extern  bool_t xdr_caro_store_changes (XDR *, caro_store_changes*);
+extern  bool_t xdr_caro_retry_loan (XDR *, caro_retry_loan*);
+extern  bool_t xdr_caro_retry_grant (XDR *, caro_retry_grant*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -562,6 +582,8 @@
 extern bool_t xdr_caro_store_change ();
 extern bool_t xdr_caro_store_changes_args ();
 extern bool_t xdr_caro_store_changes ();
+extern bool_t xdr_caro_retry_loan ();
+extern bool_t xdr_caro_retry_grant ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -301,6 +301,19 @@
     caro_store_change changes<CARO_CHANGES_MAX>; /* In the store's order. */
 };
 
+/* Asks the receiver to lend retries to a service.  Older versions ignore the
+   procedure. */
+struct caro_retry_loan {
+    string sender<CARO_NAME_MAX>;
+    unsigned int service; /* Hash of the service's name. */
+    unsigned int retries;
+};
+
+/* The receiver counts them as its own retries, also if the reply is lost. */
+struct caro_retry_grant {
+    unsigned int retries;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -318,6 +331,7 @@
         caro_load_report CARO_LOAD_REPORT(caro_load_report) = 13;
         caro_prompt_report CARO_PROMPT_REPORT(caro_prompt_report) = 14;
         caro_limit_report CARO_LIMIT_REPORT(caro_limit_report) = 15;
+        caro_retry_grant CARO_RETRY_LOAN(caro_retry_loan) = 16;
         caro_store_changes CARO_STORE_CHANGES(caro_store_changes_args) = 17;
     } = 1;
 } = 0x20079410;
