Decode the fourth figure of X-Server-Load

Servers of some deployments add their present processing time, 100 being the usual one. It is kept as reported_work_percent of the target, and CaroTargets_HasWorkFigure tells whether a service sends it at all. A malformed fourth figure counts as none and does not hide the other three.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -56,9 +56,12 @@
     int64_t running; /* Requests in execution. */
     int64_t waiting; /* Requests in its queue. */
     int64_t slots;   /* Requests that it can execute at once. */
+    /* Its present processing time, 100 being the usual one; 0 for none. */
+    int64_t work_percent;
 } CaroTargetLoad;
 
-/* Parses CARO_HEADER_TARGET_LOAD.  Returns 0 or CARO_ERR_INPUT. */
+/* Parses CARO_HEADER_TARGET_LOAD, of three figures or four.  A fourth that is
+   malformed counts as none.  Returns 0 or CARO_ERR_INPUT. */
 int CaroPlatform_ReadLoad(CaroText value, CaroTargetLoad *load);
 
 /* Parses CARO_HEADER_TARGET_LIMIT, a decimal number of at least 0.  Returns 0
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -21,7 +21,11 @@
 /* Longer than a notice or a failure is reported to other VMs. */
 #define RECENT_TTL (5 * CARO_SECOND)
 
-enum { BUCKETS = 4096 };
+enum {
+    BUCKETS = 4096,
+    /* Services that are remembered to report a work_percent. */
+    WORK_SERVICES_MAX = 256
+};
 
 /* What the table itself keeps of a slot. */
 typedef struct {
@@ -44,6 +48,8 @@
     CaroHandle recent[CARO_TARGETS_MAX];
     int n_recent;
     CaroTargetNotices *notices; /* Of starts that are not registered. */
+    char work_services[WORK_SERVICES_MAX][CARO_NAME_SIZE];
+    int n_work_services;
 };
 
 CaroTargets *
@@ -372,14 +378,31 @@
     CaroTargets_Get(t, h)->prefill_tokens += tokens;
 }
 
+bool
+CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service)
+{
+    for (int i = 0; i < t->n_work_services; i++) {
+        if (strcmp(t->work_services[i], service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running, int waiting,
-                       CaroTime now)
+                       int work_percent, CaroTime now)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
     target->reported_running = running;
     target->reported_waiting = waiting;
+    target->reported_work_percent = work_percent;
     target->reported_at = now;
+    if (work_percent > 0 && t->n_work_services < WORK_SERVICES_MAX &&
+        !CaroTargets_HasWorkFigure(t, target->entry.service)) {
+        memcpy(t->work_services[t->n_work_services++], target->entry.service,
+               CARO_NAME_SIZE);
+    }
 }
 
 void
