Estimate the pace and memory of engines

State for each start of an upstream: prefill time per prompt token, time between events, tokens that it holds.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -59,7 +59,12 @@
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
     X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")                    \
-    X(TARGETS_LEFT_OUT, "upstreams_without_place")
+    X(TARGETS_LEFT_OUT, "upstreams_without_place")                            \
+    X(PREDICTED, "placements_predicted")                                      \
+    X(PREDICTED_OVER_MEMORY, "placements_over_memory")                        \
+    X(PACE_SAMPLES, "pace_samples")                                           \
+    X(PEER_PACE_SAMPLES, "pace_samples_of_peers")                             \
+    X(MEMORY_LIMITS, "memory_limits_learned")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -56,6 +56,7 @@
     int in_flight;           /* Requests of this VM in flight. */
     int streams;             /* Requests in flight that are streams. */
     int prefill_tokens;      /* Prompt tokens of this VM awaiting prefill. */
+    int held_tokens;         /* Of this VM's streams and KV copies there. */
     int peer_streams;        /* Streams of other VMs. */
     int peer_prefill_tokens; /* Prompt tokens of other VMs, likewise. */
     int kv_copies;           /* KV copies kept there for this VM's streams. */
@@ -64,11 +65,12 @@
     int reported_waiting;    /* Queued requests in the last load report. */
     int reported_work_percent; /* Processing time, 100 being the usual one; 0
                                   when the last load report had none. */
-    CaroTime reported_at;   /* Arrival of the last load report; 0 if none. */
-    int failures;           /* Consecutive failures. */
-    CaroTime avoided_until; /* Gets no new requests before this time. */
-    CaroTime full_at;       /* Its limit admitted no request then. */
-    CaroTime failed_at;     /* Last failure, seen by this VM or a peer. */
+    CaroTime reported_at;    /* Arrival of the last load report; 0 if none. */
+    int failures;            /* Consecutive failures. */
+    CaroTime avoided_until;  /* Gets no new requests before this time. */
+    CaroTime peer_loaded_at; /* Last load report of a peer that names it. */
+    CaroTime full_at;        /* Its limit admitted no request then. */
+    CaroTime failed_at;      /* Last failure, seen by this VM or a peer. */
     CaroTime last_heard_at; /* Last response or event, to this VM or a peer. */
     CaroTime registered_at; /* Time at which the entry was added. */
     CaroTime cold_until;    /* By the last entry with a cold_time. */
@@ -103,6 +105,9 @@
 /* Likewise by the hash of the id, as in messages of other VMs. */
 CaroHandle CaroTargets_FindByHash(const CaroTargets *t, uint32_t id_hash);
 
+/* Likewise by the hash of its start. */
+CaroHandle CaroTargets_FindByStart(const CaroTargets *t, uint32_t start_hash);
+
 /* Records that the target is no longer registered.  Its slot is freed once
    this VM has neither requests nor KV copies there. */
 void CaroTargets_Remove(CaroTargets *t, CaroHandle h);
@@ -147,6 +152,10 @@
 /* Adds to the prompt tokens awaiting prefill; "tokens" may be negative. */
 void CaroTargets_AddPrefill(CaroTargets *t, CaroHandle h, int tokens);
 
+/* Adds to the tokens of prompts and responses that this VM's streams and KV
+   copies hold there; "tokens" may be negative. */
+void CaroTargets_AddHeld(CaroTargets *t, CaroHandle h, int tokens);
+
 /* Stores the load that the target reported in a response; "work_percent" is 0
    when the report had none. */
 void CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running,
--- a/Objects/peer_loads.c
+++ b/Objects/peer_loads.c
@@ -202,6 +202,7 @@
                             .streams = bounded(load->streams),
                             .prefill_tokens = bounded(load->prefill_tokens),
                             .kv_copies = bounded(load->kv_copies)});
+        CaroTargets_Get(b->targets, h)->peer_loaded_at = now;
         CaroTargets_RecordHeard(b->targets, h, now - load->idle_ms * CARO_MS);
         if (load->failure != CARO_FAILURE_NONE) {
             failures->all[failures->n].target = h;
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -117,6 +117,17 @@
     return find_id_hash(t, t->by_id[id_hash % BUCKETS], id_hash);
 }
 
+CaroHandle
+CaroTargets_FindByStart(const CaroTargets *t, uint32_t start_hash)
+{
+    CaroHandle h = t->by_start[start_hash % BUCKETS];
+    while (h != CARO_NO_HANDLE &&
+           (t->all[h].start_hash != start_hash || !t->all[h].is_present)) {
+        h = t->links[h].next_by_start;
+    }
+    return h;
+}
+
 static uint32_t
 hash_start(const CaroTargetEntry *e)
 {
@@ -378,6 +389,12 @@
     CaroTargets_Get(t, h)->prefill_tokens += tokens;
 }
 
+void
+CaroTargets_AddHeld(CaroTargets *t, CaroHandle h, int tokens)
+{
+    CaroTargets_Get(t, h)->held_tokens += tokens;
+}
+
 bool
 CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service)
 {
@@ -450,14 +467,11 @@
 {
     CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_PEER,
                                .leaving_at = now};
-    CaroHandle h = t->by_start[start_hash % BUCKETS];
-    for (; h != CARO_NO_HANDLE; h = t->links[h].next_by_start) {
-        const CaroTarget *target = &t->all[h];
-        if (target->is_present && target->start_hash == start_hash) {
-            bool is_new = target->notice.leaving == CARO_LEAVING_UNKNOWN;
-            add_notice(t, h, &notice);
-            return is_new ? h : CARO_NO_HANDLE;
-        }
+    CaroHandle h = CaroTargets_FindByStart(t, start_hash);
+    if (h != CARO_NO_HANDLE) {
+        bool is_new = t->all[h].notice.leaving == CARO_LEAVING_UNKNOWN;
+        add_notice(t, h, &notice);
+        return is_new ? h : CARO_NO_HANDLE;
     }
     CaroTargetNotices_Add(t->notices, start_hash, &notice);
     return CARO_NO_HANDLE;
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -346,6 +346,27 @@
 	} demands;
 };
 typedef struct caro_limit_report caro_limit_report;
+#define CARO_PACE_SAMPLES_MAX 24
+
+struct caro_pace_sample {
+	u_int target;
+	u_int prefill_ns;
+	u_int event_us;
+	u_int memory_tokens;
+	u_int age_ms;
+};
+typedef struct caro_pace_sample caro_pace_sample;
+
+struct caro_pace_report {
+	char *sender;
+	u_quad_t boot_id;
+	u_int first;
+	struct {
+		u_int samples_len;
+		caro_pace_sample *samples_val;
+	} samples;
+};
+typedef struct caro_pace_report caro_pace_report;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -396,6 +417,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1(caro_limit_report *, CLIENT *);
 extern  caro_limit_report * caro_limit_report_1_svc(caro_limit_report *, struct svc_req *);
+#define CARO_PACE_REPORT 18
+extern  caro_pace_report * caro_pace_report_1(caro_pace_report *, CLIENT *);
+extern  caro_pace_report * caro_pace_report_1_svc(caro_pace_report *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -444,6 +468,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1();
 extern  caro_limit_report * caro_limit_report_1_svc();
+#define CARO_PACE_REPORT 18
+extern  caro_pace_report * caro_pace_report_1();
+extern  caro_pace_report * caro_pace_report_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -481,6 +508,8 @@
 extern  bool_t xdr_caro_target_limit (XDR *, caro_target_limit*);
 extern  bool_t xdr_caro_service_demand (XDR *, caro_service_demand*);
 extern  bool_t xdr_caro_limit_report (XDR *, caro_limit_report*);
+extern  bool_t xdr_caro_pace_sample (XDR *, caro_pace_sample*);
+extern  bool_t xdr_caro_pace_report (XDR *, caro_pace_report*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -514,6 +543,8 @@
 extern bool_t xdr_caro_target_limit ();
 extern bool_t xdr_caro_service_demand ();
 extern bool_t xdr_caro_limit_report ();
+extern bool_t xdr_caro_pace_sample ();
+extern bool_t xdr_caro_pace_report ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -268,6 +268,28 @@
     caro_service_demand demands<CARO_DEMANDS_MAX>;
 };
 
+const CARO_PACE_SAMPLES_MAX = 24;
+
+/* What the sender measured at one start of a target; a field of 0 was not
+   measured. */
+struct caro_pace_sample {
+    unsigned int target; /* Hash of the start of the target. */
+    unsigned int prefill_ns; /* Prefill time per prompt token. */
+    unsigned int event_us; /* Mean time between events of a stream. */
+    unsigned int memory_tokens; /* Held when it rejected a prompt although
+                                   slots were free. */
+    unsigned int age_ms;
+};
+
+/* The sender's latest samples.  Each is in several reports, as datagrams may
+   be lost.  Older versions ignore the procedure. */
+struct caro_pace_report {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper boot_id;
+    unsigned int first; /* Number of the first sample; others follow it. */
+    caro_pace_sample samples<CARO_PACE_SAMPLES_MAX>;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -285,5 +307,6 @@
         caro_load_report CARO_LOAD_REPORT(caro_load_report) = 13;
         caro_prompt_report CARO_PROMPT_REPORT(caro_prompt_report) = 14;
         caro_limit_report CARO_LIMIT_REPORT(caro_limit_report) = 15;
+        caro_pace_report CARO_PACE_REPORT(caro_pace_report) = 18;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -648,3 +648,83 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_pace_sample (XDR *xdrs, caro_pace_sample *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->prefill_ns))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->event_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->target);
+			IXDR_PUT_U_LONG(buf, objp->prefill_ns);
+			IXDR_PUT_U_LONG(buf, objp->event_us);
+			IXDR_PUT_U_LONG(buf, objp->memory_tokens);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->target))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->prefill_ns))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->event_us))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_tokens))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+		} else {
+			objp->target = IXDR_GET_U_LONG(buf);
+			objp->prefill_ns = IXDR_GET_U_LONG(buf);
+			objp->event_us = IXDR_GET_U_LONG(buf);
+			objp->memory_tokens = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prefill_ns))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->event_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_tokens))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_pace_report (XDR *xdrs, caro_pace_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->samples.samples_val, (u_int *) &objp->samples.samples_len, CARO_PACE_SAMPLES_MAX,
+		sizeof (caro_pace_sample), (xdrproc_t) xdr_caro_pace_sample))
+		 return FALSE;
+	return TRUE;
+}
