Place streams by predicted time to the first event

Placement counted requests and tokens, not time: a quarter of the engines take 2.2 times as long for a prompt, and got their share of the streams. For services whose servers send a fourth load figure, the candidate with the lowest predicted time to the first event is chosen. Its terms are the prompts queued there, the own prompt, running streams and memory; CaroPlacement_Predict returns them.

The choice of services with three figures is that of before (test_three_figures_are_placed_as_before).

--- a/Controllers/placement.c
+++ b/Controllers/placement.c
@@ -36,6 +36,49 @@
    among targets of equal load. */
 #define RANDOM_TERM_MAX 0.9
 
+/* The prediction.  Of its costs, those above apply with PREFILL_WEIGHT running
+   requests as the usual prefill time of one prompt. */
+
+/* Each running stream lengthens a prefill by this fraction, as its steps take
+   a part of the engine's. */
+#define RUNNING_DELAY_FRACTION 0.02
+/* Largest random difference, in usual prefill times of a prompt: for each
+   member of a group, and at most.  VMs whose reports are the same choose among
+   all idle engines, although the estimates differ by some percent; with 0.2,
+   7% of prompts met another, with 0.8 2.7% (Test/test_predicted_placement.c).
+   It is below the difference between a slow engine and others, and in a small
+   group below the cost of crossing domains. */
+#define PREDICTED_RANDOM_PER_MEMBER 0.08
+#define PREDICTED_RANDOM_MAX 0.8
+/* A work_percent changes many times per second. */
+#define WORK_PERCENT_TTL (400 * CARO_MS)
+/* A load report of a peer has its full weight until the next is due, and none
+   when the reports of a lost VM are removed. */
+#define PEER_LOAD_FULL_AGE (1500 * CARO_MS)
+#define PEER_LOAD_TTL (5 * CARO_SECOND)
+/* Part of its time that a stream of a VM which sends no reports here spends in
+   prefill: about 1 s of 5 s. */
+#define PREFILL_TIME_FRACTION 0.2
+/* Tokens of another VM's stream or KV copy, of which reports tell the number
+   alone: the mean prompt of 8,200 and its response. */
+#define PEER_HELD_TOKENS 9100.0
+/* A part of the memory is left free, as the sizes of peers' prompts and of
+   responses are estimates. */
+#define MEMORY_FRACTION 0.9
+/* Running streams free an engine's memory in about this time. */
+#define STREAM_MS 5000.0
+/* A preempted stream repeats its prefill. */
+#define PREEMPTION_PREFILLS 1.0
+/* An engine may hold more than this VM knows: KV copies come from other
+   domains, whose VMs send no reports here in large fleets.  The expected wait
+   for that is the square of the used part of the memory, times so many prefill
+   times. */
+#define PRESSURE_PREFILLS 0.5
+/* KV copies: cost of an engine that takes twice the usual time, and of one
+   without free memory, in streams. */
+#define SLOW_COPY_WEIGHT 2.0
+#define NO_MEMORY_COPY_PENALTY 100.0
+
 static bool
 is_tried(const CaroPlacementQuery *q, CaroHandle h)
 {
@@ -64,6 +107,134 @@
            KV_COPY_WEIGHT * (target->kv_copies + target->peer_kv_copies);
 }
 
+static double
+fraction_left(CaroTime age, CaroTime full, CaroTime end)
+{
+    return age <= full  ? 1.0
+           : age >= end ? 0.0
+                        : (double)(end - age) / (double)(end - full);
+}
+
+/* Momentary factor of the processing time that the target reported. */
+static double
+work_factor(const CaroTarget *target, CaroTime now)
+{
+    if (target->reported_at == 0 || target->reported_work_percent == 0) {
+        return 1.0;
+    }
+    double weight =
+        fraction_left(now - target->reported_at, 0, WORK_PERCENT_TTL);
+    return 1.0 + weight * (target->reported_work_percent / 100.0 - 1.0);
+}
+
+/* What is in progress at a target, as far as this VM knows. */
+typedef struct {
+    double streams;
+    double queued_tokens;
+    double held_tokens;
+} Progress;
+
+static Progress
+progress_of(const CaroTarget *target, CaroTime now)
+{
+    double peers = fraction_left(now - target->peer_loaded_at,
+                                 PEER_LOAD_FULL_AGE, PEER_LOAD_TTL);
+    double peer_streams = peers * target->peer_streams;
+    Progress p = {.streams = target->streams + peer_streams,
+                  .queued_tokens = target->prefill_tokens +
+                                   peers * target->peer_prefill_tokens,
+                  .held_tokens =
+                      target->held_tokens +
+                      PEER_HELD_TOKENS *
+                          (peer_streams + peers * target->peer_kv_copies)};
+    if (target->reported_at == 0) {
+        return p;
+    }
+    /* Streams of VMs that send no reports here, from the target's own. */
+    double weight = fraction_left(now - target->reported_at, 0, REPORT_TTL);
+    double running = weight * target->reported_running - p.streams;
+    double waiting = weight * target->reported_waiting -
+                     p.queued_tokens / PREFILL_UNIT_TOKENS;
+    running = running > 0.0 ? running : 0.0;
+    waiting = waiting > 0.0 ? waiting : 0.0;
+    p.streams += running;
+    p.queued_tokens +=
+        PREFILL_UNIT_TOKENS * (waiting + PREFILL_TIME_FRACTION * running);
+    p.held_tokens += PEER_HELD_TOKENS * running;
+    return p;
+}
+
+static CaroTime
+load_age(const CaroTarget *target, CaroTime now)
+{
+    CaroTime at = target->reported_at > target->peer_loaded_at
+                      ? target->reported_at
+                      : target->peer_loaded_at;
+    return at == 0 ? -1 : now - at;
+}
+
+/* Prefill time of one prompt at a usual engine, in ms. */
+static double
+usual_prefill_ms(const CaroPaceEstimate *pace)
+{
+    return PREFILL_UNIT_TOKENS * pace->usual_us / 1000.0;
+}
+
+/* Expected wait for memory, in ms: until enough streams have ended for the
+   tokens to fit, with what a preemption costs, and less while they seem to
+   fit. */
+static double
+memory_wait_ms(const CaroPaceEstimate *pace, double held, double tokens)
+{
+    double used = (held + tokens) / pace->memory;
+    double excess = held + tokens - MEMORY_FRACTION * pace->memory;
+    double unit_ms = usual_prefill_ms(pace);
+    double pressure = held <= 0.0  ? 0.0
+                      : used < 1.0 ? PRESSURE_PREFILLS * used * used
+                                   : PRESSURE_PREFILLS;
+    if (excess <= 0.0 || held <= 0.0) {
+        return pressure * unit_ms;
+    }
+    return STREAM_MS * (excess < held ? excess / held : 1.0) +
+           (pressure + PREEMPTION_PREFILLS) * unit_ms;
+}
+
+CaroPrediction
+CaroPlacement_Predict(const CaroTargets *t, CaroHandle h,
+                      const CaroPlacementQuery *q, CaroTime now)
+{
+    const CaroTarget *target = CaroTargets_GetConst(t, h);
+    Progress progress = progress_of(target, now);
+    CaroPrediction p = {.pace = CaroEnginePace_Get(q->pace, target, now),
+                        .queued_tokens = progress.queued_tokens,
+                        .held_tokens = progress.held_tokens,
+                        .work_factor = work_factor(target, now),
+                        .load_age = load_age(target, now)};
+    double token_ms = p.work_factor * p.pace.prefill_us / 1000.0;
+    p.queue_ms = p.queued_tokens * token_ms;
+    p.prefill_ms = q->prompt_tokens * token_ms;
+    p.running_ms = RUNNING_DELAY_FRACTION * progress.streams *
+                   (p.queue_ms + p.prefill_ms);
+    p.memory_ms = memory_wait_ms(&p.pace, p.held_tokens, q->held_tokens);
+    p.has_memory =
+        p.held_tokens + q->held_tokens <= MEMORY_FRACTION * p.pace.memory;
+    p.event_ms = p.pace.event_us / 1000.0;
+    p.first_event_ms = p.queue_ms + p.prefill_ms + p.running_ms + p.memory_ms;
+    return p;
+}
+
+double
+CaroPlacement_HeldTokens(const CaroTargets *t, CaroHandle h, CaroTime now)
+{
+    return progress_of(CaroTargets_GetConst(t, h), now).held_tokens;
+}
+
+bool
+CaroPlacement_IsPredicted(const CaroTargets *t, const CaroPlacementQuery *q)
+{
+    return q->is_stream && CaroTargets_HasWorkFigure(t, q->service);
+}
+
 /* Tells whether many targets of the candidate's domain have failed since it
    was registered.  It has then probably crashed with them, unlike a target
    that was registered after the failures. */
@@ -159,6 +330,27 @@
     return cost;
 }
 
+/* The cost in ms.  The pace after the first event counts as one event more. */
+static double
+predicted_cost_of(const CaroTargets *t, CaroHandle h,
+                  const CaroPlacementQuery *q, double extra_cost, gsl_rng *rng,
+                  CaroTime now)
+{
+    CaroPrediction p = CaroPlacement_Predict(t, h, q, now);
+    double unit_ms = usual_prefill_ms(&p.pace);
+    int members =
+        CaroTargetGroups_Get(CaroTargets_Groups(t), CaroTargets_GroupOf(t, h))
+            .n;
+    double random = PREDICTED_RANDOM_PER_MEMBER * members;
+    random = random < PREDICTED_RANDOM_MAX ? random : PREDICTED_RANDOM_MAX;
+    if (is_domain_failing(t, h, now)) {
+        extra_cost += FAILED_DOMAIN_PENALTY;
+    }
+    return p.first_event_ms + p.event_ms +
+           extra_cost * unit_ms / PREFILL_WEIGHT +
+           random * unit_ms * gsl_rng_uniform(rng);
+}
+
 /* The target runs what the query asks for. */
 static bool
 is_match(const CaroTarget *target, const CaroPlacementQuery *q)
@@ -244,6 +436,7 @@
     double best_cost;
     CaroHandle avoided;
     CaroHandle doubtful;
+    bool is_predicted;
 } Choice;
 
 static void
@@ -270,7 +463,9 @@
         }
         return;
     }
-    double cost = extra_cost + cost_of(t, h, q, rng, now);
+    double cost = choice->is_predicted
+                      ? predicted_cost_of(t, h, q, extra_cost, rng, now)
+                      : extra_cost + cost_of(t, h, q, rng, now);
     if (choice->best == CARO_NO_HANDLE || cost < choice->best_cost) {
         choice->best = h;
         choice->best_cost = cost;
@@ -283,7 +478,8 @@
 {
     Choice choice = {.best = CARO_NO_HANDLE,
                      .avoided = CARO_NO_HANDLE,
-                     .doubtful = CARO_NO_HANDLE};
+                     .doubtful = CARO_NO_HANDLE,
+                     .is_predicted = CaroPlacement_IsPredicted(t, q)};
     bool is_complete = false;
     /* A sample without any usable target does not show that there is none. */
     for (int pass = 0;
@@ -324,13 +520,35 @@
     return cost;
 }
 
+/* What the speed and the memory of a target add to the cost of a KV copy
+   there. A stream is resumed where its copy is. */
+static double
+kv_copy_pace_cost(const CaroTargets *t, CaroHandle h,
+                  const CaroPlacementQuery *q, CaroTime now)
+{
+    CaroPrediction p = CaroPlacement_Predict(t, h, q, now);
+    double slowness = p.pace.prefill_us / p.pace.usual_us - 1.0;
+    double cost = slowness > 0.0 ? SLOW_COPY_WEIGHT * slowness : 0.0;
+    return p.has_memory ? cost : cost + NO_MEMORY_COPY_PENALTY;
+}
+
 CaroHandle
 CaroPlacement_ChooseKvCopy(const CaroTargets *t, CaroHandle source,
                            gsl_rng *rng, CaroTime now)
+{
+    CaroPlacementQuery q = {0};
+    return CaroPlacement_ChooseKvCopyFor(t, source, &q, rng, now);
+}
+
+CaroHandle
+CaroPlacement_ChooseKvCopyFor(const CaroTargets *t, CaroHandle source,
+                              const CaroPlacementQuery *q, gsl_rng *rng,
+                              CaroTime now)
 {
     const CaroTargetEntry *from = &CaroTargets_GetConst(t, source)->entry;
     CaroHandle best = CARO_NO_HANDLE;
     double best_cost = 0.0;
+    bool is_predicted = q->service != NULL && CaroPlacement_IsPredicted(t, q);
     int group;
     for (int next = 0; next_group(t, from->service, &next, &group);) {
         Candidates c = sample_of(t, group, rng);
@@ -345,6 +563,9 @@
                 continue;
             }
             double cost = kv_copy_cost_of(t, h, rng, now);
+            if (is_predicted) {
+                cost += kv_copy_pace_cost(t, h, q, now);
+            }
             if (best == CARO_NO_HANDLE || cost < best_cost) {
                 best = h;
                 best_cost = cost;
--- a/Include/internal/caro_placement.h
+++ b/Include/internal/caro_placement.h
@@ -7,11 +7,15 @@
  * keeps VMs from all choosing the same target.  A target of another failure
  * domain is chosen only when the difference in load exceeds the cost of
  * crossing domains.
+ *
+ * Streams of a service whose targets report a work_percent
+ * (CaroTargets_HasWorkFigure) go to the target with the lowest predicted time
+ * to the first event; docs/design/placement.md has the reasons.
  */
 #ifndef CARO_PLACEMENT_H
 #define CARO_PLACEMENT_H
 
-#include "internal/caro_targets.h"
+#include "internal/caro_engine_pace.h"
 
 #include <gsl/gsl_rng.h>
 
@@ -26,8 +30,42 @@
     CaroHandle tried[CARO_TRIED_MAX]; /* Targets to exclude. */
     int n_tried;
     const char *failed_domain; /* Domain of a failed attempt, or NULL. */
+    CaroEnginePace *pace;      /* NULL: all targets have the same pace. */
+    int prompt_tokens;         /* To be prefilled. */
+    int held_tokens;           /* Of the prompt and the expected response. */
 } CaroPlacementQuery;
 
+/* The predicted time to the first event of a stream at a target, its terms and
+   what they were computed from. */
+typedef struct {
+    double first_event_ms; /* Sum of the four terms that follow. */
+    double queue_ms;       /* Prefill of the prompts ahead. */
+    double prefill_ms;     /* Prefill of the request's own prompt. */
+    double running_ms;     /* Delay by the streams that run there. */
+    double memory_ms;      /* Wait for memory, or the cost of a preemption. */
+    double event_ms;       /* Time between the events after the first. */
+    double queued_tokens;  /* Prompt tokens ahead. */
+    double held_tokens;    /* Of streams and KV copies there. */
+    bool has_memory;       /* The request fits in the engine's memory. */
+    double work_factor;    /* Momentary factor of the time per token. */
+    CaroTime load_age;     /* Of the last load report of the target itself or
+                              of a VM that uses it; -1 for none. */
+    CaroPaceEstimate pace;
+} CaroPrediction;
+
+/* Returns the prediction for one candidate. */
+CaroPrediction CaroPlacement_Predict(const CaroTargets *t, CaroHandle h,
+                                     const CaroPlacementQuery *q,
+                                     CaroTime now);
+
+/* Returns the tokens of streams and KV copies at a target, as far as known. */
+double CaroPlacement_HeldTokens(const CaroTargets *t, CaroHandle h,
+                                CaroTime now);
+
+/* Returns whether the query's target is chosen by prediction. */
+bool CaroPlacement_IsPredicted(const CaroTargets *t,
+                               const CaroPlacementQuery *q);
+
 /* Tells whether a target of the service is left to try that is neither avoided
    nor full. */
 bool CaroPlacement_HasUsable(const CaroTargets *t, const CaroPlacementQuery *q,
@@ -59,4 +97,11 @@
 CaroHandle CaroPlacement_ChooseKvCopy(const CaroTargets *t, CaroHandle source,
                                       gsl_rng *rng, CaroTime now);
 
+/* Likewise for the query, whose service may be placed by prediction: a target
+   that is slow or has no memory left is then avoided. */
+CaroHandle CaroPlacement_ChooseKvCopyFor(const CaroTargets *t,
+                                         CaroHandle source,
+                                         const CaroPlacementQuery *q,
+                                         gsl_rng *rng, CaroTime now);
+
 #endif
