Wire placement by prediction into the gateway

Samples come from forwarded streams, and limits of memory from rejections with slots free that are neither a request limit nor a notice. They are sent behind each load report to the same VMs.

--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -52,6 +52,8 @@
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
     /* Another VM's use of limited upstreams. */
     void (*on_limit_report)(void *context, const caro_limit_report *report);
+    /* A peer's samples of the pace of engines; borrowed. */
+    void (*on_pace_report)(void *context, const caro_pace_report *report);
     /* Collects this VM's evidence of rollouts for a heartbeat; returns the
        count. */
     int (*collect_evidence)(void *context,
@@ -97,6 +99,11 @@
  */
 void CaroFleet_SendLoadReport(CaroFleet *f, const caro_load_report *report);
 
+/* Sends samples of the pace of engines to the VMs that got the load report
+   with this sequence number. */
+void CaroFleet_SendPaceReport(CaroFleet *f, const caro_pace_report *report,
+                              uint32_t sequence);
+
 /* Sends this VM's use of limited upstreams to all usable VMs. */
 void CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report);
 
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -33,6 +33,7 @@
     CaroLatency *latency;
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
+    CaroEnginePace *pace;
     gsl_rng *rng;
     const char *domain;        /* Failure domain of this VM. */
     size_t response_bytes_max; /* Of responses that callers have not taken, of
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -64,6 +64,10 @@
     int prompt_tokens;  /* Prompt of the request; 0 for plain requests. */
     CaroPromptParts prompt_parts; /* None for plain requests. */
     bool is_from_kv_copy;         /* The attempt resumes from a KV copy. */
+    int held_tokens; /* Of the prompt and the expected response; 0 for plain
+                        requests. */
+    CaroTime first_event_at; /* Of the attempt; 0 before it. */
+    int n_events;            /* Of the attempt. */
     CaroRolloutAttempt rollout_attempt;
 
     CaroHandle kv_copy_at; /* Target that gets a KV copy of the attempt. */
@@ -131,6 +135,25 @@
 bool CaroRelay_RecordUnavailable(CaroRelay *r, const CaroHttpHead *head,
                                  CaroTime now);
 
+/* relay_pace.c: what placement learns from attempts, and its log. */
+
+/* Counts the request's tokens as held at the chosen target. */
+void CaroRelay_BeginPace(CaroRelay *r);
+
+/* Records events of a stream: n of them, of which the first may be the first
+   of the attempt. */
+void CaroRelay_RecordEvents(CaroRelay *r, int n, CaroTime now);
+
+/* Records what a refusal by the target says about its memory. */
+void CaroRelay_RecordRejection(CaroRelay *r, const CaroHttpHead *head,
+                               CaroTime now);
+
+/* Ends what BeginPace began, with the time between the events. */
+void CaroRelay_EndPace(CaroRelay *r, CaroTime now);
+
+/* Logs the prediction with which the target was chosen. */
+void CaroRelay_LogPrediction(CaroRelay *r, CaroTime now);
+
 /* relay_attempt.c: attempts at upstreams. */
 
 /* Begins the next attempt, or ends the request when there is none. */
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -354,6 +354,12 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_PACE_REPORT:
+        if (f->handlers->on_pace_report != NULL) {
+            f->handlers->on_pace_report(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
     case CARO_LIMIT_REPORT:
         if (f->handlers->on_limit_report != NULL) {
             f->handlers->on_limit_report(f->context, args);
@@ -469,8 +475,11 @@
     process_events(f);
 }
 
-void
-CaroFleet_SendLoadReport(CaroFleet *f, const caro_load_report *report)
+/* Sends a message to the VMs that get the load report with the sequence
+   number. */
+static void
+send_with_load(CaroFleet *f, uint32_t procedure, const void *message,
+               uint32_t sequence)
 {
     int count = CaroMembership_Count(f->membership);
     bool is_large =
@@ -480,18 +489,30 @@
        domain that is larger than the fanout receive some reports. */
     int sent = 0;
     for (int i = 0; i < count && sent < LOAD_REPORT_FANOUT; i++) {
-        CaroHandle vm =
-            (CaroHandle)((report->sequence + (u_int)i) % (u_int)count);
+        CaroHandle vm = (CaroHandle)((sequence + (u_int)i) % (u_int)count);
         const CaroVm *v = CaroMembership_Get(f->membership, vm);
         if (vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm) &&
             (!is_large || strcmp(v->domain, domain) == 0)) {
-            CaroRpc_Call(f->rpc, v->peer, CARO_RPC_UDP, CARO_LOAD_REPORT,
-                         report, LOAD_REPORT_TIMEOUT, NULL, NULL);
+            CaroRpc_Call(f->rpc, v->peer, CARO_RPC_UDP, procedure, message,
+                         LOAD_REPORT_TIMEOUT, NULL, NULL);
             sent++;
         }
     }
 }
 
+void
+CaroFleet_SendLoadReport(CaroFleet *f, const caro_load_report *report)
+{
+    send_with_load(f, CARO_LOAD_REPORT, report, report->sequence);
+}
+
+void
+CaroFleet_SendPaceReport(CaroFleet *f, const caro_pace_report *report,
+                         uint32_t sequence)
+{
+    send_with_load(f, CARO_PACE_REPORT, report, sequence);
+}
+
 void
 CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report)
 {
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -80,6 +80,7 @@
     CaroChannelPool *pool;
     CaroRetryBudget *budget;
     CaroPeerLoads *peer_loads;
+    CaroEnginePace *pace;
     CaroServiceRollouts *rollouts;
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
@@ -483,8 +484,27 @@
     }
 }
 
-/* Sends the requests in flight and the evidence of rollouts to the other VMs,
-   after a change and at LOAD_REPORT_INTERVAL. */
+static void
+on_pace_report(void *context, const caro_pace_report *report)
+{
+    CaroGateway *g = context;
+    int n = CaroEnginePace_Apply(g->pace, g->targets, report, CaroClock_Now());
+    CaroCounters_Add(&g->counters, CARO_COUNT_PEER_PACE_SAMPLES, (uint64_t)n);
+}
+
+static void
+send_pace_report(CaroGateway *g, CaroTime now)
+{
+    CaroPaceReport out;
+    if (CaroEnginePace_Collect(g->pace, &out, now)) {
+        out.report.sender = g->settings.vm;
+        out.report.boot_id = g->boot_id;
+        CaroFleet_SendPaceReport(g->fleet, &out.report, g->report_sequence);
+    }
+}
+
+/* Sends the requests in flight, the evidence of rollouts and samples of pace
+   to the other VMs, after a change and at LOAD_REPORT_INTERVAL. */
 static void
 send_load_report(CaroGateway *g, CaroTime now)
 {
@@ -509,6 +529,7 @@
         report.evidence.evidence_len > 0) {
         CaroFleet_SendLoadReport(g->fleet, &report);
     }
+    send_pace_report(g, now);
 }
 
 static void
@@ -557,6 +578,7 @@
 
 static const CaroFleetHandlers fleet_handlers = {
     .on_limit_report = on_limit_report,
+    .on_pace_report = on_pace_report,
     .on_prompt_report = on_prompt_report,
     .on_load_report = on_load_report,
     .get_config_freshness = get_config_freshness,
@@ -779,6 +801,7 @@
     g->targets = CaroTargets_Create();
     g->peer_loads =
         g->targets == NULL ? NULL : CaroPeerLoads_Create(g->targets);
+    g->pace = CaroEnginePace_Create();
     g->pool = CaroChannelPool_Create(
         g->base, (int)(IDLE_CHANNELS_FRACTION * (double)s->descriptors));
     g->budget = CaroRetryBudget_Create(
@@ -796,7 +819,8 @@
                     : CaroRequestLimits_Create(g->targets, g->rng);
     if (g->config == NULL || g->guard == NULL || g->limits == NULL ||
         g->rng == NULL || g->latency == NULL || g->peer_loads == NULL ||
-        g->pool == NULL || g->budget == NULL || g->rollouts == NULL) {
+        g->pace == NULL || g->pool == NULL || g->budget == NULL ||
+        g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
@@ -810,6 +834,7 @@
         .latency = g->latency,
         .guard = g->guard,
         .limits = g->limits,
+        .pace = g->pace,
         .rng = g->rng,
         .domain = g->settings.domain,
         .response_bytes_max =
@@ -939,6 +964,7 @@
     CaroChannelPool_Destroy(g->pool);
     CaroRetryBudget_Destroy(g->budget);
     CaroPeerLoads_Destroy(g->peer_loads);
+    CaroEnginePace_Destroy(g->pace);
     CaroServiceRollouts_Destroy(g->rollouts);
     CaroPromptGuard_Destroy(g->guard);
     CaroRequestLimits_Destroy(g->limits);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -10,8 +10,13 @@
 /* Time by which a response is sent before the caller's own timeout. */
 #define RESPONSE_MARGIN (25 * CARO_MS)
 
-/* Prompts are shorter; with the bound, sums over requests are in range. */
-enum { PROMPT_TOKENS_MAX = 1 << 20 };
+enum {
+    /* Prompts are shorter; with the bound, sums over requests are in range. */
+    PROMPT_TOKENS_MAX = 1 << 20,
+    /* Expected tokens of a response: streams have 600 to 1,170 (120 events of
+       5 tokens, 130 of 9). */
+    RESPONSE_TOKENS = 900
+};
 
 CaroRelays *
 CaroRelays_Create(const CaroRelayDeps *deps)
@@ -83,6 +88,11 @@
         r->prompt_tokens =
             tokens < PROMPT_TOKENS_MAX ? (int)tokens : PROMPT_TOKENS_MAX;
     }
+    if (CaroRelay_IsStream(r)) {
+        r->held_tokens = r->prompt_tokens + RESPONSE_TOKENS;
+        r->query.prompt_tokens = r->prompt_tokens;
+        r->query.held_tokens = r->held_tokens;
+    }
     if (CaroRelay_IsStream(r)) {
         (void)CaroPlatform_ReadPromptParts(
             CaroHttpHead_Find(
@@ -167,7 +177,8 @@
     r->query =
         (CaroPlacementQuery){.service = r->service,
                              .domain = relays->deps.domain,
-                             .is_stream = route->kind == CARO_ROUTE_STREAM};
+                             .is_stream = route->kind == CARO_ROUTE_STREAM,
+                             .pace = relays->deps.pace};
     choose_version(r, now);
     set_deadline(r, head, now);
     set_prompt(r, head);
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -209,6 +209,7 @@
         r->last_event_at = now;
         r->put_offs = 0;
         CaroTargets_RecordHeard(r->relays->deps.targets, r->target, now);
+        CaroRelay_RecordEvents(r, n, now);
         CaroServiceRollouts_OnEvents(r->relays->deps.rollouts,
                                      &r->rollout_attempt, n, now);
     }
@@ -273,6 +274,7 @@
     if (CaroRelay_RecordUnavailable(r, head, now)) {
         CaroRelays_OnTargetClosed(r->relays, r->target, now);
     }
+    CaroRelay_RecordRejection(r, head, now);
     evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
     CaroRelayHead_CopyResponse(r->headers, head);
     bool is_success = head->status >= 200 && head->status <= 299;
@@ -776,9 +778,10 @@
     if (r->route.kind != CARO_ROUTE_STREAM || !r->route.is_resumable) {
         return;
     }
-    r->kv_copy_at = CaroPlacement_ChooseKvCopy(targets, r->target,
-                                               r->relays->deps.rng, now);
+    r->kv_copy_at = CaroPlacement_ChooseKvCopyFor(
+        targets, r->target, &r->query, r->relays->deps.rng, now);
     if (r->kv_copy_at != CARO_NO_HANDLE) {
+        CaroTargets_AddHeld(targets, r->kv_copy_at, r->held_tokens);
         CaroTargets_BeginKvCopy(targets, r->kv_copy_at);
     }
 }
@@ -883,6 +886,8 @@
     r->has_prefill_ahead =
         target->prefill_tokens + target->peer_prefill_tokens > 0;
     begin_rollout_attempt(r, target, now);
+    CaroRelay_LogPrediction(r, now);
+    CaroRelay_BeginPace(r);
     CaroTargets_Begin(relays->deps.targets, r->target, CaroRelay_IsStream(r));
     relays->has_unsent_change |= CaroRelay_IsStream(r);
     CaroRelay_SetPrefill(r, r->is_from_kv_copy ? 0 : r->prompt_tokens);
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -34,6 +34,7 @@
     r->channel = NULL;
     if (r->target != CARO_NO_HANDLE) {
         CaroRelay_SetPrefill(r, 0);
+        CaroRelay_EndPace(r, r->last_event_at);
         r->relays->has_unsent_change |= CaroRelay_IsStream(r);
         CaroTargets_End(targets, r->target, CaroRelay_IsStream(r));
         r->target = CARO_NO_HANDLE;
@@ -45,6 +46,7 @@
 {
     CaroTargets *targets = r->relays->deps.targets;
     if (*kv_copy != CARO_NO_HANDLE) {
+        CaroTargets_AddHeld(targets, *kv_copy, -r->held_tokens);
         CaroTargets_EndKvCopy(targets, *kv_copy);
         *kv_copy = CARO_NO_HANDLE;
     }
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -379,6 +379,7 @@
         .rollouts = CaroServiceRollouts_Create(NULL, 0.0, 0.0),
         .counters = &f->counters,
         .latency = CaroLatency_Create(),
+        .pace = CaroEnginePace_Create(),
         .rng = gsl_rng_alloc(gsl_rng_taus2),
         .domain = "d",
         .response_bytes_max = 24 << 20};
@@ -424,6 +425,7 @@
     evconnlistener_free(f->up.listener);
     run_for(f, 2 * LOOP_STEP); /* The upstream frees its connections. */
     CaroPromptGuard_Destroy(f->deps.guard);
+    CaroEnginePace_Destroy(f->deps.pace);
     CaroRequestLimits_Destroy(f->deps.limits);
     CaroTargets_Destroy(f->deps.targets);
     CaroRetryBudget_Destroy(f->deps.budget);
