--- a/Modules/relay_pace.c
+++ b/Modules/relay_pace.c
@@ -20,6 +20,12 @@
     return CaroTargets_GetConst(r->relays->deps.targets, r->target);
 }
 
+static void
+add_count(const CaroRelay *r, CaroCounter id)
+{
+    CaroCounters_Add(r->relays->deps.counters, id, 1);
+}
+
 void
 CaroRelay_BeginPace(CaroRelay *r)
 {
@@ -48,7 +54,7 @@
     if (!r->is_from_kv_copy && !r->has_prefill_ahead &&
         CaroEnginePace_RecordFirstEvent(pace, target_of(r), r->prompt_tokens,
                                         now - r->attempt_started_at, now)) {
-        CaroRelay_AddCount(r, CARO_COUNT_PACE_SAMPLES);
+        add_count(r, CARO_COUNT_PACE_SAMPLES);
     }
 }
 
@@ -72,7 +78,7 @@
         r->held_tokens;
     if (CaroEnginePace_RecordRejection(r->relays->deps.pace, target_of(r),
                                        held, now)) {
-        CaroRelay_AddCount(r, CARO_COUNT_MEMORY_LIMITS);
+        add_count(r, CARO_COUNT_MEMORY_LIMITS);
         CaroLog_Info(
             "relay",
             "An upstream rejected a prompt with slots free. "
@@ -111,9 +117,9 @@
     }
     CaroPrediction p = CaroPlacement_Predict(r->relays->deps.targets,
                                              r->target, &r->query, now);
-    CaroRelay_AddCount(r, CARO_COUNT_PREDICTED);
+    add_count(r, CARO_COUNT_PREDICTED);
     if (!p.has_memory) {
-        CaroRelay_AddCount(r, CARO_COUNT_PREDICTED_OVER_MEMORY);
+        add_count(r, CARO_COUNT_PREDICTED_OVER_MEMORY);
     }
     CaroLog_Info(
         "relay",
