--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -70,7 +70,12 @@
     X(RETRIES_LENT, "retries_lent")                                           \
     X(RETRIES_BORROWED, "retries_borrowed")                                   \
     X(RETRY_LOANS_REFUSED, "retry_loans_refused")                             \
-    X(RETRIES_EXPIRED, "retries_expired")
+    X(RETRIES_EXPIRED, "retries_expired")                                     \
+    X(PREDICTED, "placements_predicted")                                      \
+    X(PREDICTED_OVER_MEMORY, "placements_over_memory")                        \
+    X(PACE_SAMPLES, "pace_samples")                                           \
+    X(PEER_PACE_SAMPLES, "pace_samples_of_peers")                             \
+    X(MEMORY_LIMITS, "memory_limits_learned")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -65,6 +65,8 @@
     /* A peer asked for retries; the handler has to reply. */
     void (*on_retry_loan)(void *context, CaroRpcRequest *request,
                           const caro_retry_loan *args);
+    /* A peer's samples of the pace of engines; borrowed. */
+    void (*on_pace_report)(void *context, const caro_pace_report *report);
     /* Collects this VM's evidence of rollouts for a heartbeat; returns the
        count. */
     int (*collect_evidence)(void *context,
@@ -110,6 +112,11 @@
  */
 void CaroFleet_SendLoadReport(CaroFleet *f, const caro_load_report *report);
 
+/* Sends samples of the pace of engines to the VMs that got the load report
+   with this sequence number. */
+void CaroFleet_SendPaceReport(CaroFleet *f, const caro_pace_report *report,
+                              uint32_t sequence);
+
 /* Sends this VM's use of limited upstreams to all usable VMs. */
 void CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report);
 
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -33,6 +33,7 @@
     [CARO_STORE_CHANGES] =
         PROCEDURE(caro_store_changes_args, caro_store_changes),
     [CARO_RETRY_LOAN] = PROCEDURE(caro_retry_loan, caro_retry_grant),
+    [CARO_PACE_REPORT] = PROCEDURE(caro_pace_report, caro_pace_report),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
@@ -41,7 +42,8 @@
 CaroRpcMessage_Procedure(uint32_t number)
 {
     /* Some numbers below the highest are not in use. */
-    if (number >= N_PROCEDURES || procedures[number].args == NULL) {
+    if (number == 0 || number >= N_PROCEDURES ||
+        procedures[number].args == NULL) {
         return NULL;
     }
     return &procedures[number];
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -394,6 +394,27 @@
 	u_int retries;
 };
 typedef struct caro_retry_grant caro_retry_grant;
+#define CARO_PACE_SAMPLES_MAX 24
+
+struct caro_pace_sample {
+	u_int target;
+	u_int prefill_ns;
+	u_int event_us;
+	u_int memory_tokens;
+	u_int age_ms;
+};
+typedef struct caro_pace_sample caro_pace_sample;
+
+struct caro_pace_report {
+	char *sender;
+	u_quad_t boot_id;
+	u_int first;
+	struct {
+		u_int samples_len;
+		caro_pace_sample *samples_val;
+	} samples;
+};
+typedef struct caro_pace_report caro_pace_report;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -450,6 +471,9 @@
 #define CARO_STORE_CHANGES 17
 extern  caro_store_changes * caro_store_changes_1(caro_store_changes_args *, CLIENT *);
 extern  caro_store_changes * caro_store_changes_1_svc(caro_store_changes_args *, struct svc_req *);
+#define CARO_PACE_REPORT 18
+extern  caro_pace_report * caro_pace_report_1(caro_pace_report *, CLIENT *);
+extern  caro_pace_report * caro_pace_report_1_svc(caro_pace_report *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -504,6 +528,9 @@
 #define CARO_STORE_CHANGES 17
 extern  caro_store_changes * caro_store_changes_1();
 extern  caro_store_changes * caro_store_changes_1_svc();
+#define CARO_PACE_REPORT 18
+extern  caro_pace_report * caro_pace_report_1();
+extern  caro_pace_report * caro_pace_report_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -546,6 +573,8 @@
 extern  bool_t xdr_caro_store_changes (XDR *, caro_store_changes*);
 extern  bool_t xdr_caro_retry_loan (XDR *, caro_retry_loan*);
 extern  bool_t xdr_caro_retry_grant (XDR *, caro_retry_grant*);
+extern  bool_t xdr_caro_pace_sample (XDR *, caro_pace_sample*);
+extern  bool_t xdr_caro_pace_report (XDR *, caro_pace_report*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -584,6 +613,8 @@
 extern bool_t xdr_caro_store_changes ();
 extern bool_t xdr_caro_retry_loan ();
 extern bool_t xdr_caro_retry_grant ();
+extern bool_t xdr_caro_pace_sample ();
+extern bool_t xdr_caro_pace_report ();
 
 #endif /* K&R C */
 
