A request that takes engine after engine is no loss of their domain

The rule on lost domains counted the engines that one deadly request crashed, retry after retry, for a loss of their domain (test_prompt_part_that_crashes_engines_is_refused of test_relay failed; test_one_request_that_takes_a_domain_counts failed before). The engines that the request itself lost are not counted.

--- a/Modules/prompt_guard.c
+++ b/Modules/prompt_guard.c
@@ -151,6 +151,26 @@
     CaroPromptCrashes_Apply(g->table, report, now);
 }
 
+/* Returns how many other upstreams the request of a loss has lost at about the
+   same time.  A deadly prompt that is sent again takes one after the other. */
+static int
+count_lost_by_request(const CaroPromptGuard *g, const Loss *loss)
+{
+    int n;
+    int count = 0;
+    const CaroPromptCrash *crashes = CaroPromptCrashes_List(g->table, &n);
+    for (int i = 0; i < n; i++) {
+        count += crashes[i].request == loss->request &&
+                 crashes[i].upstream != loss->upstream &&
+                 crashes[i].at >= loss->at - DOMAIN_LOSS_TIME;
+    }
+    for (int i = 0; i < g->n_losses; i++) {
+        count += g->losses[i].request == loss->request &&
+                 g->losses[i].upstream != loss->upstream;
+    }
+    return count;
+}
+
 /* The upstream was lost together with others of its failure domain, as in a
    loss of power, which no prompt causes. */
 static bool
@@ -163,8 +183,9 @@
     }
     int all = CaroTargetGroups_Get(groups, group).n;
     int lost = (all + DOMAIN_LOST_DIVISOR - 1) / DOMAIN_LOST_DIVISOR;
+    lost = lost > DOMAIN_LOST_MIN ? lost : DOMAIN_LOST_MIN;
     CaroTime at = CaroTargetGroups_FailureOfRank(
-        groups, group, lost > DOMAIN_LOST_MIN ? lost : DOMAIN_LOST_MIN, now);
+        groups, group, lost + count_lost_by_request(g, loss), now);
     return at >= loss->at - DOMAIN_LOSS_TIME;
 }
 
--- a/Test/test_prompt_guard_domains.c
+++ b/Test/test_prompt_guard_domains.c
@@ -57,18 +57,25 @@
     return parts;
 }
 
-/* An engine is lost between the head and the first event of a response. */
+/* An engine is lost between the head and the first event of a response to the
+   request with the number. */
 static void
-lose(Fixture *f, int domain, int engine)
+lose_by(Fixture *f, int domain, int engine, int number)
 {
     char id[16];
     CaroHandle h = f->engines[domain][engine];
-    CaroPromptParts parts = prompt(OWN_PART + f->n_requests);
-    (void)snprintf(id, sizeof(id), "r%d", f->n_requests++);
+    CaroPromptParts parts = prompt(OWN_PART + number);
+    (void)snprintf(id, sizeof(id), "r%d", number);
     CaroPromptGuard_RecordLoss(f->guard, h, id, &parts, f->now);
     CaroTargets_Avoid(f->targets, h, CARO_TARGET_FAILING, f->now);
 }
 
+static void
+lose(Fixture *f, int domain, int engine)
+{
+    lose_by(f, domain, engine, f->n_requests++);
+}
+
 static void
 run_for(Fixture *f, CaroTime time)
 {
@@ -114,12 +121,32 @@
     tear_down(f);
 }
 
+/* Guards against a deadly request that is sent again at once and takes all
+   engines of its domain, one after the other, for a loss of the domain. */
+static void
+test_one_request_that_takes_a_domain_counts(void **state)
+{
+    (void)state;
+    Fixture *f = set_up();
+    for (int d = 0; d < DOMAINS; d++) {
+        for (int i = 0; i < ENGINES; i++) {
+            lose_by(f, d, i, 7);
+            run_for(f, 20 * CARO_MS);
+        }
+    }
+    run_for(f, 2 * S);
+    CaroPromptParts parts = prompt(OWN_PART + 7);
+    assert_true(CaroPromptGuard_Refuses(f->guard, &parts, f->now));
+    tear_down(f);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_lost_domains_put_nothing_into_quarantine),
         cmocka_unit_test(test_single_engines_still_count),
+        cmocka_unit_test(test_one_request_that_takes_a_domain_counts),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
