Decode the fourth figure of X-Server-Load

A server may report the present processing time of a request as a fourth figure, where 100 is the usual time. CaroTarget keeps it, and CaroTargets_HasWorkFigure tells whether any server of a service has sent one since the start. A malformed fourth figure leaves the other three in force; test_platform covers it.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -56,9 +56,13 @@
     int64_t running; /* Requests in execution. */
     int64_t waiting; /* Requests in its queue. */
     int64_t slots;   /* Requests that it can execute at once. */
+    /* Present processing time of a request, where 100 is the usual one; 0 when
+       the header has no such figure. */
+    int64_t work_percent;
 } CaroTargetLoad;
 
-/* Parses CARO_HEADER_TARGET_LOAD.  Returns 0 or CARO_ERR_INPUT. */
+/* Parses CARO_HEADER_TARGET_LOAD, of three figures or four.  A malformed
+   fourth one is ignored.  Returns 0 or CARO_ERR_INPUT. */
 int CaroPlatform_ReadLoad(CaroText value, CaroTargetLoad *load);
 
 /* Parses CARO_HEADER_TARGET_LIMIT, a decimal number of at least 0.  Returns 0
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -62,11 +62,14 @@
     int peer_kv_copies;      /* KV copies kept for other VMs' streams. */
     int reported_running;    /* Running requests in the last load report. */
     int reported_waiting;    /* Queued requests in the last load report. */
-    CaroTime reported_at;    /* Arrival of the last load report; 0 if none. */
-    int failures;            /* Consecutive failures. */
-    CaroTime avoided_until;  /* Gets no new requests before this time. */
-    CaroTime full_at;        /* Its limit admitted no request then. */
-    CaroTime failed_at;      /* Last failure, seen by this VM or a peer. */
+    int reported_work_percent; /* Processing time in the last load report,
+                                  where 100 is the usual one; 0 if it had none.
+                                */
+    CaroTime reported_at;   /* Arrival of the last load report; 0 if none. */
+    int failures;           /* Consecutive failures. */
+    CaroTime avoided_until; /* Gets no new requests before this time. */
+    CaroTime full_at;       /* Its limit admitted no request then. */
+    CaroTime failed_at;     /* Last failure, seen by this VM or a peer. */
     CaroTime last_heard_at; /* Last response or event, to this VM or a peer. */
     CaroTime registered_at; /* Time at which the entry was added. */
     CaroTime cold_until;    /* By the last entry with a cold_time. */
@@ -145,9 +148,14 @@
 /* Adds to the prompt tokens awaiting prefill; "tokens" may be negative. */
 void CaroTargets_AddPrefill(CaroTargets *t, CaroHandle h, int tokens);
 
-/* Stores the load that the target reported in a response. */
+/* Stores the load that the target reported in a response; "work_percent" is 0
+   when the report had no such figure. */
 void CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running,
-                            int waiting, CaroTime now);
+                            int waiting, int work_percent, CaroTime now);
+
+/* Returns whether a target of the service has sent a work figure since this
+   process started. */
+bool CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service);
 
 /* Stores the failure of a stream of this VM, for the next load reports. */
 void CaroTargets_RecordFailure(CaroTargets *t, CaroHandle h,
--- a/Modules/relay_notices.c
+++ b/Modules/relay_notices.c
@@ -20,7 +20,8 @@
         head, CaroPlatform_HeaderName(CARO_HEADER_TARGET_LOAD));
     if (value.at != NULL && CaroPlatform_ReadLoad(value, &load) == 0) {
         CaroTargets_RecordLoad(r->relays->deps.targets, r->target,
-                               (int)load.running, (int)load.waiting, now);
+                               (int)load.running, (int)load.waiting,
+                               (int)load.work_percent, now);
     }
 }
 
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -32,6 +33,11 @@
     CaroTime used_at; /* Last use or notice by this VM. */
 } Links;
 
+typedef struct {
+    char name[CARO_NAME_SIZE];
+    UT_hash_handle hh;
+} ServiceName;
+
 struct CaroTargets {
     CaroTarget all[CARO_TARGETS_MAX];
     Links links[CARO_TARGETS_MAX];
@@ -43,7 +49,8 @@
     CaroTargetGroups *groups;
     CaroHandle recent[CARO_TARGETS_MAX];
     int n_recent;
-    CaroTargetNotices *notices; /* Of starts that are not registered. */
+    CaroTargetNotices *notices;    /* Of starts that are not registered. */
+    ServiceName *with_work_figure; /* See CaroTargets_HasWorkFigure. */
 };
 
 CaroTargets *
@@ -69,7 +76,14 @@
 void
 CaroTargets_Destroy(CaroTargets *t)
 {
+    ServiceName *s;
+    ServiceName *next;
     if (t != NULL) {
+        HASH_ITER(hh, t->with_work_figure, s, next)
+        {
+            HASH_DEL(t->with_work_figure, s);
+            free(s);
+        }
         CaroTargetNotices_Destroy(t->notices);
         CaroTargetGroups_Destroy(t->groups);
         free(t);
@@ -372,14 +386,38 @@
     CaroTargets_Get(t, h)->prefill_tokens += tokens;
 }
 
+static void
+record_work_figure(CaroTargets *t, const char *service)
+{
+    ServiceName *s;
+    if (CaroTargets_HasWorkFigure(t, service) ||
+        (s = calloc(1, sizeof(*s))) == NULL) {
+        return;
+    }
+    CARO_COPY(s->name, service);
+    HASH_ADD_STR(t->with_work_figure, name, s);
+}
+
 void
 CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running, int waiting,
-                       CaroTime now)
+                       int work_percent, CaroTime now)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
     target->reported_running = running;
     target->reported_waiting = waiting;
+    target->reported_work_percent = work_percent;
     target->reported_at = now;
+    if (work_percent > 0) {
+        record_work_figure(t, target->entry.service);
+    }
+}
+
+bool
+CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service)
+{
+    const ServiceName *found;
+    HASH_FIND_STR(t->with_work_figure, service, found);
+    return found != NULL;
 }
 
 void
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -148,6 +148,16 @@
     CaroText t = {"3,0,8", 5};
     assert_int_equal(CaroPlatform_ReadLoad(t, &load), 0);
     assert_int_equal(load.slots, 8);
+    assert_int_equal(load.work_percent, 0);
+    t = (CaroText){"3,0,8,250", 9};
+    assert_int_equal(CaroPlatform_ReadLoad(t, &load), 0);
+    assert_int_equal(load.slots, 8);
+    assert_int_equal(load.work_percent, 250);
+    /* A malformed figure that is new must not cost the three others. */
+    t = (CaroText){"3,0,8,x", 7};
+    assert_int_equal(CaroPlatform_ReadLoad(t, &load), 0);
+    assert_int_equal(load.waiting, 0);
+    assert_int_equal(load.work_percent, 0);
     t = (CaroText){"3,x,8", 5};
     assert_true(CaroPlatform_ReadLoad(t, &load) < 0);
     t = (CaroText){"1460,80", 7};
