Add the procedure CARO_ROOM_REPORT

VMs report to each other the requests, answers and rejections of a service whose servers are short of room. Numbers 16 to 18 stay unused: a call to one of them is ignored instead of reaching an entry without codecs.

--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -30,6 +30,7 @@
     [CARO_LOAD_REPORT] = PROCEDURE(caro_load_report, caro_load_report),
     [CARO_PROMPT_REPORT] = PROCEDURE(caro_prompt_report, caro_prompt_report),
     [CARO_LIMIT_REPORT] = PROCEDURE(caro_limit_report, caro_limit_report),
+    [CARO_ROOM_REPORT] = PROCEDURE(caro_room_report, caro_room_report),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
@@ -37,7 +38,8 @@
 const CaroRpcProcedure *
 CaroRpcMessage_Procedure(uint32_t number)
 {
-    if (number == 0 || number >= N_PROCEDURES) {
+    /* Numbers that are reserved for other versions have no entry. */
+    if (number >= N_PROCEDURES || procedures[number].args == NULL) {
         return NULL;
     }
     return &procedures[number];
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -346,6 +346,51 @@
 	} demands;
 };
 typedef struct caro_limit_report caro_limit_report;
+#define CARO_ROOM_SERVICES_MAX 4
+#define CARO_ROOM_PRIORITIES 4
+#define CARO_ROOM_SERVERS_MAX 8
+#define CARO_ROOM_ACCOUNTS_MAX 12
+
+struct caro_room_server {
+	u_int target;
+	u_int wait_us;
+	u_int age_ms;
+};
+typedef struct caro_room_server caro_room_server;
+
+struct caro_room_account {
+	u_int account;
+	u_int priority;
+	u_int requests_per_1000_s;
+};
+typedef struct caro_room_account caro_room_account;
+
+struct caro_service_room {
+	u_int service;
+	u_int requests_per_1000_s[CARO_ROOM_PRIORITIES];
+	u_int answers_per_1000_s;
+	u_int rejections_per_1000_s;
+	struct {
+		u_int servers_len;
+		caro_room_server *servers_val;
+	} servers;
+	struct {
+		u_int accounts_len;
+		caro_room_account *accounts_val;
+	} accounts;
+};
+typedef struct caro_service_room caro_service_room;
+
+struct caro_room_report {
+	char *sender;
+	u_quad_t boot_id;
+	u_int sequence;
+	struct {
+		u_int services_len;
+		caro_service_room *services_val;
+	} services;
+};
+typedef struct caro_room_report caro_room_report;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -396,6 +441,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1(caro_limit_report *, CLIENT *);
 extern  caro_limit_report * caro_limit_report_1_svc(caro_limit_report *, struct svc_req *);
+#define CARO_ROOM_REPORT 19
+extern  caro_room_report * caro_room_report_1(caro_room_report *, CLIENT *);
+extern  caro_room_report * caro_room_report_1_svc(caro_room_report *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -444,6 +492,9 @@
 #define CARO_LIMIT_REPORT 15
 extern  caro_limit_report * caro_limit_report_1();
 extern  caro_limit_report * caro_limit_report_1_svc();
+#define CARO_ROOM_REPORT 19
+extern  caro_room_report * caro_room_report_1();
+extern  caro_room_report * caro_room_report_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -481,6 +532,10 @@
 extern  bool_t xdr_caro_target_limit (XDR *, caro_target_limit*);
 extern  bool_t xdr_caro_service_demand (XDR *, caro_service_demand*);
 extern  bool_t xdr_caro_limit_report (XDR *, caro_limit_report*);
+extern  bool_t xdr_caro_room_server (XDR *, caro_room_server*);
+extern  bool_t xdr_caro_room_account (XDR *, caro_room_account*);
+extern  bool_t xdr_caro_service_room (XDR *, caro_service_room*);
+extern  bool_t xdr_caro_room_report (XDR *, caro_room_report*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -514,6 +569,10 @@
 extern bool_t xdr_caro_target_limit ();
 extern bool_t xdr_caro_service_demand ();
 extern bool_t xdr_caro_limit_report ();
+extern bool_t xdr_caro_room_server ();
+extern bool_t xdr_caro_room_account ();
+extern bool_t xdr_caro_service_room ();
+extern bool_t xdr_caro_room_report ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -268,6 +268,46 @@
     caro_service_demand demands<CARO_DEMANDS_MAX>;
 };
 
+const CARO_ROOM_SERVICES_MAX = 4;
+const CARO_ROOM_PRIORITIES = 4;
+const CARO_ROOM_SERVERS_MAX = 8;
+const CARO_ROOM_ACCOUNTS_MAX = 12;
+
+/* The queue of one server, as its last response to the sender told. */
+struct caro_room_server {
+    unsigned int target; /* Hash of the target's id. */
+    unsigned int wait_us; /* Expected wait of the next request there. */
+    unsigned int age_ms; /* Time since that response. */
+};
+
+/* Requests of the callers of a client account for the service. */
+struct caro_room_account {
+    unsigned int account; /* Hash of the account's name; 0 for none. */
+    unsigned int priority;
+    unsigned int requests_per_1000_s;
+};
+
+/* What the sender knows of one service whose servers are short of room. */
+struct caro_service_room {
+    unsigned int service; /* Hash of the service's name. */
+    /* Requests of the sender's callers, by priority; the last one includes all
+       that are less urgent. */
+    unsigned int requests_per_1000_s[CARO_ROOM_PRIORITIES];
+    unsigned int answers_per_1000_s;
+    unsigned int rejections_per_1000_s; /* By servers, for lack of room. */
+    caro_room_server servers<CARO_ROOM_SERVERS_MAX>;
+    caro_room_account accounts<CARO_ROOM_ACCOUNTS_MAX>;
+};
+
+/* Replaces the sender's previous report.  Older versions ignore the
+   procedure. */
+struct caro_room_report {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper boot_id;
+    unsigned int sequence; /* Increases with each report of a process start. */
+    caro_service_room services<CARO_ROOM_SERVICES_MAX>;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -285,5 +325,6 @@
         caro_load_report CARO_LOAD_REPORT(caro_load_report) = 13;
         caro_prompt_report CARO_PROMPT_REPORT(caro_prompt_report) = 14;
         caro_limit_report CARO_LIMIT_REPORT(caro_limit_report) = 15;
+        caro_room_report CARO_ROOM_REPORT(caro_room_report) = 19;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -648,3 +648,141 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_caro_room_server (XDR *xdrs, caro_room_server *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_us))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_room_account (XDR *xdrs, caro_room_account *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->account))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->requests_per_1000_s))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_service_room (XDR *xdrs, caro_service_room *objp)
+{
+	register int32_t *buf;
+
+	int i;
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, (3 + ( CARO_ROOM_PRIORITIES )) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->service))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answers_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rejections_per_1000_s))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->service);
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->requests_per_1000_s;
+				i < CARO_ROOM_PRIORITIES; ++i) {
+				IXDR_PUT_U_LONG(buf, *genp++);
+			}
+		}
+		IXDR_PUT_U_LONG(buf, objp->answers_per_1000_s);
+		IXDR_PUT_U_LONG(buf, objp->rejections_per_1000_s);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, CARO_ROOM_SERVERS_MAX,
+			sizeof (caro_room_server), (xdrproc_t) xdr_caro_room_server))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, CARO_ROOM_ACCOUNTS_MAX,
+			sizeof (caro_room_account), (xdrproc_t) xdr_caro_room_account))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, (3 + ( CARO_ROOM_PRIORITIES )) * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->service))
+				 return FALSE;
+			 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_PRIORITIES,
+				sizeof (u_int), (xdrproc_t) xdr_u_int))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answers_per_1000_s))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rejections_per_1000_s))
+				 return FALSE;
+
+		} else {
+		objp->service = IXDR_GET_U_LONG(buf);
+		{
+			register u_int *genp;
+
+			for (i = 0, genp = objp->requests_per_1000_s;
+				i < CARO_ROOM_PRIORITIES; ++i) {
+				*genp++ = IXDR_GET_U_LONG(buf);
+			}
+		}
+		objp->answers_per_1000_s = IXDR_GET_U_LONG(buf);
+		objp->rejections_per_1000_s = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, CARO_ROOM_SERVERS_MAX,
+			sizeof (caro_room_server), (xdrproc_t) xdr_caro_room_server))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, CARO_ROOM_ACCOUNTS_MAX,
+			sizeof (caro_room_account), (xdrproc_t) xdr_caro_room_account))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_PRIORITIES,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answers_per_1000_s))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rejections_per_1000_s))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->servers.servers_val, (u_int *) &objp->servers.servers_len, CARO_ROOM_SERVERS_MAX,
+		sizeof (caro_room_server), (xdrproc_t) xdr_caro_room_server))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->accounts.accounts_val, (u_int *) &objp->accounts.accounts_len, CARO_ROOM_ACCOUNTS_MAX,
+		sizeof (caro_room_account), (xdrproc_t) xdr_caro_room_account))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_room_report (XDR *xdrs, caro_room_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->boot_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sequence))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, CARO_ROOM_SERVICES_MAX,
+		sizeof (caro_service_room), (xdrproc_t) xdr_caro_service_room))
+		 return FALSE;
+	return TRUE;
+}
