Admit what servers short of room can run in time

VMs report the requests, answers, rejections and queues that they see, and each derives from the sums which part of each priority is sent; the rest is held for as long as it can be in time, or refused at once.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -59,7 +59,12 @@
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
     X(TARGETS_UNAVAILABLE, "upstreams_wanted_no_requests")                    \
-    X(TARGETS_LEFT_OUT, "upstreams_without_place")
+    X(TARGETS_LEFT_OUT, "upstreams_without_place")                            \
+    X(ROOM_SHORTAGES, "service_shortages")                                    \
+    X(ROOM_REFUSED, "refused_no_room")                                        \
+    X(ROOM_HELD, "held_for_room")                                             \
+    X(ROOM_REJECTED, "rejected_by_servers")                                   \
+    X(ROOM_REPORTS, "room_reports_sent")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -52,6 +52,8 @@
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
     /* Another VM's use of limited upstreams. */
     void (*on_limit_report)(void *context, const caro_limit_report *report);
+    /* What another VM knows of services short of room. */
+    void (*on_room_report)(void *context, const caro_room_report *report);
     /* Collects this VM's evidence of rollouts for a heartbeat; returns the
        count. */
     int (*collect_evidence)(void *context,
@@ -100,6 +102,9 @@
 /* Sends this VM's use of limited upstreams to all usable VMs. */
 void CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report);
 
+/* Sends what this VM knows of services short of room to all usable VMs. */
+void CaroFleet_SendRoomReport(CaroFleet *f, const caro_room_report *report);
+
 /* Sends what this VM knows of parts of prompts that crash upstreams to
    "fanout" usable VMs chosen at random, or fewer when there are not as
    many. */
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -19,6 +19,7 @@
 #include "internal/caro_retry_budget.h"
 #include "internal/caro_routes.h"
 #include "internal/caro_service_rollouts.h"
+#include "internal/caro_service_room.h"
 
 typedef struct CaroRelays CaroRelays;
 
@@ -33,6 +34,7 @@
     CaroLatency *latency;
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
+    CaroServiceRoom *room; /* NULL: all plain requests are sent at once. */
     gsl_rng *rng;
     const char *domain;        /* Failure domain of this VM. */
     size_t response_bytes_max; /* Of responses that callers have not taken, of
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -29,6 +29,8 @@
     char *id;      /* Request id that the caller sent; empty for none. */
     char version[CARO_NAME_SIZE];       /* Storage of query.version. */
     char failed_domain[CARO_NAME_SIZE]; /* Storage of query.failed_domain. */
+    int64_t priority;     /* Of the account, or else of the route. */
+    CaroTime caller_time; /* That the caller named; 0 for none. */
     CaroTime started_at;
     CaroAttempt attempt;
     CaroPlacementQuery query;
@@ -57,6 +59,12 @@
     bool is_close_delimited;   /* The response ends with the connection. */
     bool is_canary;           /* Restricted to the new version of a rollout. */
     bool is_over_limit;       /* Only full targets are left. */
+    bool is_held;             /* It waits for room, without a target. */
+    bool is_out_of_room;      /* All servers rejected it, or it was refused
+                                 for lack of room. */
+    bool is_rejected;         /* The current attempt was, for lack of room. */
+    size_t held_bytes;        /* Of a held request. */
+    CaroTime room_wait;       /* Retry-After of a refusal for lack of room. */
     bool is_target_suspected; /* Another stream found the target silent. */
     bool is_silence_recorded; /* The target was recorded as silent. */
     bool has_prefill_ahead;   /* Other prompts were queued at the target. */
@@ -131,6 +139,26 @@
 bool CaroRelay_RecordUnavailable(CaroRelay *r, const CaroHttpHead *head,
                                  CaroTime now);
 
+/* Records that a plain request was answered, or rejected for lack of room. */
+void CaroRelay_RecordRoom(CaroRelay *r, const CaroHttpHead *head,
+                          CaroTime now);
+
+/* relay.c: admission to services short of room. */
+
+/* Counts and logs a refusal for lack of room.  Returns after which time the
+   caller may come back. */
+CaroTime CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now);
+
+/* Holds a request that all servers rejected, for another attempt.  Returns
+   false when it cannot be held. */
+bool CaroRelay_HoldRejected(CaroRelay *r, CaroTime now);
+
+/* Begins the attempt of a held request, or refuses it. */
+void CaroRelay_EndHold(CaroRelay *r, CaroTime now);
+
+/* Ends the hold of a request that ends. */
+void CaroRelay_CancelHold(CaroRelay *r);
+
 /* relay_attempt.c: attempts at upstreams. */
 
 /* Begins the next attempt, or ends the request when there is none. */
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -360,6 +360,12 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_ROOM_REPORT:
+        if (f->handlers->on_room_report != NULL) {
+            f->handlers->on_room_report(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
     default:
         if (f->handlers->on_call != NULL) {
             f->handlers->on_call(f->context, request, procedure, args);
@@ -492,19 +498,31 @@
     }
 }
 
-void
-CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report)
+static void
+send_to_all(CaroFleet *f, uint32_t procedure, const void *report)
 {
     int count = CaroMembership_Count(f->membership);
     for (CaroHandle vm = 0; vm < count; vm++) {
         if (vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm)) {
             CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
-                         CARO_RPC_UDP, CARO_LIMIT_REPORT, report,
-                         LOAD_REPORT_TIMEOUT, NULL, NULL);
+                         CARO_RPC_UDP, procedure, report, LOAD_REPORT_TIMEOUT,
+                         NULL, NULL);
         }
     }
 }
 
+void
+CaroFleet_SendLimitReport(CaroFleet *f, const caro_limit_report *report)
+{
+    send_to_all(f, CARO_LIMIT_REPORT, report);
+}
+
+void
+CaroFleet_SendRoomReport(CaroFleet *f, const caro_room_report *report)
+{
+    send_to_all(f, CARO_ROOM_REPORT, report);
+}
+
 void
 CaroFleet_SendPromptReport(CaroFleet *f, const caro_prompt_report *report,
                            int fanout)
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -24,6 +24,7 @@
 #include "internal/caro_request_check.h"
 #include "internal/caro_request_limits.h"
 #include "internal/caro_service_rollouts.h"
+#include "internal/caro_service_room.h"
 
 #include <assert.h>
 #include <stdio.h>
@@ -83,6 +84,7 @@
     CaroServiceRollouts *rollouts;
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
+    CaroServiceRoom *room;
     CaroRelays *relays;
     CaroHttpServer *http_server;
     CaroStoreClient *store;
@@ -97,6 +99,7 @@
     uint64_t boot_id;
     uint32_t report_sequence;
     uint32_t limit_report_sequence;
+    uint32_t room_report_sequence;
     CaroTime next_load_report;
     CaroTime started_at;
     /* Calls received before the first reads of the store. */
@@ -555,7 +558,54 @@
     }
 }
 
+static void
+on_room_report(void *context, const caro_room_report *report)
+{
+    CaroGateway *g = context;
+    CaroServiceRoom_Apply(g->room, report, CaroClock_Now());
+}
+
+static void
+log_room_change(CaroGateway *g, const CaroRoomState *s)
+{
+    if (s->is_short) {
+        CaroCounters_Add(&g->counters, CARO_COUNT_ROOM_SHORTAGES, 1);
+    }
+    CaroLog_Info(
+        "room",
+        "%s service=%s wait_ms=%lld observed_age_ms=%lld capacity_per_s=%.1f "
+        "requests_per_s=%.1f/%.1f/%.1f/%.1f waited_per_s=%.1f "
+        "rejections_per_s=%.1f reports=%d "
+        "report_age_ms=%lld held=%d",
+        s->is_short ? "A service is short of room."
+                    : "A service is no longer short of room.",
+        s->service, (long long)(s->wait / CARO_MS),
+        (long long)(s->observed_age / CARO_MS), s->capacity, s->requests[0],
+        s->requests[1], s->requests[2], s->requests[3], s->waited,
+        s->rejections, s->reports, (long long)(s->report_age / CARO_MS),
+        s->held);
+}
+
+static void
+tick_room(CaroGateway *g, int vms, CaroTime now)
+{
+    CaroRoomReport out;
+    CaroRoomState state;
+    CaroServiceRoom_SetVms(g->room, vms);
+    while (CaroServiceRoom_Tick(g->room, &state, now)) {
+        log_room_change(g, &state);
+    }
+    if (CaroServiceRoom_Collect(g->room, &out, now)) {
+        out.report.sender = g->settings.vm;
+        out.report.boot_id = g->boot_id;
+        out.report.sequence = ++g->room_report_sequence;
+        CaroCounters_Add(&g->counters, CARO_COUNT_ROOM_REPORTS, 1);
+        CaroFleet_SendRoomReport(g->fleet, &out.report);
+    }
+}
+
 static const CaroFleetHandlers fleet_handlers = {
+    .on_room_report = on_room_report,
     .on_limit_report = on_limit_report,
     .on_prompt_report = on_prompt_report,
     .on_load_report = on_load_report,
@@ -717,6 +767,7 @@
     int vms =
         CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet));
     tick_limits(g, vms, now);
+    tick_room(g, vms, now);
     CaroRelays_SetVms(g->relays, vms);
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
@@ -794,7 +845,9 @@
     g->limits = g->targets == NULL || g->rng == NULL
                     ? NULL
                     : CaroRequestLimits_Create(g->targets, g->rng);
-    if (g->config == NULL || g->guard == NULL || g->limits == NULL ||
+    g->room =
+        g->limits == NULL ? NULL : CaroServiceRoom_Create(g->targets, g->rng);
+    if (g->config == NULL || g->guard == NULL || g->room == NULL ||
         g->rng == NULL || g->latency == NULL || g->peer_loads == NULL ||
         g->pool == NULL || g->budget == NULL || g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
@@ -810,6 +863,7 @@
         .latency = g->latency,
         .guard = g->guard,
         .limits = g->limits,
+        .room = g->room,
         .rng = g->rng,
         .domain = g->settings.domain,
         .response_bytes_max =
@@ -942,6 +996,7 @@
     CaroServiceRollouts_Destroy(g->rollouts);
     CaroPromptGuard_Destroy(g->guard);
     CaroRequestLimits_Destroy(g->limits);
+    CaroServiceRoom_Destroy(g->room);
     CaroLatency_Destroy(g->latency);
     CaroTargets_Destroy(g->targets);
     CaroActiveConfig_Destroy(g->config);
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -1,6 +1,7 @@
 /* Requests of callers from their acceptance on, as a set. */
 #include "internal/caro_relay_private.h"
 
+#include "internal/caro_log.h"
 #include "internal/caro_platform.h"
 
 #include <stdio.h>
@@ -10,6 +11,9 @@
 /* Time by which a response is sent before the caller's own timeout. */
 #define RESPONSE_MARGIN (25 * CARO_MS)
 
+/* A day; longer times of callers do not count. */
+#define CALLER_TIME_MAX_MS ((int64_t)86400000)
+
 /* Prompts are shorter; with the bound, sums over requests are in range. */
 enum { PROMPT_TOKENS_MAX = 1 << 20 };
 
@@ -50,6 +54,9 @@
     CaroText value = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_TIME_LEFT));
     CaroTime route = now + r->route.timeout;
+    if (CaroText_ToNumber(value, &ms) && ms < CALLER_TIME_MAX_MS) {
+        r->caller_time = ms * CARO_MS;
+    }
     bool is_shorter = CaroText_ToNumber(value, &ms) &&
                       ms < (r->route.timeout + RESPONSE_MARGIN) / CARO_MS;
     CaroTime caller =
@@ -91,6 +98,115 @@
     }
 }
 
+/* --- room at the servers --- */
+
+static CaroRoomRequest
+room_request(const CaroRelay *r)
+{
+    struct evbuffer *body = CaroCall_Body(r->call);
+    return (CaroRoomRequest){.service = r->service,
+                             .account = r->account,
+                             .priority = r->priority,
+                             .objective = r->route.objective,
+                             .caller_time = r->caller_time,
+                             .accepted_at = r->started_at,
+                             .deadline = r->attempt.deadline,
+                             .bytes = r->is_held ? r->held_bytes
+                                      : body == NULL
+                                          ? 0
+                                          : evbuffer_get_length(body)};
+}
+
+CaroTime
+CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now)
+{
+    CaroRoomState s;
+    if (r->room_wait == 0) {
+        r->room_wait =
+            CaroServiceRoom_RetryAfter(r->relays->deps.room, r->service);
+    }
+    CaroRelay_AddCount(r, CARO_COUNT_ROOM_REFUSED);
+    if (!CaroServiceRoom_GetState(r->relays->deps.room, r->service, &s, now)) {
+        return r->room_wait;
+    }
+    CaroLog_Info(
+        "room",
+        "A request was refused for lack of room. id=" CARO_LOG_TEXT
+        " service=%s priority=%lld tries=%d ms=%lld wait_ms=%lld "
+        "observed_age_ms=%lld capacity_per_s=%.1f "
+        "requests_per_s=%.1f/%.1f/%.1f/%.1f waited_per_s=%.1f "
+        "account_per_s=%.2f/%.2f/%.2f/%.2f rejections_per_s=%.1f reports=%d "
+        "report_age_ms=%lld held=%d retry_ms=%lld",
+        r->id, r->service, (long long)r->priority, r->attempt.tries,
+        (long long)((now - r->started_at) / CARO_MS),
+        (long long)(s.wait / CARO_MS), (long long)(s.observed_age / CARO_MS),
+        s.capacity, s.requests[0], s.requests[1], s.requests[2], s.requests[3],
+        s.waited, s.levels[0], s.levels[1], s.levels[2], s.levels[3],
+        s.rejections, s.reports, (long long)(s.report_age / CARO_MS), s.held,
+        (long long)(r->room_wait / CARO_MS));
+    return r->room_wait;
+}
+
+/* Does what was decided on a request without a target. */
+static void
+follow_room(CaroRelay *r, CaroRoomDecision d, CaroTime now)
+{
+    switch (d.action) {
+    case CARO_ROOM_SEND:
+        CaroRelay_BeginAttempt(r, now);
+        break;
+    case CARO_ROOM_HOLD:
+        r->held_bytes = room_request(r).bytes;
+        r->is_held = true;
+        CaroRelay_AddCount(r, CARO_COUNT_ROOM_HELD);
+        CaroRelay_SetTimer(r, now + d.wait, now);
+        break;
+    case CARO_ROOM_REFUSE:
+        r->is_out_of_room = true;
+        r->room_wait = d.wait;
+        CaroRelay_RespondStatus(r, 503, "the service is short of room", now);
+        break;
+    }
+}
+
+bool
+CaroRelay_HoldRejected(CaroRelay *r, CaroTime now)
+{
+    CaroServiceRoom *room = r->relays->deps.room;
+    if (!r->is_out_of_room || r->attempt.may_have_run || room == NULL) {
+        return false;
+    }
+    CaroRoomRequest q = room_request(r);
+    CaroRoomDecision d = CaroServiceRoom_Retry(room, &q, now);
+    if (d.action != CARO_ROOM_HOLD) {
+        r->room_wait = d.wait;
+        return false;
+    }
+    r->is_out_of_room = false;
+    r->query.n_tried = 0;
+    follow_room(r, d, now);
+    return true;
+}
+
+void
+CaroRelay_EndHold(CaroRelay *r, CaroTime now)
+{
+    CaroRoomRequest q = room_request(r);
+    r->is_held = false;
+    follow_room(r, CaroServiceRoom_EndHold(r->relays->deps.room, &q, now),
+                now);
+}
+
+void
+CaroRelay_CancelHold(CaroRelay *r)
+{
+    if (r->is_held) {
+        CaroRoomRequest q = room_request(r);
+        r->is_held = false;
+        CaroServiceRoom_CancelHold(r->relays->deps.room, &q);
+    }
+}
+
 static CaroRelay *
 create_relay(CaroRelays *relays, CaroCall *call, const CaroRoute *route,
              const CaroClientAccount *account, CaroTime now)
@@ -174,7 +290,14 @@
     CaroRetryBudget_RecordRequest(relays->deps.budget, r->service, now);
     CaroRequestLimits_RecordDemand(relays->deps.limits, r->service, now);
     CaroRelay_AddCount(r, CARO_COUNT_RELAYS);
-    CaroRelay_BeginAttempt(r, now);
+    r->priority = account != NULL && account->priority >= 0 ? account->priority
+                                                            : route->priority;
+    if (relays->deps.room == NULL || CaroRelay_IsStream(r)) {
+        CaroRelay_BeginAttempt(r, now);
+        return;
+    }
+    CaroRoomRequest q = room_request(r);
+    follow_room(r, CaroServiceRoom_Accept(relays->deps.room, &q, now), now);
 }
 
 void
@@ -231,7 +354,8 @@
         CaroRelay_Cut(r, "the VM is shutting down", now);
     }
     else {
-        CaroRelay_RespondStatus(r, 502, "the VM is shutting down", now);
+        CaroRelay_RespondStatus(r, r->is_held ? 503 : 502,
+                                "the VM is shutting down", now);
     }
 }
 
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -126,7 +126,10 @@
     CaroTime now = CaroClock_Now();
     bool is_expired = now >= r->attempt.deadline;
     bool is_waiting = r->target == CARO_NO_HANDLE;
-    if (!is_expired && is_waiting) {
+    if (r->is_held) {
+        CaroRelay_EndHold(r, now);
+    }
+    else if (!is_expired && is_waiting) {
         if (has_retry_budget(r, now)) {
             CaroRelay_BeginAttempt(r, now);
         }
@@ -273,6 +276,7 @@
     if (CaroRelay_RecordUnavailable(r, head, now)) {
         CaroRelays_OnTargetClosed(r->relays, r->target, now);
     }
+    CaroRelay_RecordRoom(r, head, now);
     evbuffer_drain(r->headers, evbuffer_get_length(r->headers));
     CaroRelayHead_CopyResponse(r->headers, head);
     bool is_success = head->status >= 200 && head->status <= 299;
@@ -499,9 +503,11 @@
         return CaroTarget_IsOpen(target, now) ? CARO_TARGET_FAILING
                                               : CARO_TARGET_NO_FAILURE;
     case CARO_OUTCOME_NOT_RUN:
-        /* It is no failure that a KV copy is no longer there, nor that an
-           upstream refuses what it announced to refuse. */
-        return r->is_from_kv_copy || !CaroTarget_IsOpen(target, now)
+        /* It is no failure that a KV copy is no longer there, nor that a queue
+           is full, nor that an upstream refuses what it announced to refuse.
+         */
+        return r->is_from_kv_copy || r->is_rejected ||
+                       !CaroTarget_IsOpen(target, now)
                    ? CARO_TARGET_NO_FAILURE
                    : CARO_TARGET_FAILING;
     default:
@@ -545,7 +551,7 @@
         q->n_tried--; /* Targets that failed are avoided anyway. */
     }
     if (has_run || failure_of(r, outcome, now) != CARO_TARGET_NO_FAILURE ||
-        outcome == CARO_OUTCOME_FAILED) {
+        outcome == CARO_OUTCOME_FAILED || r->is_rejected) {
         q->tried[q->n_tried++] = r->target;
     }
     if (has_run) {
@@ -669,6 +675,11 @@
         prepare_next_attempt(r, outcome, now);
     }
     CaroRelay_ReleaseTarget(r);
+    r->is_out_of_room |= r->is_rejected;
+    r->is_rejected = false;
+    if (outcome == CARO_OUTCOME_NO_TARGET && CaroRelay_HoldRejected(r, now)) {
+        return;
+    }
     switch (CaroAttempt_End(&r->attempt, outcome, has_budget, now)) {
     case CARO_STEP_RETRY:
         CaroRelay_AddCount(r, CARO_COUNT_RELAY_RETRIES);
@@ -756,8 +767,15 @@
     }
     bool is_retry =
         r->attempt.tries > 0 || CaroEventForwarder_LastId(r->forwarder) >= 0;
-    CaroHandle h;
+    CaroHandle h = CARO_NO_HANDLE;
     CaroRequestLimits_MarkFull(limits, r->service, now);
+    if (r->relays->deps.room != NULL) {
+        h = CaroServiceRoom_Choose(r->relays->deps.room, &r->query, now);
+    }
+    if (h != CARO_NO_HANDLE &&
+        CaroRequestLimits_Take(limits, h, is_retry, now)) {
+        return h;
+    }
     do { /* A target that does not admit the request is full after that. */
         h = CaroPlacement_Choose(targets, &r->query, r->relays->deps.rng, now);
     } while (h != CARO_NO_HANDLE &&
@@ -857,6 +875,7 @@
     }
     r->is_event_stream = false;
     r->is_not_run = false;
+    r->is_rejected = false;
     r->failed_at = 0;
     r->n_foreign_responses = 0;
     r->foreign_bytes = 0;
--- a/Modules/relay_notices.c
+++ b/Modules/relay_notices.c
@@ -110,3 +110,25 @@
     CaroRelay_AddCount(r, CARO_COUNT_TARGETS_UNAVAILABLE);
     return true;
 }
+
+void
+CaroRelay_RecordRoom(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
+{
+    const CaroRelayDeps *deps = &r->relays->deps;
+    const CaroTarget *target = CaroTargets_GetConst(deps->targets, r->target);
+    r->is_rejected = false;
+    if (deps->room == NULL || CaroRelay_IsStream(r) ||
+        !CaroTargets_HasWorkFigure(deps->targets, r->service)) {
+        return;
+    }
+    /* A server that leaves or wants no requests rejects for that reason. */
+    r->is_rejected =
+        r->is_not_run && head->status == 503 && CaroTarget_IsOpen(target, now);
+    if (r->is_rejected) {
+        CaroRelay_AddCount(r, CARO_COUNT_ROOM_REJECTED);
+    }
+    if (r->is_rejected || (!r->is_not_run && head->status < 500)) {
+        CaroServiceRoom_RecordResponse(deps->room, r->target, r->is_rejected,
+                                       now - r->attempt_started_at, now);
+    }
+}
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -53,6 +53,7 @@
 void
 CaroRelay_Destroy(CaroRelay *r)
 {
+    CaroRelay_CancelHold(r);
     CaroRelay_ReleaseTarget(r);
     CaroRelay_ReleaseKvCopy(r, &r->kv_copy_at);
     CaroRelay_ReleaseKvCopy(r, &r->resume_at);
@@ -143,7 +144,10 @@
 {
     CaroCall *call = r->call;
     double wait_s = status == 503 ? retry_after_s(r, now) : 0.0;
-    if (r->is_over_limit && status == 503) {
+    if (r->is_out_of_room && status == 503) {
+        wait_s = (double)CaroRelay_RefuseForRoom(r, now) / (double)CARO_SECOND;
+    }
+    else if (r->is_over_limit && status == 503) {
         CaroTime delay = CaroRequestLimits_Refuse(r->relays->deps.limits,
                                                   r->service, r->id, now);
         wait_s = (double)delay / (double)CARO_SECOND;
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -348,6 +348,7 @@
 typedef struct caro_limit_report caro_limit_report;
 #define CARO_ROOM_SERVICES_MAX 4
 #define CARO_ROOM_PRIORITIES 4
+#define CARO_ROOM_RANKS 8
 #define CARO_ROOM_SERVERS_MAX 8
 #define CARO_ROOM_ACCOUNTS_MAX 12
 
@@ -360,14 +361,14 @@
 
 struct caro_room_account {
 	u_int account;
-	u_int priority;
+	u_int rank;
 	u_int requests_per_1000_s;
 };
 typedef struct caro_room_account caro_room_account;
 
 struct caro_service_room {
 	u_int service;
-	u_int requests_per_1000_s[CARO_ROOM_PRIORITIES];
+	u_int requests_per_1000_s[CARO_ROOM_RANKS];
 	u_int answers_per_1000_s;
 	u_int rejections_per_1000_s;
 	struct {
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -270,6 +270,7 @@
 
 const CARO_ROOM_SERVICES_MAX = 4;
 const CARO_ROOM_PRIORITIES = 4;
+const CARO_ROOM_RANKS = 8;
 const CARO_ROOM_SERVERS_MAX = 8;
 const CARO_ROOM_ACCOUNTS_MAX = 12;
 
@@ -283,16 +284,17 @@
 /* Requests of the callers of a client account for the service. */
 struct caro_room_account {
     unsigned int account; /* Hash of the account's name; 0 for none. */
-    unsigned int priority;
+    unsigned int rank; /* As in caro_service_room. */
     unsigned int requests_per_1000_s;
 };
 
 /* What the sender knows of one service whose servers are short of room. */
 struct caro_service_room {
     unsigned int service; /* Hash of the service's name. */
-    /* Requests of the sender's callers, by priority; the last one includes all
-       that are less urgent. */
-    unsigned int requests_per_1000_s[CARO_ROOM_PRIORITIES];
+    /* Requests of the sender's callers, by rank: twice the priority, and one
+       more where the caller has waited longer than the objective before.  The
+       last priority includes all that are less urgent. */
+    unsigned int requests_per_1000_s[CARO_ROOM_RANKS];
     unsigned int answers_per_1000_s;
     unsigned int rejections_per_1000_s; /* By servers, for lack of room. */
     caro_room_server servers<CARO_ROOM_SERVERS_MAX>;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -670,7 +670,7 @@
 
 	 if (!xdr_u_int (xdrs, &objp->account))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->priority))
+	 if (!xdr_u_int (xdrs, &objp->rank))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->requests_per_1000_s))
 		 return FALSE;
@@ -685,11 +685,11 @@
 	int i;
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, (3 + ( CARO_ROOM_PRIORITIES )) * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (3 + ( CARO_ROOM_RANKS )) * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->service))
 				 return FALSE;
-			 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_PRIORITIES,
+			 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_RANKS,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->answers_per_1000_s))
@@ -703,7 +703,7 @@
 			register u_int *genp;
 
 			for (i = 0, genp = objp->requests_per_1000_s;
-				i < CARO_ROOM_PRIORITIES; ++i) {
+				i < CARO_ROOM_RANKS; ++i) {
 				IXDR_PUT_U_LONG(buf, *genp++);
 			}
 		}
@@ -718,11 +718,11 @@
 			 return FALSE;
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, (3 + ( CARO_ROOM_PRIORITIES )) * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, (3 + ( CARO_ROOM_RANKS )) * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->service))
 				 return FALSE;
-			 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_PRIORITIES,
+			 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_RANKS,
 				sizeof (u_int), (xdrproc_t) xdr_u_int))
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->answers_per_1000_s))
@@ -736,7 +736,7 @@
 			register u_int *genp;
 
 			for (i = 0, genp = objp->requests_per_1000_s;
-				i < CARO_ROOM_PRIORITIES; ++i) {
+				i < CARO_ROOM_RANKS; ++i) {
 				*genp++ = IXDR_GET_U_LONG(buf);
 			}
 		}
@@ -754,7 +754,7 @@
 
 	 if (!xdr_u_int (xdrs, &objp->service))
 		 return FALSE;
-	 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_PRIORITIES,
+	 if (!xdr_vector (xdrs, (char *)objp->requests_per_1000_s, CARO_ROOM_RANKS,
 		sizeof (u_int), (xdrproc_t) xdr_u_int))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->answers_per_1000_s))
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -385,6 +385,7 @@
     f->deps.guard =
         CaroPromptGuard_Create(f->deps.targets, NULL, &f->counters);
     f->deps.limits = CaroRequestLimits_Create(f->deps.targets, f->deps.rng);
+    f->deps.room = CaroServiceRoom_Create(f->deps.targets, f->deps.rng);
     f->relays = CaroRelays_Create(&f->deps);
     static const CaroRouteShare shares[] = {{.service = "s", .weight = 1}};
     f->route = (CaroRoute){.name = "r",
@@ -425,6 +426,7 @@
     run_for(f, 2 * LOOP_STEP); /* The upstream frees its connections. */
     CaroPromptGuard_Destroy(f->deps.guard);
     CaroRequestLimits_Destroy(f->deps.limits);
+    CaroServiceRoom_Destroy(f->deps.room);
     CaroTargets_Destroy(f->deps.targets);
     CaroRetryBudget_Destroy(f->deps.budget);
     CaroServiceRollouts_Destroy(f->deps.rollouts);
