--- a/Controllers/service_room.c
+++ b/Controllers/service_room.c
@@ -38,6 +38,8 @@
 /* A wait that differs from the aim is corrected over this time, which is twice
    the age of the observations of a queue. */
 #define CORRECTION_TIME (200 * CARO_MS)
+/* Likewise of a wait above the aim, behind which requests are rejected. */
+#define DRAIN_TIME (130 * CARO_MS)
 #define CORRECTION_MIN 0.3
 #define CORRECTION_MAX 1.25
 /* Corrects what lasts, as an estimate that is wrong. */
@@ -130,6 +132,7 @@
     CaroTime leveled_at;
     double wait; /* Mean of the servers. */
     double capacity;
+    double own_part; /* Equal part of the capacity, of the last reports. */
     double bias;
     /* Requests a second that each account of a priority is admitted with. */
     double levels[CARO_ROOM_RANKS];
@@ -560,10 +563,19 @@
         return;
     }
     double aimed_wait = AIMED_WAIT_FRACTION * objective;
-    update_capacity(s, answers, aimed_wait, elapsed);
+    if (sums.vms == 0 && r->vms > 1 && s->own_part > 0.0) {
+        /* This VM is cut off, and the others go on. */
+        s->capacity = s->own_part;
+    }
+    else {
+        update_capacity(s, answers, aimed_wait, elapsed);
+        s->own_part = sums.vms > 0 ? s->capacity / (sums.vms + 1) : 0.0;
+    }
     bound_service_time(s, now);
     double difference = aimed_wait - s->wait;
-    double correction = 1.0 + difference / (double)CORRECTION_TIME;
+    double correction =
+        1.0 +
+        difference / (double)(difference > 0.0 ? CORRECTION_TIME : DRAIN_TIME);
     correction = fmin(fmax(correction, CORRECTION_MIN), CORRECTION_MAX);
     if (is_limited(s)) {
         s->queued_at = now;
