--- a/Controllers/service_room.c
+++ b/Controllers/service_room.c
@@ -64,9 +64,9 @@
 /* The longest time of callers and the shortest objective are forgotten after
    this. */
 #define CALLER_TTL (20 * CARO_SECOND)
-/* Weight of a server whose queue makes requests late, while others have room:
-   some requests have to show that it has room again. */
-#define LATE_WEIGHT 0.02
+/* Weight of a server whose queue makes requests late: it is chosen only if all
+   are so.  What it still runs shows when it has room again. */
+#define LATE_WEIGHT 1e-6
 /* What is known of queues is 50 to 100 ms old.  The smaller this is, the more
    all VMs choose the queue that was the shortest then. */
 #define EVEN_WEIGHT 0.5
