Keep the retry budget and the deadline when a hold ends

A request that all servers rejected was sent again after its hold without asking for retry budget (test_relay_room, held-request-keeps-the-retry-budget), and one whose hold ended late, after a stall of the process, was sent although its response would be cut (test_service_room, hold-that-ends-too-late).

--- a/Controllers/service_room.c
+++ b/Controllers/service_room.c
@@ -709,10 +709,15 @@
     Service *s = find_service(r, q->service);
     CaroServiceRoom_CancelHold(r, q);
     if (s == NULL) {
-        return send_now();
+        return now < q->deadline
+                   ? send_now()
+                   : (CaroRoomDecision){CARO_ROOM_REFUSE, RETRY_DELAY_MIN};
     }
     evaluate(r, s, now);
-    return s->levels[rank_of(s, q)] > 0.0 ? send_now() : refuse(r, s);
+    /* After a stall of this process its response would be cut off. */
+    bool has_time = now + (CaroTime)(s->wait + service_time(s)) < q->deadline;
+    return has_time && s->levels[rank_of(s, q)] > 0.0 ? send_now()
+                                                      : refuse(r, s);
 }
 
 /* --- servers --- */
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -169,11 +169,23 @@
     }
 }
 
+/* A request that was sent before counts as a retry when it is sent again. */
+static bool
+may_retry(const CaroRelay *r, CaroTime now)
+{
+    bool has_budget = CaroRetryBudget_AllowsRetry(
+        r->relays->deps.budget, r->service, r->relays->vms, now);
+    return r->attempt.tries == 0 ||
+           CaroAttempt_CheckRetry(&r->attempt, false, has_budget, now) ==
+               CARO_RETRY_ALLOWED;
+}
+
 bool
 CaroRelay_HoldRejected(CaroRelay *r, CaroTime now)
 {
     CaroServiceRoom *room = r->relays->deps.room;
-    if (!r->is_out_of_room || r->attempt.may_have_run || room == NULL) {
+    if (!r->is_out_of_room || r->attempt.may_have_run || room == NULL ||
+        !may_retry(r, now)) {
         return false;
     }
     CaroRoomRequest q = room_request(r);
@@ -193,8 +205,12 @@
 {
     CaroRoomRequest q = room_request(r);
     r->is_held = false;
-    follow_room(r, CaroServiceRoom_EndHold(r->relays->deps.room, &q, now),
-                now);
+    CaroRoomDecision d =
+        CaroServiceRoom_EndHold(r->relays->deps.room, &q, now);
+    if (!may_retry(r, now)) {
+        d = (CaroRoomDecision){.action = CARO_ROOM_REFUSE};
+    }
+    follow_room(r, d, now);
 }
 
 void
--- a/Objects/room_reports.c
+++ b/Objects/room_reports.c
@@ -4,6 +4,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+/* The analyzer takes the bytes of a structure for undefined in uthash's own
+   function. */
+#define HASH_FUNCTION(key, size, hash)                                        \
+    do {                                                                      \
+        (hash) = XXH32((key), (size), 0);                                     \
+    } while (0)
 #include <uthash.h>
 
 /* One report of the largest deployment, sent each 1.5 s, may come late. */
--- a/Test/test_relay_room.c
+++ b/Test/test_relay_room.c
@@ -133,6 +133,24 @@
     assert_in_range(f->up.n_requests, sent, sent + 2);
 }
 
+/* What is sent again after a hold is a retry, of which the deployment has no
+   more than its budget. */
+static void
+test_held_request_keeps_the_retry_budget(void **state)
+{
+    Fixture *f = *state;
+    begin_hold(f);
+    int sent = f->up.n_requests;
+    CaroTime now = CaroClock_Now();
+    while (CaroRetryBudget_AllowsRetry(f->deps.budget, "s", 1, now)) {
+        CaroRetryBudget_RecordRetry(f->deps.budget, "s", now);
+    }
+    wait_for(f, "HTTP/1.1 503");
+    assert_non_null(strstr(f->received, "Retry-After: "));
+    assert_int_equal(f->up.n_requests, sent);
+    assert_int_equal(held(f), 0);
+}
+
 /* A VM that stops told the caller of a request that no server had taken that
    its outcome is unknown. */
 static void
@@ -156,6 +174,7 @@
         ROOM_TEST(test_rejecting_servers_are_not_avoided),
         ROOM_TEST(test_servers_with_three_figures_are_served_as_before),
         ROOM_TEST(test_hold_ends_with_its_caller),
+        ROOM_TEST(test_held_request_keeps_the_retry_budget),
         ROOM_TEST(test_held_request_is_refused_at_shutdown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Test/test_service_room.c
+++ b/Test/test_service_room.c
@@ -1217,6 +1217,27 @@
     stop_one(&one);
 }
 
+/* The process stalled while a request was held: an order that is sent now
+   would run while its caller is told that it is late. */
+static void
+test_hold_that_ends_too_late(void **state)
+{
+    (void)state;
+    One one;
+    start_one(&one, 1);
+    respond(&one, 0, false);
+    (void)accept_one(&one);
+    for (int late = 0; late <= 1; late++) {
+        assert_int_equal(
+            CaroServiceRoom_Retry(one.room, &one.q, one.now).action,
+            CARO_ROOM_HOLD);
+        CaroTime end = late ? one.q.deadline - 20 * MS : one.now + 15 * MS;
+        assert_int_equal(CaroServiceRoom_EndHold(one.room, &one.q, end).action,
+                         late ? CARO_ROOM_REFUSE : CARO_ROOM_SEND);
+    }
+    stop_one(&one);
+}
+
 /* The end of a shortage ends the reports and all refusals, and each change is
    told once. */
 static void
@@ -1295,6 +1316,7 @@
         cmocka_unit_test(test_sums_with_too_many_services),
         cmocka_unit_test(test_start_without_reports),
         cmocka_unit_test(test_holds_are_bounded),
+        cmocka_unit_test(test_hold_that_ends_too_late),
         cmocka_unit_test(test_changes_are_told_once),
         cmocka_unit_test(test_many_services),
         cmocka_unit_test(test_nothing_is_sent_with_room),
