--- a/Controllers/service_room.c
+++ b/Controllers/service_room.c
@@ -14,6 +14,8 @@
 /* All VMs report to all others: each receives 200 reports a second at most. */
 #define REPORT_INTERVAL_MIN (200 * CARO_MS)
 #define REPORT_INTERVAL_PER_VM (5 * CARO_MS)
+/* Reports of others come in more often than this. */
+#define REPORTS_FRESH_TIME (400 * CARO_MS)
 /* Long enough for sums over VMs to be exact to 4% at 600 a second, short
    enough to follow the loss of a server within a second. */
 #define RATE_WINDOW (1 * CARO_SECOND)
@@ -146,6 +148,7 @@
     int vms;
     Service *services[SERVICES_MAX];
     int n_services;
+    CaroTime reported_at; /* Last report of another VM. */
     int held;
     size_t held_bytes;
 };
@@ -563,13 +566,16 @@
         return;
     }
     double aimed_wait = AIMED_WAIT_FRACTION * objective;
-    if (sums.vms == 0 && r->vms > 1 && s->own_part > 0.0) {
-        /* This VM is cut off, and the others go on. */
+    bool is_cut_off = sums.vms == 0 && r->vms > 1 && s->own_part > 0.0;
+    if (is_cut_off) { /* The others go on. */
         s->capacity = s->own_part;
     }
     else {
         update_capacity(s, answers, aimed_wait, elapsed);
-        s->own_part = sums.vms > 0 ? s->capacity / (sums.vms + 1) : 0.0;
+        /* Once no report comes in, their number falls as they expire. */
+        if (now - r->reported_at < REPORTS_FRESH_TIME) {
+            s->own_part = s->capacity / (sums.vms + 1);
+        }
     }
     bound_service_time(s, now);
     double difference = aimed_wait - s->wait;
@@ -577,10 +583,16 @@
         1.0 +
         difference / (double)(difference > 0.0 ? CORRECTION_TIME : DRAIN_TIME);
     correction = fmin(fmax(correction, CORRECTION_MIN), CORRECTION_MAX);
+    if (is_cut_off) { /* What it sees of queues itself is too old to take more.
+                       */
+        correction = fmin(correction, 1.0);
+        s->bias = 1.0;
+    }
     if (is_limited(s)) {
         s->queued_at = now;
-        s->bias +=
-            difference / aimed_wait * fmin(elapsed / (double)BIAS_TIME, 0.1);
+        s->bias += is_cut_off ? 0.0
+                              : difference / aimed_wait *
+                                    fmin(elapsed / (double)BIAS_TIME, 0.1);
         s->bias = fmin(fmax(s->bias, BIAS_MIN), BIAS_MAX);
     }
     if (now - s->leveled_at >= LEVEL_INTERVAL) {
@@ -1040,6 +1052,7 @@
     if (!CaroRoomReports_Apply(r->peers, report, now)) {
         return;
     }
+    r->reported_at = now;
     for (u_int i = 0; i < report->services.services_len; i++) {
         const caro_service_room *in = &report->services.services_val[i];
         Service *s = find_service_by_hash(r, in->service);
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -104,6 +104,16 @@
 void CaroRelay_ReleaseTarget(CaroRelay *r);
 void CaroRelay_ReleaseKvCopy(CaroRelay *r, CaroHandle *kv_copy);
 
+/* What admission has to know of the request. */
+CaroRoomRequest CaroRelay_RoomRequest(const CaroRelay *r);
+
+/* Ends the hold of a request that ends. */
+void CaroRelay_CancelHold(CaroRelay *r);
+
+/* Counts and logs a refusal for lack of room.  Returns after which time the
+   caller may come back. */
+CaroTime CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now);
+
 /* Logs how the request ended, one line for each request. */
 void CaroRelay_LogEnd(const CaroRelay *r, int status, const char *reason,
                       CaroTime now);
@@ -143,21 +153,18 @@
 void CaroRelay_RecordRoom(CaroRelay *r, const CaroHttpHead *head,
                           CaroTime now);
 
-/* relay.c: admission to services short of room. */
+/* relay_room.c: admission to services short of room. */
 
-/* Counts and logs a refusal for lack of room.  Returns after which time the
-   caller may come back. */
-CaroTime CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now);
+/* Decides on a request that came in.  Returns whether it is to be sent now; it
+   is held or refused otherwise. */
+bool CaroRelay_Admit(CaroRelay *r, CaroTime now);
 
 /* Holds a request that all servers rejected, for another attempt.  Returns
    false when it cannot be held. */
 bool CaroRelay_HoldRejected(CaroRelay *r, CaroTime now);
 
-/* Begins the attempt of a held request, or refuses it. */
-void CaroRelay_EndHold(CaroRelay *r, CaroTime now);
-
-/* Ends the hold of a request that ends. */
-void CaroRelay_CancelHold(CaroRelay *r);
+/* The hold is over.  Returns as CaroRelay_Admit does. */
+bool CaroRelay_EndHold(CaroRelay *r, CaroTime now);
 
 /* relay_attempt.c: attempts at upstreams. */
 
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -1,7 +1,6 @@
 /* Requests of callers from their acceptance on, as a set. */
 #include "internal/caro_relay_private.h"
 
-#include "internal/caro_log.h"
 #include "internal/caro_platform.h"
 
 #include <stdio.h>
@@ -98,131 +97,6 @@
     }
 }
 
-/* --- room at the servers --- */
-
-static CaroRoomRequest
-room_request(const CaroRelay *r)
-{
-    struct evbuffer *body = CaroCall_Body(r->call);
-    return (CaroRoomRequest){.service = r->service,
-                             .account = r->account,
-                             .priority = r->priority,
-                             .objective = r->route.objective,
-                             .caller_time = r->caller_time,
-                             .accepted_at = r->started_at,
-                             .deadline = r->attempt.deadline,
-                             .bytes = r->is_held ? r->held_bytes
-                                      : body == NULL
-                                          ? 0
-                                          : evbuffer_get_length(body)};
-}
-
-CaroTime
-CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now)
-{
-    CaroRoomState s;
-    if (r->room_wait == 0) {
-        r->room_wait =
-            CaroServiceRoom_RetryAfter(r->relays->deps.room, r->service);
-    }
-    CaroRelay_AddCount(r, CARO_COUNT_ROOM_REFUSED);
-    if (!CaroServiceRoom_GetState(r->relays->deps.room, r->service, &s, now)) {
-        return r->room_wait;
-    }
-    CaroLog_Info(
-        "room",
-        "A request was refused for lack of room. id=" CARO_LOG_TEXT
-        " service=%s priority=%lld tries=%d ms=%lld wait_ms=%lld "
-        "observed_age_ms=%lld capacity_per_s=%.1f "
-        "requests_per_s=%.1f/%.1f/%.1f/%.1f waited_per_s=%.1f "
-        "account_per_s=%.2f/%.2f/%.2f/%.2f rejections_per_s=%.1f reports=%d "
-        "report_age_ms=%lld held=%d retry_ms=%lld",
-        r->id, r->service, (long long)r->priority, r->attempt.tries,
-        (long long)((now - r->started_at) / CARO_MS),
-        (long long)(s.wait / CARO_MS), (long long)(s.observed_age / CARO_MS),
-        s.capacity, s.requests[0], s.requests[1], s.requests[2], s.requests[3],
-        s.waited, s.levels[0], s.levels[1], s.levels[2], s.levels[3],
-        s.rejections, s.reports, (long long)(s.report_age / CARO_MS), s.held,
-        (long long)(r->room_wait / CARO_MS));
-    return r->room_wait;
-}
-
-/* Does what was decided on a request without a target. */
-static void
-follow_room(CaroRelay *r, CaroRoomDecision d, CaroTime now)
-{
-    switch (d.action) {
-    case CARO_ROOM_SEND:
-        CaroRelay_BeginAttempt(r, now);
-        break;
-    case CARO_ROOM_HOLD:
-        r->held_bytes = room_request(r).bytes;
-        r->is_held = true;
-        CaroRelay_AddCount(r, CARO_COUNT_ROOM_HELD);
-        CaroRelay_SetTimer(r, now + d.wait, now);
-        break;
-    case CARO_ROOM_REFUSE:
-        r->is_out_of_room = true;
-        r->room_wait = d.wait;
-        CaroRelay_RespondStatus(r, 503, "the service is short of room", now);
-        break;
-    }
-}
-
-/* A request that was sent before counts as a retry when it is sent again. */
-static bool
-may_retry(const CaroRelay *r, CaroTime now)
-{
-    bool has_budget = CaroRetryBudget_AllowsRetry(
-        r->relays->deps.budget, r->service, r->relays->vms, now);
-    return r->attempt.tries == 0 ||
-           CaroAttempt_CheckRetry(&r->attempt, false, has_budget, now) ==
-               CARO_RETRY_ALLOWED;
-}
-
-bool
-CaroRelay_HoldRejected(CaroRelay *r, CaroTime now)
-{
-    CaroServiceRoom *room = r->relays->deps.room;
-    if (!r->is_out_of_room || r->attempt.may_have_run || room == NULL ||
-        !may_retry(r, now)) {
-        return false;
-    }
-    CaroRoomRequest q = room_request(r);
-    CaroRoomDecision d = CaroServiceRoom_Retry(room, &q, now);
-    if (d.action != CARO_ROOM_HOLD) {
-        r->room_wait = d.wait;
-        return false;
-    }
-    r->is_out_of_room = false;
-    r->query.n_tried = 0;
-    follow_room(r, d, now);
-    return true;
-}
-
-void
-CaroRelay_EndHold(CaroRelay *r, CaroTime now)
-{
-    CaroRoomRequest q = room_request(r);
-    r->is_held = false;
-    CaroRoomDecision d =
-        CaroServiceRoom_EndHold(r->relays->deps.room, &q, now);
-    if (!may_retry(r, now)) {
-        d = (CaroRoomDecision){.action = CARO_ROOM_REFUSE};
-    }
-    follow_room(r, d, now);
-}
-
-void
-CaroRelay_CancelHold(CaroRelay *r)
-{
-    if (r->is_held) {
-        CaroRoomRequest q = room_request(r);
-        r->is_held = false;
-        CaroServiceRoom_CancelHold(r->relays->deps.room, &q);
-    }
-}
-
 static CaroRelay *
 create_relay(CaroRelays *relays, CaroCall *call, const CaroRoute *route,
              const CaroClientAccount *account, CaroTime now)
@@ -308,12 +182,9 @@
     CaroRelay_AddCount(r, CARO_COUNT_RELAYS);
     r->priority = account != NULL && account->priority >= 0 ? account->priority
                                                             : route->priority;
-    if (relays->deps.room == NULL || CaroRelay_IsStream(r)) {
+    if (CaroRelay_Admit(r, now)) {
         CaroRelay_BeginAttempt(r, now);
-        return;
     }
-    CaroRoomRequest q = room_request(r);
-    follow_room(r, CaroServiceRoom_Accept(relays->deps.room, &q, now), now);
 }
 
 void
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -127,7 +127,9 @@
     bool is_expired = now >= r->attempt.deadline;
     bool is_waiting = r->target == CARO_NO_HANDLE;
     if (r->is_held) {
-        CaroRelay_EndHold(r, now);
+        if (CaroRelay_EndHold(r, now)) {
+            CaroRelay_BeginAttempt(r, now);
+        }
     }
     else if (!is_expired && is_waiting) {
         if (has_retry_budget(r, now)) {
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -50,6 +50,33 @@
     }
 }
 
+CaroRoomRequest
+CaroRelay_RoomRequest(const CaroRelay *r)
+{
+    struct evbuffer *body = CaroCall_Body(r->call);
+    return (CaroRoomRequest){.service = r->service,
+                             .account = r->account,
+                             .priority = r->priority,
+                             .objective = r->route.objective,
+                             .caller_time = r->caller_time,
+                             .accepted_at = r->started_at,
+                             .deadline = r->attempt.deadline,
+                             .bytes = r->is_held ? r->held_bytes
+                                      : body == NULL
+                                          ? 0
+                                          : evbuffer_get_length(body)};
+}
+
+void
+CaroRelay_CancelHold(CaroRelay *r)
+{
+    if (r->is_held) {
+        CaroRoomRequest q = CaroRelay_RoomRequest(r);
+        r->is_held = false;
+        CaroServiceRoom_CancelHold(r->relays->deps.room, &q);
+    }
+}
+
 void
 CaroRelay_Destroy(CaroRelay *r)
 {
@@ -138,6 +165,36 @@
                          RETURN_SPREAD_S * gsl_rng_uniform(deps->rng);
 }
 
+CaroTime
+CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now)
+{
+    CaroRoomState s;
+    if (r->room_wait == 0) {
+        r->room_wait =
+            CaroServiceRoom_RetryAfter(r->relays->deps.room, r->service);
+    }
+    CaroRelay_AddCount(r, CARO_COUNT_ROOM_REFUSED);
+    if (!CaroServiceRoom_GetState(r->relays->deps.room, r->service, &s, now)) {
+        return r->room_wait;
+    }
+    CaroLog_Info(
+        "room",
+        "A request was refused for lack of room. id=" CARO_LOG_TEXT
+        " service=%s priority=%lld tries=%d ms=%lld wait_ms=%lld "
+        "observed_age_ms=%lld capacity_per_s=%.1f "
+        "requests_per_s=%.1f/%.1f/%.1f/%.1f waited_per_s=%.1f "
+        "account_per_s=%.2f/%.2f/%.2f/%.2f rejections_per_s=%.1f reports=%d "
+        "report_age_ms=%lld held=%d retry_ms=%lld",
+        r->id, r->service, (long long)r->priority, r->attempt.tries,
+        (long long)((now - r->started_at) / CARO_MS),
+        (long long)(s.wait / CARO_MS), (long long)(s.observed_age / CARO_MS),
+        s.capacity, s.requests[0], s.requests[1], s.requests[2], s.requests[3],
+        s.waited, s.levels[0], s.levels[1], s.levels[2], s.levels[3],
+        s.rejections, s.reports, (long long)(s.report_age / CARO_MS), s.held,
+        (long long)(r->room_wait / CARO_MS));
+    return r->room_wait;
+}
+
 void
 CaroRelay_RespondStatus(CaroRelay *r, int status, const char *reason,
                         CaroTime now)
