--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -75,7 +75,12 @@
     X(PREDICTED_OVER_MEMORY, "placements_over_memory")                        \
     X(PACE_SAMPLES, "pace_samples")                                           \
     X(PEER_PACE_SAMPLES, "pace_samples_of_peers")                             \
-    X(MEMORY_LIMITS, "memory_limits_learned")
+    X(MEMORY_LIMITS, "memory_limits_learned")                                 \
+    X(ROOM_SHORTAGES, "service_shortages")                                    \
+    X(ROOM_REFUSED, "refused_no_room")                                        \
+    X(ROOM_HELD, "held_for_room")                                             \
+    X(ROOM_REJECTED, "rejected_by_servers")                                   \
+    X(ROOM_REPORTS, "room_reports_sent")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -20,6 +20,7 @@
 #include "internal/caro_retry_lending.h"
 #include "internal/caro_routes.h"
 #include "internal/caro_service_rollouts.h"
+#include "internal/caro_service_room.h"
 
 typedef struct CaroRelays CaroRelays;
 
@@ -36,6 +37,7 @@
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
     CaroEnginePace *pace;
+    CaroServiceRoom *room; /* NULL: all plain requests are sent at once. */
     gsl_rng *rng;
     const char *domain;        /* Failure domain of this VM. */
     size_t response_bytes_max; /* Of responses that callers have not taken, of
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -30,6 +30,8 @@
     char *id;      /* Request id that the caller sent; empty for none. */
     char version[CARO_NAME_SIZE];       /* Storage of query.version. */
     char failed_domain[CARO_NAME_SIZE]; /* Storage of query.failed_domain. */
+    int64_t priority;     /* Of the account, or else of the route. */
+    CaroTime caller_time; /* That the caller named; 0 for none. */
     CaroTime started_at;
     CaroAttempt attempt;
     CaroPlacementQuery query;
@@ -62,6 +64,12 @@
     bool is_close_delimited;   /* The response ends with the connection. */
     bool is_canary;           /* Restricted to the new version of a rollout. */
     bool is_over_limit;       /* Only full targets are left. */
+    bool is_held;             /* It waits for room, without a target. */
+    bool is_out_of_room;      /* All servers rejected it, or it was refused
+                                 for lack of room. */
+    bool is_rejected;         /* The current attempt was, for lack of room. */
+    size_t held_bytes;        /* Of a held request. */
+    CaroTime room_wait;       /* Retry-After of a refusal for lack of room. */
     bool is_target_suspected; /* Another stream found the target silent. */
     bool is_silence_recorded; /* The target was recorded as silent. */
     CaroTime suspected_at;    /* Time of the last report of that. */
@@ -109,6 +117,16 @@
 void CaroRelay_ReleaseTarget(CaroRelay *r);
 void CaroRelay_ReleaseKvCopy(CaroRelay *r, CaroHandle *kv_copy);
 
+/* What admission has to know of the request. */
+CaroRoomRequest CaroRelay_RoomRequest(const CaroRelay *r);
+
+/* Ends the hold of a request that ends. */
+void CaroRelay_CancelHold(CaroRelay *r);
+
+/* Counts and logs a refusal for lack of room.  Returns after which time the
+   caller may come back. */
+CaroTime CaroRelay_RefuseForRoom(CaroRelay *r, CaroTime now);
+
 /* Logs how the request ended, one line for each request. */
 void CaroRelay_LogEnd(const CaroRelay *r, int status, const char *reason,
                       CaroTime now);
@@ -163,6 +181,23 @@
 /* Logs the prediction with which the target was chosen. */
 void CaroRelay_LogPrediction(CaroRelay *r, CaroTime now);
 
+/* Records that a plain request was answered, or rejected for lack of room. */
+void CaroRelay_RecordRoom(CaroRelay *r, const CaroHttpHead *head,
+                          CaroTime now);
+
+/* relay_room.c: admission to services short of room. */
+
+/* Decides on a request that came in.  Returns whether it is to be sent now; it
+   is held or refused otherwise. */
+bool CaroRelay_Admit(CaroRelay *r, CaroTime now);
+
+/* Holds a request that all servers rejected, for another attempt.  Returns
+   false when it cannot be held. */
+bool CaroRelay_HoldRejected(CaroRelay *r, CaroTime now);
+
+/* The hold is over.  Returns as CaroRelay_Admit does. */
+bool CaroRelay_EndHold(CaroRelay *r, CaroTime now);
+
 /* relay_attempt.c: attempts at upstreams. */
 
 /* Reads the upstream again after the caller was slow. */
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -10,6 +10,9 @@
 /* Time by which a response is sent before the caller's own timeout. */
 #define RESPONSE_MARGIN (25 * CARO_MS)
 
+/* A day; longer times of callers do not count. */
+#define CALLER_TIME_MAX_MS ((int64_t)86400000)
+
 enum {
     /* Prompts are shorter; with the bound, sums over requests are in range. */
     PROMPT_TOKENS_MAX = 1 << 20,
@@ -62,6 +65,9 @@
     CaroText value = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_TIME_LEFT));
     CaroTime route = now + r->route.timeout;
+    if (CaroText_ToNumber(value, &ms) && ms < CALLER_TIME_MAX_MS) {
+        r->caller_time = ms * CARO_MS;
+    }
     bool is_shorter = CaroText_ToNumber(value, &ms) &&
                       ms < (r->route.timeout + RESPONSE_MARGIN) / CARO_MS;
     CaroTime caller =
@@ -193,7 +199,11 @@
     CaroRetryBudget_RecordRequest(relays->deps.budget, r->service, now);
     CaroRequestLimits_RecordDemand(relays->deps.limits, r->service, now);
     CaroRelay_AddCount(r, CARO_COUNT_RELAYS);
-    CaroRelay_BeginAttempt(r, now);
+    r->priority = account != NULL && account->priority >= 0 ? account->priority
+                                                            : route->priority;
+    if (CaroRelay_Admit(r, now)) {
+        CaroRelay_BeginAttempt(r, now);
+    }
 }
 
 void
@@ -247,7 +257,8 @@
         CaroRelay_Cut(r, "the VM is shutting down", now);
     }
     else {
-        CaroRelay_RespondStatus(r, 502, "the VM is shutting down", now);
+        CaroRelay_RespondStatus(r, r->is_held ? 503 : 502,
+                                "the VM is shutting down", now);
     }
 }
 
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -34,6 +34,7 @@
         PROCEDURE(caro_store_changes_args, caro_store_changes),
     [CARO_RETRY_LOAN] = PROCEDURE(caro_retry_loan, caro_retry_grant),
     [CARO_PACE_REPORT] = PROCEDURE(caro_pace_report, caro_pace_report),
+    [CARO_ROOM_REPORT] = PROCEDURE(caro_room_report, caro_room_report),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -415,6 +415,52 @@
 	} samples;
 };
 typedef struct caro_pace_report caro_pace_report;
+#define CARO_ROOM_SERVICES_MAX 4
+#define CARO_ROOM_PRIORITIES 4
+#define CARO_ROOM_RANKS 8
+#define CARO_ROOM_SERVERS_MAX 8
+#define CARO_ROOM_ACCOUNTS_MAX 12
+
+struct caro_room_server {
+	u_int target;
+	u_int wait_us;
+	u_int age_ms;
+};
+typedef struct caro_room_server caro_room_server;
+
+struct caro_room_account {
+	u_int account;
+	u_int rank;
+	u_int requests_per_1000_s;
+};
+typedef struct caro_room_account caro_room_account;
+
+struct caro_service_room {
+	u_int service;
+	u_int requests_per_1000_s[CARO_ROOM_RANKS];
+	u_int answers_per_1000_s;
+	u_int rejections_per_1000_s;
+	struct {
+		u_int servers_len;
+		caro_room_server *servers_val;
+	} servers;
+	struct {
+		u_int accounts_len;
+		caro_room_account *accounts_val;
+	} accounts;
+};
+typedef struct caro_service_room caro_service_room;
+
+struct caro_room_report {
+	char *sender;
+	u_quad_t boot_id;
+	u_int sequence;
+	struct {
+		u_int services_len;
+		caro_service_room *services_val;
+	} services;
+};
+typedef struct caro_room_report caro_room_report;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -474,6 +520,9 @@
 #define CARO_PACE_REPORT 18
 extern  caro_pace_report * caro_pace_report_1(caro_pace_report *, CLIENT *);
 extern  caro_pace_report * caro_pace_report_1_svc(caro_pace_report *, struct svc_req *);
+#define CARO_ROOM_REPORT 19
+extern  caro_room_report * caro_room_report_1(caro_room_report *, CLIENT *);
+extern  caro_room_report * caro_room_report_1_svc(caro_room_report *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -531,6 +580,9 @@
 #define CARO_PACE_REPORT 18
 extern  caro_pace_report * caro_pace_report_1();
 extern  caro_pace_report * caro_pace_report_1_svc();
+#define CARO_ROOM_REPORT 19
+extern  caro_room_report * caro_room_report_1();
+extern  caro_room_report * caro_room_report_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -575,6 +627,10 @@
 extern  bool_t xdr_caro_retry_grant (XDR *, caro_retry_grant*);
 extern  bool_t xdr_caro_pace_sample (XDR *, caro_pace_sample*);
 extern  bool_t xdr_caro_pace_report (XDR *, caro_pace_report*);
+extern  bool_t xdr_caro_room_server (XDR *, caro_room_server*);
+extern  bool_t xdr_caro_room_account (XDR *, caro_room_account*);
+extern  bool_t xdr_caro_service_room (XDR *, caro_service_room*);
+extern  bool_t xdr_caro_room_report (XDR *, caro_room_report*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -615,6 +671,10 @@
 extern bool_t xdr_caro_retry_grant ();
 extern bool_t xdr_caro_pace_sample ();
 extern bool_t xdr_caro_pace_report ();
+extern bool_t xdr_caro_room_server ();
+extern bool_t xdr_caro_room_account ();
+extern bool_t xdr_caro_service_room ();
+extern bool_t xdr_caro_room_report ();
 
 #endif /* K&R C */
 
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -335,6 +335,47 @@
     caro_pace_sample samples<CARO_PACE_SAMPLES_MAX>;
 };
 
+const CARO_ROOM_SERVICES_MAX = 4;
+const CARO_ROOM_PRIORITIES = 4;
+const CARO_ROOM_RANKS = 8;
+const CARO_ROOM_SERVERS_MAX = 8;
+const CARO_ROOM_ACCOUNTS_MAX = 12;
+/* The queue of one server, as its last response to the sender told. */
+struct caro_room_server {
+    unsigned int target; /* Hash of the target's id. */
+    unsigned int wait_us; /* Expected wait of the next request there. */
+    unsigned int age_ms; /* Time since that response. */
+};
+
+/* Requests of the callers of a client account for the service. */
+struct caro_room_account {
+    unsigned int account; /* Hash of the account's name; 0 for none. */
+    unsigned int rank; /* As in caro_service_room. */
+    unsigned int requests_per_1000_s;
+};
+
+/* What the sender knows of one service whose servers are short of room. */
+struct caro_service_room {
+    unsigned int service; /* Hash of the service's name. */
+    /* Requests of the sender's callers, by rank: twice the priority, and one
+       more where the caller has waited longer than the objective before.  The
+       last priority includes all that are less urgent. */
+    unsigned int requests_per_1000_s[CARO_ROOM_RANKS];
+    unsigned int answers_per_1000_s;
+    unsigned int rejections_per_1000_s; /* By servers, for lack of room. */
+    caro_room_server servers<CARO_ROOM_SERVERS_MAX>;
+    caro_room_account accounts<CARO_ROOM_ACCOUNTS_MAX>;
+};
+
+/* Replaces the sender's previous report.  Older versions ignore the
+   procedure. */
+struct caro_room_report {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper boot_id;
+    unsigned int sequence; /* Increases with each report of a process start. */
+    caro_service_room services<CARO_ROOM_SERVICES_MAX>;
+};
+
 program CARO_PEER {
     version CARO_PEER_V1 {
         caro_heartbeat CARO_HEARTBEAT(caro_heartbeat) = 1;
@@ -355,5 +396,6 @@
         caro_retry_grant CARO_RETRY_LOAN(caro_retry_loan) = 16;
         caro_store_changes CARO_STORE_CHANGES(caro_store_changes_args) = 17;
         caro_pace_report CARO_PACE_REPORT(caro_pace_report) = 18;
+        caro_room_report CARO_ROOM_REPORT(caro_room_report) = 19;
     } = 1;
 } = 0x20079410;
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -386,6 +386,7 @@
     f->deps.guard =
         CaroPromptGuard_Create(f->deps.targets, NULL, &f->counters);
     f->deps.limits = CaroRequestLimits_Create(f->deps.targets, f->deps.rng);
+    f->deps.room = CaroServiceRoom_Create(f->deps.targets, f->deps.rng);
     f->relays = CaroRelays_Create(&f->deps);
     static const CaroRouteShare shares[] = {{.service = "s", .weight = 1}};
     f->route = (CaroRoute){.name = "r",
@@ -427,6 +428,7 @@
     CaroPromptGuard_Destroy(f->deps.guard);
     CaroEnginePace_Destroy(f->deps.pace);
     CaroRequestLimits_Destroy(f->deps.limits);
+    CaroServiceRoom_Destroy(f->deps.room);
     CaroTargets_Destroy(f->deps.targets);
     CaroRetryBudget_Destroy(f->deps.budget);
     CaroServiceRollouts_Destroy(f->deps.rollouts);
