--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -21,7 +21,11 @@
 /* Longer than a notice or a failure is reported to other VMs. */
 #define RECENT_TTL (5 * CARO_SECOND)
 
-enum { BUCKETS = 4096 };
+enum {
+    BUCKETS = 4096,
+    /* Services that are remembered to report a work_percent. */
+    WORK_SERVICES_MAX = 256
+};
 
 /* What the table itself keeps of a slot. */
 typedef struct {
@@ -44,6 +48,8 @@
     CaroHandle recent[CARO_TARGETS_MAX];
     int n_recent;
     CaroTargetNotices *notices; /* Of starts that are not registered. */
+    char work_services[WORK_SERVICES_MAX][CARO_NAME_SIZE];
+    int n_work_services;
 };
 
 CaroTargets *
@@ -111,6 +117,17 @@
     return find_id_hash(t, t->by_id[id_hash % BUCKETS], id_hash);
 }
 
+CaroHandle
+CaroTargets_FindByStart(const CaroTargets *t, uint32_t start_hash)
+{
+    CaroHandle h = t->by_start[start_hash % BUCKETS];
+    while (h != CARO_NO_HANDLE &&
+           (t->all[h].start_hash != start_hash || !t->all[h].is_present)) {
+        h = t->links[h].next_by_start;
+    }
+    return h;
+}
+
 static uint32_t
 hash_start(const CaroTargetEntry *e)
 {
@@ -372,14 +389,37 @@
     CaroTargets_Get(t, h)->prefill_tokens += tokens;
 }
 
+void
+CaroTargets_AddHeld(CaroTargets *t, CaroHandle h, int tokens)
+{
+    CaroTargets_Get(t, h)->held_tokens += tokens;
+}
+
+bool
+CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service)
+{
+    for (int i = 0; i < t->n_work_services; i++) {
+        if (strcmp(t->work_services[i], service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running, int waiting,
-                       CaroTime now)
+                       int work_percent, CaroTime now)
 {
     CaroTarget *target = CaroTargets_Get(t, h);
     target->reported_running = running;
     target->reported_waiting = waiting;
+    target->reported_work_percent = work_percent;
     target->reported_at = now;
+    if (work_percent > 0 && t->n_work_services < WORK_SERVICES_MAX &&
+        !CaroTargets_HasWorkFigure(t, target->entry.service)) {
+        memcpy(t->work_services[t->n_work_services++], target->entry.service,
+               CARO_NAME_SIZE);
+    }
 }
 
 void
@@ -427,14 +467,11 @@
 {
     CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_PEER,
                                .leaving_at = now};
-    CaroHandle h = t->by_start[start_hash % BUCKETS];
-    for (; h != CARO_NO_HANDLE; h = t->links[h].next_by_start) {
-        const CaroTarget *target = &t->all[h];
-        if (target->is_present && target->start_hash == start_hash) {
-            bool is_new = target->notice.leaving == CARO_LEAVING_UNKNOWN;
-            add_notice(t, h, &notice);
-            return is_new ? h : CARO_NO_HANDLE;
-        }
+    CaroHandle h = CaroTargets_FindByStart(t, start_hash);
+    if (h != CARO_NO_HANDLE) {
+        bool is_new = t->all[h].notice.leaving == CARO_LEAVING_UNKNOWN;
+        add_notice(t, h, &notice);
+        return is_new ? h : CARO_NO_HANDLE;
     }
     CaroTargetNotices_Add(t->notices, start_hash, &notice);
     return CARO_NO_HANDLE;
