--- a/Modules/relay_pace.c
+++ b/Modules/relay_pace.c
@@ -142,10 +142,11 @@
         " upstream=%s predicted_ms=%.0f queue_ms=%.0f "
         "prefill_ms=%.0f running_ms=%.0f memory_ms=%.0f saved_ms=%.0f "
         "event_ms=%.0f "
-        "queued=%.0f held=%.0f memory=%.0f token_us=%.0f "
+        "queued=%.0f retained=%.0f held=%.0f memory=%.0f token_us=%.0f "
         "usual_us=%.0f samples=%d pace_age_ms=%lld load_age_ms=%lld",
         r->id, target_of(r)->entry.id, p.first_event_ms, p.queue_ms,
         p.prefill_ms, p.running_ms, p.memory_ms, p.saved_ms, p.event_ms,
-        p.queued_tokens, p.held_tokens, p.pace.memory, p.pace.prefill_us,
-        p.pace.usual_us, p.pace.samples, to_ms(p.pace.age), to_ms(p.load_age));
+        p.queued_tokens, p.retained_tokens, p.held_tokens, p.pace.memory,
+        p.pace.prefill_us, p.pace.usual_us, p.pace.samples, to_ms(p.pace.age),
+        to_ms(p.load_age));
 }
--- a/Objects/retained_prompts.c
+++ b/Objects/retained_prompts.c
@@ -268,10 +268,12 @@
     t->repeat_fraction +=
         REPEAT_WEIGHT * ((is_repeat ? 1.0 : 0.0) - t->repeat_fraction);
     e->memory = memory;
-    /* The first parts are the last to be dropped, as others need them. */
-    for (int i = parts->n - 1; i >= 0; i--) {
+    for (int i = 0; i < parts->n; i++) {
+        /* Of the parts of a prompt the later ones are dropped first, as the
+           first are needed by more prompts. */
+        CaroTime at = now + parts->n - 1 - i;
         uint32_t part = part_key(parts->ids[i]);
-        Held *held = use_part(t, e, part, (uint32_t)parts->tokens[i], now);
+        Held *held = use_part(t, e, part, (uint32_t)parts->tokens[i], at);
         if (see_part(t, part, now) >= REPORTED_SEEN_MIN ||
             parts->tokens[i] >= REPORTED_TOKENS_MIN) {
             queue_pair(t, e->start, held, now);
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -380,6 +380,7 @@
         .counters = &f->counters,
         .latency = CaroLatency_Create(),
         .pace = CaroEnginePace_Create(),
+        .retained = CaroRetainedPrompts_Create(),
         .rng = gsl_rng_alloc(gsl_rng_taus2),
         .domain = "d",
         .response_bytes_max = 24 << 20};
@@ -426,6 +427,7 @@
     run_for(f, 2 * LOOP_STEP); /* The upstream frees its connections. */
     CaroPromptGuard_Destroy(f->deps.guard);
     CaroEnginePace_Destroy(f->deps.pace);
+    CaroRetainedPrompts_Destroy(f->deps.retained);
     CaroRequestLimits_Destroy(f->deps.limits);
     CaroTargets_Destroy(f->deps.targets);
     CaroRetryBudget_Destroy(f->deps.budget);
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -359,6 +359,40 @@
     assert_int_equal(a.n, CARO_PROMPT_PARTS_MAX);
 }
 
+/* Guards against parts that are out of order, without the last one, or of a
+   size that overflows. */
+static void
+test_sized_parts(void **state)
+{
+    (void)state;
+    CaroSizedParts a;
+    CaroPromptParts b;
+    CaroText text = {"5c1e07A2:800, 91bd3f06:410,e4402b7d:99999999999", 47};
+    assert_int_equal(CaroPlatform_ReadSizedParts(text, &a), 0);
+    assert_int_equal(CaroPlatform_ReadPromptParts(text, &b), 0);
+    assert_int_equal(a.n, 3);
+    assert_int_equal(b.n, 2);
+    assert_true(a.ids[0] == b.ids[0] && a.ids[1] == b.ids[1]);
+    assert_int_equal(a.tokens[0], 800);
+    assert_int_equal(a.tokens[1], 410);
+    assert_int_equal(a.tokens[2], 1 << 20);
+    text = (CaroText){"a1:5,b2", 7};
+    assert_int_equal(CaroPlatform_ReadSizedParts(text, &a), CARO_ERR_INPUT);
+    assert_int_equal(a.n, 0);
+    text = (CaroText){NULL, 0};
+    assert_int_equal(CaroPlatform_ReadSizedParts(text, &a), 0);
+    assert_int_equal(a.n, 0);
+    char many[1024] = "";
+    for (int i = 0; i < 40; i++) {
+        (void)snprintf(many + strlen(many), sizeof(many) - strlen(many),
+                       "%x:%d,", i, i);
+    }
+    text = (CaroText){many, strlen(many)};
+    assert_int_equal(CaroPlatform_ReadSizedParts(text, &a), 0);
+    assert_int_equal(a.n, CARO_SIZED_PARTS_MAX);
+    assert_int_equal(a.tokens[3], 3);
+}
+
 static void
 test_quarantine_documents(void **state)
 {
@@ -394,6 +428,7 @@
         cmocka_unit_test(test_gateway_settings),
         cmocka_unit_test(test_bound_that_is_a_fraction_is_accepted),
         cmocka_unit_test(test_prompt_parts),
+        cmocka_unit_test(test_sized_parts),
         cmocka_unit_test(test_quarantine_documents),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Test/test_relay_pace.c
+++ b/Test/test_relay_pace.c
@@ -114,11 +114,41 @@
     }
 }
 
+/* Guards against prompts whose parts are not recorded, or are for a service
+   with three figures, and against samples of speed of prompts that were mostly
+   held. */
+static void
+test_first_event_shows_retained_parts(void **state)
+{
+    Fixture *f = *state;
+    start_streams(f);
+    f->more_headers = "X-Token-Usage: 8000,80\r\n"
+                      "X-Prompt-Prefix: a1:6000,e0:2000\r\n";
+    serve_stream(f, "r1", LOADED_HEAD("r1", "1,0,8"));
+    assert_int_equal(CaroRetainedPrompts_Count(f->deps.retained), 0);
+    serve_stream(f, "r2", LOADED_HEAD("r2", "1,0,8,100"));
+    assert_int_equal(CaroRetainedPrompts_Count(f->deps.retained), 2);
+    assert_int_equal(f->counters.values[CARO_COUNT_PACE_SAMPLES], 1);
+    assert_int_equal(f->counters.values[CARO_COUNT_PLACED_BY_RETENTION], 0);
+    /* The other upstream would prefill all of it. */
+    serve_stream(f, "r3", LOADED_HEAD("r3", "1,0,8,100"));
+    assert_int_equal(CaroRetainedPrompts_Count(f->deps.retained), 2);
+    assert_int_equal(f->counters.values[CARO_COUNT_PLACED_BY_RETENTION], 1);
+    assert_true(f->counters.values[CARO_COUNT_RETAINED_TOKENS] > 7000);
+    assert_int_equal(f->counters.values[CARO_COUNT_PACE_SAMPLES], 1);
+    /* Also the last part is reported, as it is large. */
+    CaroRetentionReport out;
+    assert_true(
+        CaroRetainedPrompts_Collect(f->deps.retained, &out, CaroClock_Now()));
+    assert_int_equal(out.report.parts.parts_len, 2);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         RELAY_TEST(test_first_event_is_a_sample),
+        RELAY_TEST(test_first_event_shows_retained_parts),
         RELAY_TEST(test_rejection_with_free_slots_shows_memory),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/Test/test_retained_prompts.c
+++ b/Test/test_retained_prompts.c
@@ -966,7 +966,7 @@
     const uint64_t ids[] = {1, 2, 3};
     const int tokens[] = {400, 3000, 300};
     CaroSizedParts parts = make_parts(3, ids, tokens);
-    CaroRetentionReport out;
+    CaroRetentionReport out = {.parts = {{0}}};
     assert_non_null(CaroRpcMessage_Procedure(CARO_PROMPT_RETENTION));
     assert_false(CaroRetainedPrompts_Collect(from, &out, 10 * S));
     CaroRetainedPrompts_Record(from, e0, &parts, 88000, 10 * S);
@@ -992,6 +992,20 @@
         CaroRetainedPrompts_Apply(to, targets, &out.report, 30 * S),
         out.report.parts.parts_len);
     assert_true(CaroRetainedPrompts_Expect(to, e0, &parts, 30 * S) == 3700.0);
+    /* A full report fits in a datagram, and is decoded as it was sent. */
+    char bytes[1200];
+    XDR xdr;
+    out.report.sender = "v1";
+    out.report.parts.parts_len = CARO_RETAINED_PARTS_MAX;
+    xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
+    assert_true(xdr_caro_retention_report(&xdr, &out.report));
+    caro_retention_report decoded = {.sender = NULL};
+    xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_DECODE);
+    assert_true(xdr_caro_retention_report(&xdr, &decoded));
+    assert_string_equal(decoded.sender, "v1");
+    assert_int_equal(decoded.parts.parts_len, CARO_RETAINED_PARTS_MAX);
+    assert_memory_equal(decoded.parts.parts_val, out.parts, sizeof(out.parts));
+    xdr_free((xdrproc_t)xdr_caro_retention_report, (char *)&decoded);
     /* Malformed pairs, and those of unknown engines. */
     caro_retained_part odd[] = {
         {.target = e0->start_hash, .part = 7, .tokens = 0},
