--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -80,7 +80,11 @@
     X(ROOM_REFUSED, "refused_no_room")                                        \
     X(ROOM_HELD, "held_for_room")                                             \
     X(ROOM_REJECTED, "rejected_by_servers")                                   \
-    X(ROOM_REPORTS, "room_reports_sent")
+    X(ROOM_REPORTS, "room_reports_sent")                                      \
+    X(RETAINED_PARTS, "retained_parts")                                       \
+    X(PEER_RETAINED_PARTS, "retained_parts_of_peers")                         \
+    X(PLACED_BY_RETENTION, "placements_by_retention")                         \
+    X(RETAINED_TOKENS, "retained_tokens_expected")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -38,6 +38,7 @@
     CaroRequestLimits *limits;
     CaroEnginePace *pace;
     CaroServiceRoom *room; /* NULL: all plain requests are sent at once. */
+    CaroRetainedPrompts *retained;
     gsl_rng *rng;
     const char *domain;        /* Failure domain of this VM. */
     size_t response_bytes_max; /* Of responses that callers have not taken, of
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -87,6 +87,7 @@
     CaroRetryLending *lending;
     CaroPeerLoads *peer_loads;
     CaroEnginePace *pace;
+    CaroRetainedPrompts *retained;
     CaroServiceRollouts *rollouts;
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
@@ -577,8 +578,32 @@
     }
 }
 
-/* Sends the requests in flight, the evidence of rollouts and samples of pace
-   to the other VMs, after a change and at LOAD_REPORT_INTERVAL. */
+static void
+on_retention_report(void *context, const caro_retention_report *report)
+{
+    CaroGateway *g = context;
+    int n = CaroRetainedPrompts_Apply(g->retained, g->targets, report,
+                                      CaroClock_Now());
+    CaroCounters_Add(&g->counters, CARO_COUNT_PEER_RETAINED_PARTS,
+                     (uint64_t)n);
+}
+
+static void
+send_retention_report(CaroGateway *g, CaroTime now)
+{
+    CaroRetentionReport out;
+    g->counters.values[CARO_COUNT_RETAINED_PARTS] =
+        (uint64_t)CaroRetainedPrompts_Count(g->retained);
+    if (CaroRetainedPrompts_Collect(g->retained, &out, now)) {
+        out.report.sender = g->settings.vm;
+        CaroFleet_SendRetentionReport(g->fleet, &out.report,
+                                      g->report_sequence);
+    }
+}
+
+/* Sends the requests in flight, the evidence of rollouts, samples of pace and
+   retained parts to the other VMs, after a change and at LOAD_REPORT_INTERVAL.
+ */
 static void
 send_load_report(CaroGateway *g, CaroTime now)
 {
@@ -604,6 +629,7 @@
         CaroFleet_SendLoadReport(g->fleet, &report);
     }
     send_pace_report(g, now);
+    send_retention_report(g, now);
 }
 
 static void
@@ -709,6 +735,7 @@
     .on_room_report = on_room_report,
     .on_limit_report = on_limit_report,
     .on_pace_report = on_pace_report,
+    .on_retention_report = on_retention_report,
     .on_prompt_report = on_prompt_report,
     .on_load_report = on_load_report,
     .get_config_freshness = get_config_freshness,
@@ -941,6 +968,7 @@
     g->peer_loads =
         g->targets == NULL ? NULL : CaroPeerLoads_Create(g->targets);
     g->pace = CaroEnginePace_Create();
+    g->retained = CaroRetainedPrompts_Create();
     g->pool = CaroChannelPool_Create(
         g->base, (int)(IDLE_CHANNELS_FRACTION * (double)s->descriptors));
     g->budget = CaroRetryBudget_Create(
@@ -964,8 +992,8 @@
         g->limits == NULL ? NULL : CaroServiceRoom_Create(g->targets, g->rng);
     if (g->config == NULL || g->guard == NULL || g->room == NULL ||
         g->rng == NULL || g->latency == NULL || g->peer_loads == NULL ||
-        g->pace == NULL || g->pool == NULL || g->lending == NULL ||
-        g->rollouts == NULL) {
+        g->pace == NULL || g->retained == NULL || g->pool == NULL ||
+        g->lending == NULL || g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
     CaroRetryBudget_Start(g->budget, now);
@@ -983,6 +1011,7 @@
         .limits = g->limits,
         .pace = g->pace,
         .room = g->room,
+        .retained = g->retained,
         .rng = g->rng,
         .domain = g->settings.domain,
         .response_bytes_max =
@@ -1115,6 +1144,7 @@
     CaroRetryBudget_Destroy(g->budget);
     CaroPeerLoads_Destroy(g->peer_loads);
     CaroEnginePace_Destroy(g->pace);
+    CaroRetainedPrompts_Destroy(g->retained);
     CaroServiceRollouts_Destroy(g->rollouts);
     CaroPromptGuard_Destroy(g->guard);
     CaroRequestLimits_Destroy(g->limits);
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -35,6 +35,8 @@
     [CARO_RETRY_LOAN] = PROCEDURE(caro_retry_loan, caro_retry_grant),
     [CARO_PACE_REPORT] = PROCEDURE(caro_pace_report, caro_pace_report),
     [CARO_ROOM_REPORT] = PROCEDURE(caro_room_report, caro_room_report),
+    [CARO_PROMPT_RETENTION] =
+        PROCEDURE(caro_retention_report, caro_retention_report),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -461,6 +461,24 @@
 	} services;
 };
 typedef struct caro_room_report caro_room_report;
+#define CARO_RETAINED_PARTS_MAX 48
+
+struct caro_retained_part {
+	u_int target;
+	u_int part;
+	u_int tokens;
+	u_int age_ms;
+};
+typedef struct caro_retained_part caro_retained_part;
+
+struct caro_retention_report {
+	char *sender;
+	struct {
+		u_int parts_len;
+		caro_retained_part *parts_val;
+	} parts;
+};
+typedef struct caro_retention_report caro_retention_report;
 
 #define CARO_PEER 0x20079410
 #define CARO_PEER_V1 1
@@ -523,6 +541,9 @@
 #define CARO_ROOM_REPORT 19
 extern  caro_room_report * caro_room_report_1(caro_room_report *, CLIENT *);
 extern  caro_room_report * caro_room_report_1_svc(caro_room_report *, struct svc_req *);
+#define CARO_PROMPT_RETENTION 20
+extern  caro_retention_report * caro_prompt_retention_1(caro_retention_report *, CLIENT *);
+extern  caro_retention_report * caro_prompt_retention_1_svc(caro_retention_report *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -583,6 +604,9 @@
 #define CARO_ROOM_REPORT 19
 extern  caro_room_report * caro_room_report_1();
 extern  caro_room_report * caro_room_report_1_svc();
+#define CARO_PROMPT_RETENTION 20
+extern  caro_retention_report * caro_prompt_retention_1();
+extern  caro_retention_report * caro_prompt_retention_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -631,6 +655,8 @@
 extern  bool_t xdr_caro_room_account (XDR *, caro_room_account*);
 extern  bool_t xdr_caro_service_room (XDR *, caro_service_room*);
 extern  bool_t xdr_caro_room_report (XDR *, caro_room_report*);
+extern  bool_t xdr_caro_retained_part (XDR *, caro_retained_part*);
+extern  bool_t xdr_caro_retention_report (XDR *, caro_retention_report*);
 
 #else /* K&R C */
 extern bool_t xdr_caro_member_state ();
@@ -675,6 +701,8 @@
 extern bool_t xdr_caro_room_account ();
 extern bool_t xdr_caro_service_room ();
 extern bool_t xdr_caro_room_report ();
+extern bool_t xdr_caro_retained_part ();
+extern bool_t xdr_caro_retention_report ();
 
 #endif /* K&R C */
 
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -380,6 +380,7 @@
         .counters = &f->counters,
         .latency = CaroLatency_Create(),
         .pace = CaroEnginePace_Create(),
+        .retained = CaroRetainedPrompts_Create(),
         .rng = gsl_rng_alloc(gsl_rng_taus2),
         .domain = "d",
         .response_bytes_max = 24 << 20};
@@ -427,6 +428,7 @@
     run_for(f, 2 * LOOP_STEP); /* The upstream frees its connections. */
     CaroPromptGuard_Destroy(f->deps.guard);
     CaroEnginePace_Destroy(f->deps.pace);
+    CaroRetainedPrompts_Destroy(f->deps.retained);
     CaroRequestLimits_Destroy(f->deps.limits);
     CaroServiceRoom_Destroy(f->deps.room);
     CaroTargets_Destroy(f->deps.targets);
