The platform's terms switch the adaptive parts on

The setting terms lists the platform's terms; a term named pressure makes all services adaptive. Deployments without it, and services with three figures, are served as before.

--- a/Controllers/placement.c
+++ b/Controllers/placement.c
@@ -239,7 +239,7 @@
 bool
 CaroPlacement_IsPredicted(const CaroTargets *t, const CaroPlacementQuery *q)
 {
-    return q->is_stream && CaroTargets_HasWorkFigure(t, q->service);
+    return q->is_stream && CaroTargets_IsAdaptive(t, q->service);
 }
 
 /* Tells whether many targets of the candidate's domain have failed since it
--- a/Controllers/service_room.c
+++ b/Controllers/service_room.c
@@ -224,7 +224,7 @@
         s->used_at = now;
         return s;
     }
-    if (!CaroTargets_HasWorkFigure(r->targets, name)) {
+    if (!CaroTargets_IsAdaptive(r->targets, name)) {
         return NULL;
     }
     if (r->n_services < SERVICES_MAX) {
@@ -763,11 +763,11 @@
     else {
         CaroWindowCount_Add(&s->answers, RATE_WINDOW, now);
     }
-    if (t->reported_at != now || t->reported_work_percent <= 0 ||
-        t->entry.slots <= 0) {
+    if (t->reported_at != now || t->entry.slots <= 0) {
         return;
     }
-    double work = t->reported_work_percent / 100.0;
+    double work =
+        t->reported_work_percent > 0 ? t->reported_work_percent / 100.0 : 1.0;
     double slots = (double)t->entry.slots;
     Server *v = get_server(s, t->id_hash);
     if (!is_rejection) {
--- a/Include/caro_gateway_settings.h
+++ b/Include/caro_gateway_settings.h
@@ -32,7 +32,9 @@
                                                               join them. */
     int n_seeds;
     char store_address[CARO_ADDRESS_SIZE]; /* The platform's store. */
-    int64_t memory_mb;                     /* Memory of the VM, MiB. */
+    bool is_adaptive;    /* The platform's terms say that servers are short of
+                            room or uneven (CaroPlatform_IsAdaptiveTerm). */
+    int64_t memory_mb;   /* Memory of the VM, MiB. */
     int64_t descriptors; /* File descriptors that the process may open. */
 
     double config_age_max_ms; /* Longest time since the configuration was
--- a/Include/internal/caro_placement.h
+++ b/Include/internal/caro_placement.h
@@ -9,7 +9,7 @@
  * crossing domains.
  *
  * Streams of a service whose targets report a work_percent
- * (CaroTargets_HasWorkFigure) go to the target with the lowest predicted time
+ * (CaroTargets_IsAdaptive) go to the target with the lowest predicted time
  * to the first event; docs/design/placement.md has the reasons.
  */
 #ifndef CARO_PLACEMENT_H
--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -261,4 +261,8 @@
 const char *CaroPlatform_AddressesPath(void);
 const char *CaroPlatform_DomainParameter(void);
 
+/* Returns whether a term of the platform, as in its settings, says that
+   requests compete for little room. */
+bool CaroPlatform_IsAdaptiveTerm(const char *term);
+
 #endif
--- a/Include/internal/caro_service_room.h
+++ b/Include/internal/caro_service_room.h
@@ -6,7 +6,7 @@
  * would make every response late, and full queues reject requests.  A service
  * is short of room while its servers report long queues or reject requests.
  * Only plain requests are decided on, and only of services whose servers
- * report a work figure (CaroTargets_HasWorkFigure).
+ * report a work figure (CaroTargets_IsAdaptive).
  *
  * No VM sees more than a few requests a second.  All VMs report what they see
  * (caro_room_reports.h), and each derives from the same sums which part of
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -161,9 +161,16 @@
 void CaroTargets_RecordLoad(CaroTargets *t, CaroHandle h, int running,
                             int waiting, int work_percent, CaroTime now);
 
-/* Returns whether a target of the service has reported its processing time
-   since this process started.  At most 1,024 services are recorded. */
-bool CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service);
+/* Makes all services adaptive, as the settings say. */
+void CaroTargets_SetAdaptive(CaroTargets *t, bool is_adaptive);
+
+/*
+ * Returns whether the service's requests are placed, admitted and timed out by
+ * measured times: because the settings say so, or a target of the service has
+ * reported its processing time since this process started.  At most 1,024
+ * services are recorded.
+ */
+bool CaroTargets_IsAdaptive(const CaroTargets *t, const char *service);
 
 /* Stores the failure of a stream of this VM, for the next load reports. */
 void CaroTargets_RecordFailure(CaroTargets *t, CaroHandle h,
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -997,6 +997,7 @@
         return CARO_ERR_NOMEM;
     }
     CaroRetryBudget_Start(g->budget, now);
+    CaroTargets_SetAdaptive(g->targets, s->is_adaptive);
     gsl_rng_set(g->rng, (unsigned long)CaroClock_Random());
     CaroRelayDeps deps = {
         .base = g->base,
@@ -1117,6 +1118,7 @@
     g->settings.n_seeds = settings->n_seeds;
     memcpy(g->settings.seeds, settings->seeds, sizeof(settings->seeds));
     g->settings.config_age_max_ms = settings->config_age_max_ms;
+    CaroTargets_SetAdaptive(g->targets, settings->is_adaptive);
     g->settings.stop_grace_s = settings->stop_grace_s;
     add_seeds(g);
     CaroLog_Info(
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -57,7 +57,7 @@
 has_adaptive_timeout(const CaroRelay *r)
 {
     return CaroRelay_IsStream(r) &&
-           CaroTargets_HasWorkFigure(r->relays->deps.targets, r->service);
+           CaroTargets_IsAdaptive(r->relays->deps.targets, r->service);
 }
 
 static bool
--- a/Modules/relay_notices.c
+++ b/Modules/relay_notices.c
@@ -118,7 +118,7 @@
     const CaroTarget *target = CaroTargets_GetConst(deps->targets, r->target);
     r->is_rejected = false;
     if (deps->room == NULL || CaroRelay_IsStream(r) ||
-        !CaroTargets_HasWorkFigure(deps->targets, r->service)) {
+        !CaroTargets_IsAdaptive(deps->targets, r->service)) {
         return;
     }
     /* A server that leaves or wants no requests rejects for that reason. */
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -47,6 +47,7 @@
     /* Hashes of the services whose targets report their processing time, in
        open addressing; 0 for a free slot. */
     uint64_t work_services[WORK_SERVICES];
+    bool is_adaptive; /* All services are. */
 };
 
 CaroTargets *
@@ -407,9 +408,18 @@
     return WORK_SERVICES;
 }
 
+void
+CaroTargets_SetAdaptive(CaroTargets *t, bool is_adaptive)
+{
+    t->is_adaptive = is_adaptive;
+}
+
 bool
-CaroTargets_HasWorkFigure(const CaroTargets *t, const char *service)
+CaroTargets_IsAdaptive(const CaroTargets *t, const char *service)
 {
+    if (t->is_adaptive) {
+        return true;
+    }
     uint64_t hash = hash_service(service);
     int at = find_work_service(t, hash);
     return at < WORK_SERVICES && t->work_services[at] == hash;
--- a/Parser/gateway_settings.c
+++ b/Parser/gateway_settings.c
@@ -3,6 +3,7 @@
 
 #include "internal/caro_fields.h"
 #include "internal/caro_http.h"
+#include "internal/caro_platform.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -34,6 +35,7 @@
     REQUIRED_TEXT("domain", CARO_FIELD_IDENTITY, domain),
     REQUIRED_TEXT("region", CARO_FIELD_IDENTITY, region),
     {"seeds", CARO_FIELD_NESTED, 0, true, 0, 0, 0},
+    {"terms", CARO_FIELD_NESTED, 0, false, 0, 0, 0},
     {"store", CARO_FIELD_NESTED, 0, true, 0, 0, 0},
     {"limits", CARO_FIELD_NESTED, 0, false, 0, 0, 0},
     {"bounds", CARO_FIELD_NESTED, 0, false, 0, 0, 0},
@@ -91,6 +93,25 @@
     return 0;
 }
 
+/* Reads the names of the platform's terms, of which there may be none. Unknown
+   ones are ignored. */
+static int
+read_terms(CaroFieldReader *r, const json_t *list, CaroGatewaySettings *s)
+{
+    size_t i;
+    json_t *value;
+    if (list != NULL && !json_is_array(list)) {
+        return CaroFields_Fail(r, "$", "terms", "no array",
+                               "an array of names");
+    }
+    json_array_foreach(list, i, value)
+    {
+        const char *term = json_string_value(value);
+        s->is_adaptive |= term != NULL && CaroPlatform_IsAdaptiveTerm(term);
+    }
+    return 0;
+}
+
 /* Reads an object of the file.  One that is absent is read like an empty one,
    which sets the default values. */
 static int
@@ -123,6 +144,9 @@
     if (rc == 0) {
         rc = read_seeds(&r, json_object_get(root, "seeds"), s);
     }
+    if (rc == 0) {
+        rc = read_terms(&r, json_object_get(root, "terms"), s);
+    }
     if (rc == 0) {
         rc = read_section(&r, root, "store", store_fields, s);
     }
--- a/Test/test_many_targets.c
+++ b/Test/test_many_targets.c
@@ -199,22 +199,22 @@
     CaroHandle a = put(t, 0, "a", "d");
     CaroHandle b = put(t, 0, "b", "d");
     CaroTargets_RecordLoad(t, a, 1, 2, 0, S);
-    assert_false(CaroTargets_HasWorkFigure(t, "a"));
+    assert_false(CaroTargets_IsAdaptive(t, "a"));
     CaroTargets_RecordLoad(t, b, 1, 2, 182, S);
     assert_int_equal(CaroTargets_GetConst(t, b)->reported_work_percent, 182);
     CaroTargets_RecordLoad(t, b, 1, 2, 0, S);
     assert_int_equal(CaroTargets_GetConst(t, b)->reported_work_percent, 0);
     CaroTargets_Remove(t, b);
-    assert_true(CaroTargets_HasWorkFigure(t, "b"));
-    assert_false(CaroTargets_HasWorkFigure(t, "a"));
+    assert_true(CaroTargets_IsAdaptive(t, "b"));
+    assert_false(CaroTargets_IsAdaptive(t, "a"));
     /* More services than are recorded. */
     for (int i = 0; i < 1100; i++) {
         char service[CARO_NAME_SIZE];
         (void)snprintf(service, sizeof(service), "s%d", i);
         CaroTargets_RecordLoad(t, put(t, i, service, "d"), 1, 2, 100, S);
     }
-    assert_true(CaroTargets_HasWorkFigure(t, "b"));
-    assert_false(CaroTargets_HasWorkFigure(t, "a"));
+    assert_true(CaroTargets_IsAdaptive(t, "b"));
+    assert_false(CaroTargets_IsAdaptive(t, "a"));
     CaroTargets_Destroy(t);
 }
 
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -316,6 +316,36 @@
     }
 }
 
+/* Guards against parts for scarce room that act, or do not, whatever the
+   platform's terms say. */
+static void
+test_terms_make_a_gateway_adaptive(void **state)
+{
+    (void)state;
+    static const struct {
+        const char *terms;
+        bool is_adaptive;
+    } cases[] = {
+        {"[]", false},
+        {"[\"base\",\"retry\"]", false},
+        {"[\"base\",\"pressure\",7]", true},
+    };
+    char text[1024];
+    CaroGatewaySettings s;
+    CaroError err;
+    for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+        (void)snprintf(text, sizeof(text), "{\"terms\":%s,%s", cases[i].terms,
+                       valid_settings + 1);
+        assert_int_equal(
+            CaroGatewaySettings_Parse(text, strlen(text), "f", &s, &err), 0);
+        assert_true(s.is_adaptive == cases[i].is_adaptive);
+    }
+    (void)snprintf(text, sizeof(text), "{\"terms\":3,%s", valid_settings + 1);
+    assert_true(CaroGatewaySettings_Parse(text, strlen(text), "f", &s, &err) <
+                0);
+    assert_non_null(strstr(err.detail, "terms"));
+}
+
 /* The platform gives each bound as a whole number or as a fraction. */
 static void
 test_bound_that_is_a_fraction_is_accepted(void **state)
@@ -451,6 +481,7 @@
         cmocka_unit_test(test_event_stream_returns_complete_events),
         cmocka_unit_test(test_event_stream_time_is_linear),
         cmocka_unit_test(test_gateway_settings),
+        cmocka_unit_test(test_terms_make_a_gateway_adaptive),
         cmocka_unit_test(test_bound_that_is_a_fraction_is_accepted),
         cmocka_unit_test(test_prompt_parts),
         cmocka_unit_test(test_sized_parts),
--- a/Test/test_predicted_placement.c
+++ b/Test/test_predicted_placement.c
@@ -912,7 +912,7 @@
     CaroTargetEntry other = {.id = "o1", .service = "orders", .slots = 6};
     CaroHandle h = CaroTargets_Put(t, &other, S);
     CaroTargets_RecordLoad(t, h, 1, 0, 130, S);
-    assert_true(CaroTargets_HasWorkFigure(t, "orders"));
+    assert_true(CaroTargets_IsAdaptive(t, "orders"));
     add_first_events(p, CaroTargets_GetConst(t, 0), 227.0, 4, S);
     for (int i = 0; i < 400; i++) {
         CaroPlacementQuery q = query_from(domains[i % 3], p);
@@ -939,10 +939,10 @@
         CaroTargets_AddPrefill(t, chosen, 3000);
         CaroTargets_RecordLoad(t, (i * 7) % 30, i % 20, i % 3, 0, 10 * S);
     }
-    assert_false(CaroTargets_HasWorkFigure(t, "chat"));
+    assert_false(CaroTargets_IsAdaptive(t, "chat"));
     CaroTargets_RecordLoad(t, 4, 1, 0, 100, S);
     CaroTargets_RecordLoad(t, 4, 1, 0, 0, S);
-    assert_true(CaroTargets_HasWorkFigure(t, "chat"));
+    assert_true(CaroTargets_IsAdaptive(t, "chat"));
     CaroEnginePace_Destroy(p);
     gsl_rng_free(rng);
     gsl_rng_free(copy);
