Placement returns the terms of its costs and traces its candidates

The cost by load and by prediction is a structure with its terms, which the choice itself adds up. CaroPlacement_ChooseTraced lists the candidates with the reason why one is passed over; Choose calls it without a trace. A query may say which targets are full, so that no mark has to be set in the table.

--- a/Controllers/placement.c
+++ b/Controllers/placement.c
@@ -79,6 +79,22 @@
 #define SLOW_COPY_WEIGHT 2.0
 #define NO_MEMORY_COPY_PENALTY 100.0
 
+enum {
+    /* Prompts are shorter; with the bound, sums over requests are in range. */
+    PROMPT_TOKENS_MAX = 1 << 20,
+    /* Expected tokens of a response: streams have 600 to 1,170 (120 events of
+       5 tokens, 130 of 9). */
+    RESPONSE_TOKENS = 900
+};
+
+void
+CaroPlacementQuery_SetPrompt(CaroPlacementQuery *q, int64_t tokens)
+{
+    q->prompt_tokens =
+        tokens < PROMPT_TOKENS_MAX ? (int)tokens : PROMPT_TOKENS_MAX;
+    q->held_tokens = q->prompt_tokens + RESPONSE_TOKENS;
+}
+
 static bool
 is_tried(const CaroPlacementQuery *q, CaroHandle h)
 {
@@ -90,9 +106,17 @@
     return false;
 }
 
-/* Estimates the load of the target, in running requests. */
-static double
-load_of(const CaroTarget *target, CaroTime now)
+static CaroTime
+load_age(const CaroTarget *target, CaroTime now)
+{
+    CaroTime at = target->reported_at > target->peer_loaded_at
+                      ? target->reported_at
+                      : target->peer_loaded_at;
+    return at == 0 ? -1 : now - at;
+}
+
+CaroLoadTerms
+CaroPlacement_LoadTerms(const CaroTarget *target, CaroTime now)
 {
     double load = target->in_flight + target->peer_streams;
     if (target->reported_at != 0 && now - target->reported_at < REPORT_TTL) {
@@ -103,8 +127,14 @@
         load = reported > load ? reported : load;
     }
     double prefill = target->prefill_tokens + target->peer_prefill_tokens;
-    return load + PREFILL_WEIGHT * prefill / PREFILL_UNIT_TOKENS +
-           KV_COPY_WEIGHT * (target->kv_copies + target->peer_kv_copies);
+    CaroLoadTerms l = {
+        .requests = load,
+        .prefill = PREFILL_WEIGHT * prefill / PREFILL_UNIT_TOKENS,
+        .kv_copies =
+            KV_COPY_WEIGHT * (target->kv_copies + target->peer_kv_copies),
+        .load_age = load_age(target, now)};
+    l.load = l.requests + l.prefill + l.kv_copies;
+    return l;
 }
 
 static double
@@ -164,15 +194,6 @@
     return p;
 }
 
-static CaroTime
-load_age(const CaroTarget *target, CaroTime now)
-{
-    CaroTime at = target->reported_at > target->peer_loaded_at
-                      ? target->reported_at
-                      : target->peer_loaded_at;
-    return at == 0 ? -1 : now - at;
-}
-
 /* Prefill time of one prompt at a usual engine, in ms. */
 static double
 usual_prefill_ms(const CaroPaceEstimate *pace)
@@ -318,37 +339,53 @@
     return cost;
 }
 
-static double
+static CaroPlacementCost
 cost_of(const CaroTargets *t, CaroHandle h, const CaroPlacementQuery *q,
-        gsl_rng *rng, CaroTime now)
+        double extra_cost, gsl_rng *rng, CaroTime now)
 {
-    double cost = load_of(CaroTargets_GetConst(t, h), now) +
-                  RANDOM_TERM_MAX * gsl_rng_uniform(rng);
+    CaroPlacementCost c = {
+        .load = CaroPlacement_LoadTerms(CaroTargets_GetConst(t, h), now),
+        .domain = extra_cost,
+        .random = RANDOM_TERM_MAX * gsl_rng_uniform(rng)};
     if (q->is_stream && is_domain_failing(t, h, now)) {
-        cost += FAILED_DOMAIN_PENALTY;
+        c.failing = FAILED_DOMAIN_PENALTY;
     }
-    return cost;
+    c.cost = c.domain + (c.load.load + c.random + c.failing);
+    return c;
 }
 
 /* The cost in ms.  The pace after the first event counts as one event more. */
-static double
+static CaroPlacementCost
 predicted_cost_of(const CaroTargets *t, CaroHandle h,
                   const CaroPlacementQuery *q, double extra_cost, gsl_rng *rng,
                   CaroTime now)
 {
-    CaroPrediction p = CaroPlacement_Predict(t, h, q, now);
-    double unit_ms = usual_prefill_ms(&p.pace);
+    CaroPlacementCost c = {.is_predicted = true,
+                           .prediction = CaroPlacement_Predict(t, h, q, now)};
+    double unit_ms = usual_prefill_ms(&c.prediction.pace);
+    double penalty_ms = unit_ms / PREFILL_WEIGHT;
     int members =
         CaroTargetGroups_Get(CaroTargets_Groups(t), CaroTargets_GroupOf(t, h))
             .n;
     double random = PREDICTED_RANDOM_PER_MEMBER * members;
     random = random < PREDICTED_RANDOM_MAX ? random : PREDICTED_RANDOM_MAX;
+    c.domain = extra_cost * penalty_ms;
     if (is_domain_failing(t, h, now)) {
-        extra_cost += FAILED_DOMAIN_PENALTY;
+        c.failing = FAILED_DOMAIN_PENALTY * penalty_ms;
     }
-    return p.first_event_ms + p.event_ms +
-           extra_cost * unit_ms / PREFILL_WEIGHT +
-           random * unit_ms * gsl_rng_uniform(rng);
+    c.random = random * unit_ms * gsl_rng_uniform(rng);
+    c.cost = c.prediction.first_event_ms + c.prediction.event_ms + c.domain +
+             c.failing + c.random;
+    return c;
+}
+
+static bool
+is_full(const CaroTargets *t, CaroHandle h, const CaroPlacementQuery *q,
+        CaroTime now)
+{
+    return q->full != NULL
+               ? q->full[h]
+               : CaroTarget_IsFull(CaroTargets_GetConst(t, h), now);
 }
 
 /* The target runs what the query asks for. */
@@ -366,7 +403,7 @@
 {
     const CaroTarget *target = CaroTargets_GetConst(t, h);
     return is_match(target, q) && !is_tried(q, h) &&
-           CaroTarget_IsUsable(target, now) && !CaroTarget_IsFull(target, now);
+           CaroTarget_IsUsable(target, now) && !is_full(t, h, q, now);
 }
 
 bool
@@ -393,10 +430,10 @@
     for (int next = 0; next_group(t, q->service, &next, &group);) {
         Candidates c = all_of(t, group);
         for (int i = 0; i < c.n; i++) {
-            const CaroTarget *target =
-                CaroTargets_GetConst(t, candidate_at(&c, i));
+            CaroHandle h = candidate_at(&c, i);
+            const CaroTarget *target = CaroTargets_GetConst(t, h);
             if (is_match(target, q) && CaroTarget_IsOpen(target, now) &&
-                CaroTarget_IsFull(target, now)) {
+                is_full(t, h, q, now)) {
                 return true;
             }
         }
@@ -437,60 +474,105 @@
     CaroHandle avoided;
     CaroHandle doubtful;
     bool is_predicted;
+    CaroPlacementTrace *trace; /* NULL for none. */
 } Choice;
 
+CaroCandidateState
+CaroPlacement_Judge(const CaroTargets *t, CaroHandle h,
+                    const CaroPlacementQuery *q, CaroTime now)
+{
+    const CaroTarget *target = CaroTargets_GetConst(t, h);
+    return !is_match(target, q)                 ? target->is_present
+                                                      ? CARO_CANDIDATE_OTHER_VERSION
+                                                      : CARO_CANDIDATE_UNREGISTERED
+           : is_tried(q, h)                     ? CARO_CANDIDATE_TRIED
+           : is_full(t, h, q, now)              ? CARO_CANDIDATE_FULL
+           : CaroTarget_IsUsable(target, now)   ? CARO_CANDIDATE_USABLE
+           : CaroTarget_IsOpen(target, now)     ? CARO_CANDIDATE_AVOIDED
+           : CaroTarget_IsDoubtful(target, now) ? CARO_CANDIDATE_DOUBTFUL
+           : target->entry.is_leaving ||
+                   target->notice.leaving != CARO_LEAVING_UNKNOWN
+               ? CARO_CANDIDATE_LEAVING
+               : CARO_CANDIDATE_UNAVAILABLE;
+}
+
+static void
+add_to_trace(CaroPlacementTrace *trace, const CaroCandidate *c)
+{
+    if (trace == NULL) {
+        return;
+    }
+    if (trace->n < CARO_CANDIDATES_MAX) {
+        trace->all[trace->n++] = *c;
+    }
+    else {
+        trace->n_omitted++;
+    }
+}
+
 static void
 consider(Choice *choice, const CaroTargets *t, CaroHandle h,
          const CaroPlacementQuery *q, double extra_cost, gsl_rng *rng,
          CaroTime now)
 {
-    const CaroTarget *target = CaroTargets_GetConst(t, h);
-    if (!is_match(target, q) || is_tried(q, h) ||
-        CaroTarget_IsFull(target, now)) {
-        return;
+    CaroCandidate c = {.target = h,
+                       .state = CaroPlacement_Judge(t, h, q, now)};
+    if (c.state == CARO_CANDIDATE_DOUBTFUL) {
+        choice->doubtful = h;
     }
-    if (!CaroTarget_IsOpen(target, now)) {
-        if (CaroTarget_IsDoubtful(target, now)) {
-            choice->doubtful = h;
-        }
-        return;
+    if (c.state == CARO_CANDIDATE_AVOIDED &&
+        (choice->avoided == CARO_NO_HANDLE ||
+         CaroTargets_GetConst(t, h)->avoided_until <
+             CaroTargets_GetConst(t, choice->avoided)->avoided_until)) {
+        choice->avoided = h;
     }
-    if (!CaroTarget_IsUsable(target, now)) {
-        if (choice->avoided == CARO_NO_HANDLE ||
-            target->avoided_until <
-                CaroTargets_GetConst(t, choice->avoided)->avoided_until) {
-            choice->avoided = h;
+    if (c.state == CARO_CANDIDATE_USABLE) {
+        c.cost = choice->is_predicted
+                     ? predicted_cost_of(t, h, q, extra_cost, rng, now)
+                     : cost_of(t, h, q, extra_cost, rng, now);
+        if (choice->best == CARO_NO_HANDLE ||
+            c.cost.cost < choice->best_cost) {
+            choice->best = h;
+            choice->best_cost = c.cost.cost;
         }
-        return;
-    }
-    double cost = choice->is_predicted
-                      ? predicted_cost_of(t, h, q, extra_cost, rng, now)
-                      : extra_cost + cost_of(t, h, q, rng, now);
-    if (choice->best == CARO_NO_HANDLE || cost < choice->best_cost) {
-        choice->best = h;
-        choice->best_cost = cost;
     }
+    add_to_trace(choice->trace, &c);
 }
 
 CaroHandle
 CaroPlacement_Choose(const CaroTargets *t, const CaroPlacementQuery *q,
                      gsl_rng *rng, CaroTime now)
+{
+    return CaroPlacement_ChooseTraced(t, q, rng, now, NULL);
+}
+
+CaroHandle
+CaroPlacement_ChooseTraced(const CaroTargets *t, const CaroPlacementQuery *q,
+                           gsl_rng *rng, CaroTime now,
+                           CaroPlacementTrace *trace)
 {
     Choice choice = {.best = CARO_NO_HANDLE,
                      .avoided = CARO_NO_HANDLE,
                      .doubtful = CARO_NO_HANDLE,
-                     .is_predicted = CaroPlacement_IsPredicted(t, q)};
+                     .is_predicted = CaroPlacement_IsPredicted(t, q),
+                     .trace = trace};
     bool is_complete = false;
     /* A sample without any usable target does not show that there is none. */
     for (int pass = 0;
          pass < 2 && choice.best == CARO_NO_HANDLE && !is_complete; pass++) {
         int group;
         is_complete = true;
+        if (trace != NULL) {
+            trace->n = trace->n_omitted = trace->n_unsampled = 0;
+        }
         for (int next = 0; next_group(t, q->service, &next, &group);) {
             Candidates c =
                 pass == 0 ? sample_of(t, group, rng) : all_of(t, group);
             double extra_cost = group_cost(&c.group, q);
             is_complete = is_complete && c.n == c.group.n;
+            if (trace != NULL) {
+                trace->n_unsampled += c.group.n - c.n;
+            }
             for (int i = 0; i < c.n; i++) {
                 consider(&choice, t, candidate_at(&c, i), q, extra_cost, rng,
                          now);
--- a/Include/internal/caro_placement.h
+++ b/Include/internal/caro_placement.h
@@ -33,8 +33,14 @@
     CaroEnginePace *pace;      /* NULL: all targets have the same pace. */
     int prompt_tokens;         /* To be prefilled. */
     int held_tokens;           /* Of the prompt and the expected response. */
+    /* Whether each target is full, by handle; NULL: as marked in the table
+       (CaroTarget_IsFull). */
+    const bool *full;
 } CaroPlacementQuery;
 
+/* Sets the tokens of a stream's prompt and expected response. */
+void CaroPlacementQuery_SetPrompt(CaroPlacementQuery *q, int64_t tokens);
+
 /* The predicted time to the first event of a stream at a target, its terms and
    what they were computed from. */
 typedef struct {
@@ -58,6 +64,64 @@
                                      const CaroPlacementQuery *q,
                                      CaroTime now);
 
+/* The load of a target and its terms, in running requests. */
+typedef struct {
+    double load;       /* Sum of the three terms that follow. */
+    double requests;   /* In flight here, and reported. */
+    double prefill;    /* Prompts that await prefill. */
+    double kv_copies;  /* KV copies kept there. */
+    CaroTime load_age; /* As of CaroPrediction. */
+} CaroLoadTerms;
+
+CaroLoadTerms CaroPlacement_LoadTerms(const CaroTarget *target, CaroTime now);
+
+/* What choosing a target costs: in ms by prediction, else in running
+   requests. */
+typedef struct {
+    double cost; /* Sum of all terms. */
+    double domain;
+    double failing; /* Its domain has just lost other targets. */
+    double random;
+    bool is_predicted;
+    CaroPrediction prediction; /* Terms first_event_ms and event_ms. */
+    CaroLoadTerms load;        /* Term load; without a prediction. */
+} CaroPlacementCost;
+
+/* Whether a target is considered for a request, or why it is passed over. */
+typedef enum {
+    CARO_CANDIDATE_USABLE,
+    CARO_CANDIDATE_AVOIDED,  /* It failed; chosen if none is usable. */
+    CARO_CANDIDATE_DOUBTFUL, /* A doubtful notice says that it leaves; the last
+                                choice. */
+    CARO_CANDIDATE_LEAVING,
+    CARO_CANDIDATE_UNAVAILABLE, /* It wants no requests now. */
+    CARO_CANDIDATE_FULL,
+    CARO_CANDIDATE_TRIED,
+    CARO_CANDIDATE_OTHER_VERSION,
+    CARO_CANDIDATE_UNREGISTERED
+} CaroCandidateState;
+
+CaroCandidateState CaroPlacement_Judge(const CaroTargets *t, CaroHandle h,
+                                       const CaroPlacementQuery *q,
+                                       CaroTime now);
+
+typedef struct {
+    CaroHandle target;
+    CaroCandidateState state;
+    CaroPlacementCost cost; /* Of usable ones. */
+} CaroCandidate;
+
+enum { CARO_CANDIDATES_MAX = 2048 };
+
+/* The candidates of a choice, in the order in which they were looked at. Those
+   beyond the maximum are only counted. */
+typedef struct {
+    CaroCandidate all[CARO_CANDIDATES_MAX];
+    int n;
+    int n_omitted;
+    int n_unsampled; /* Members of large groups outside the sample. */
+} CaroPlacementTrace;
+
 /* Returns the tokens of streams and KV copies at a target, as far as known. */
 double CaroPlacement_HeldTokens(const CaroTargets *t, CaroHandle h,
                                 CaroTime now);
@@ -89,6 +153,12 @@
                                 const CaroPlacementQuery *q, gsl_rng *rng,
                                 CaroTime now);
 
+/* Likewise, and fills the trace unless it is NULL. */
+CaroHandle CaroPlacement_ChooseTraced(const CaroTargets *t,
+                                      const CaroPlacementQuery *q,
+                                      gsl_rng *rng, CaroTime now,
+                                      CaroPlacementTrace *trace);
+
 /*
  * Returns the target that keeps a KV copy of a stream running at "source":
  * one of the same service and version in another failure domain, or
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -10,14 +10,6 @@
 /* Time by which a response is sent before the caller's own timeout. */
 #define RESPONSE_MARGIN (25 * CARO_MS)
 
-enum {
-    /* Prompts are shorter; with the bound, sums over requests are in range. */
-    PROMPT_TOKENS_MAX = 1 << 20,
-    /* Expected tokens of a response: streams have 600 to 1,170 (120 events of
-       5 tokens, 130 of 9). */
-    RESPONSE_TOKENS = 900
-};
-
 CaroRelays *
 CaroRelays_Create(const CaroRelayDeps *deps)
 {
@@ -87,20 +79,16 @@
 static void
 set_prompt(CaroRelay *r, const CaroHttpHead *head)
 {
-    int64_t tokens;
+    int64_t tokens = 0;
     CaroText value = CaroHttpHead_Find(
         head, CaroPlatform_HeaderName(CARO_HEADER_TOKEN_COUNTS));
-    if (CaroRelay_IsStream(r) &&
-        CaroPlatform_ReadPromptTokens(value, &tokens) == 0) {
-        r->prompt_tokens =
-            tokens < PROMPT_TOKENS_MAX ? (int)tokens : PROMPT_TOKENS_MAX;
-    }
-    if (CaroRelay_IsStream(r)) {
-        r->held_tokens = r->prompt_tokens + RESPONSE_TOKENS;
-        r->query.prompt_tokens = r->prompt_tokens;
-        r->query.held_tokens = r->held_tokens;
-    }
     if (CaroRelay_IsStream(r)) {
+        if (CaroPlatform_ReadPromptTokens(value, &tokens) < 0) {
+            tokens = 0;
+        }
+        CaroPlacementQuery_SetPrompt(&r->query, tokens);
+        r->prompt_tokens = r->query.prompt_tokens;
+        r->held_tokens = r->query.held_tokens;
         (void)CaroPlatform_ReadPromptParts(
             CaroHttpHead_Find(
                 head, CaroPlatform_HeaderName(CARO_HEADER_PROMPT_PARTS)),
