Read-only forms of the decisions about versions and limits

PeekVersion, IsOver and HasAllowance return what the next request would get without counting it. The medians of CaroEnginePace can be saved and restored, since Get updates them. FindKeyOf returns a key of an account by name.

--- a/Controllers/engine_pace.c
+++ b/Controllers/engine_pace.c
@@ -361,6 +361,35 @@
     return out;
 }
 
+CaroPaceMedians
+CaroEnginePace_SaveMedians(const CaroEnginePace *p, const char *service)
+{
+    const Service *s = p == NULL ? NULL : find_service(p, service);
+    return s == NULL ? (CaroPaceMedians){0}
+                     : (CaroPaceMedians){.is_known = true,
+                                         .is_median_known = s->is_median_known,
+                                         .prefill_us = s->prefill_us,
+                                         .event_us = s->event_us,
+                                         .memory = s->memory,
+                                         .n_memory = s->n_memory,
+                                         .median_at = s->median_at};
+}
+
+void
+CaroEnginePace_RestoreMedians(CaroEnginePace *p, const char *service,
+                              const CaroPaceMedians *saved)
+{
+    Service *s = p == NULL ? NULL : find_service(p, service);
+    if (s != NULL && saved->is_known) {
+        s->is_median_known = saved->is_median_known;
+        s->prefill_us = saved->prefill_us;
+        s->event_us = saved->event_us;
+        s->memory = saved->memory;
+        s->n_memory = saved->n_memory;
+        s->median_at = saved->median_at;
+    }
+}
+
 /* --- samples --- */
 
 static void
--- a/Include/internal/caro_engine_pace.h
+++ b/Include/internal/caro_engine_pace.h
@@ -40,6 +40,25 @@
 CaroPaceEstimate CaroEnginePace_Get(CaroEnginePace *p,
                                     const CaroTarget *target, CaroTime now);
 
+/* The medians of a service as of their last update, from which its estimates
+   follow. */
+typedef struct {
+    bool is_known; /* The service is. */
+    bool is_median_known;
+    double prefill_us;
+    double event_us;
+    double memory;
+    int n_memory;
+    CaroTime median_at;
+} CaroPaceMedians;
+
+/* Get updates the medians from time to time.  To undo that, Save is called
+   before and Restore after it. */
+CaroPaceMedians CaroEnginePace_SaveMedians(const CaroEnginePace *p,
+                                           const char *service);
+void CaroEnginePace_RestoreMedians(CaroEnginePace *p, const char *service,
+                                   const CaroPaceMedians *saved);
+
 /*
  * Records that the first event of a stream of this VM arrived "wait" after its
  * request was sent, with no other prompt ahead as far as was known.  Returns
--- a/Include/internal/caro_request_limits.h
+++ b/Include/internal/caro_request_limits.h
@@ -66,6 +66,19 @@
 bool CaroRequestLimits_Take(CaroRequestLimits *l, CaroHandle target,
                             bool is_retry, CaroTime now);
 
+/* Returns whether the limit of the target leaves no room for a request of this
+   VM now, as MarkFull would mark it. */
+bool CaroRequestLimits_IsOver(const CaroRequestLimits *l, CaroHandle target,
+                              CaroTime now);
+
+/* Returns whether this VM's part of the service's limits admits a first
+   attempt of a request that came in now and is not recorded.  "rng" takes the
+   place of the object's own, and of a service without requests draws its
+   phase. */
+bool CaroRequestLimits_HasAllowance(const CaroRequestLimits *l,
+                                    const char *service, gsl_rng *rng,
+                                    CaroTime now);
+
 /* Logs the refusal of a request that no target admits.  Returns after which
    time this VM can probably send another one, behind those that were refused
    before. */
--- a/Include/internal/caro_routes.h
+++ b/Include/internal/caro_routes.h
@@ -99,6 +99,10 @@
 const CaroClientAccount *CaroRoutes_FindAccount(const CaroRoutes *r,
                                                 const char *key, size_t size);
 
+/* Returns a key of the account, borrowed; NULL if there is no such account or
+   it has none. */
+const char *CaroRoutes_FindKeyOf(const CaroRoutes *r, const char *account);
+
 /* Chooses a service by weight; "draw" is uniform in [0, 1).  Returns NULL for
    a route without services. */
 const char *CaroRoute_ChooseService(const CaroRoute *route, double draw);
--- a/Include/internal/caro_service_rollouts.h
+++ b/Include/internal/caro_service_rollouts.h
@@ -64,6 +64,13 @@
                                                   const char **version,
                                                   CaroTime now);
 
+/* Likewise, without counting the request. */
+CaroVersionRule CaroServiceRollouts_PeekVersion(const CaroServiceRollouts *r,
+                                                const char *service,
+                                                double draw,
+                                                const char **version,
+                                                CaroTime now);
+
 /*
  * An attempt of a request at an upstream, as the rollout of its service sees
  * it.  The caller sets the upper fields at the start; the names are borrowed.
--- a/Modules/request_limits.c
+++ b/Modules/request_limits.c
@@ -125,15 +125,14 @@
 
 /* Returns the state of the target if it is one of the service that is limited
    and may get requests, else NULL. */
-static TargetLimit *
-get_limited(CaroRequestLimits *l, CaroHandle h, const char *service)
+static const TargetLimit *
+get_limited(const CaroRequestLimits *l, CaroHandle h, const char *service)
 {
     const CaroTarget *target = CaroTargets_GetConst(l->targets, h);
-    TargetLimit *t = get_limit(l, h);
-    return t->is_limited && target->is_used && target->is_present &&
-                   !target->entry.is_leaving &&
+    return CaroRequestLimits_Get(l, h) >= 0.0 && target->is_used &&
+                   target->is_present && !target->entry.is_leaving &&
                    strcmp(target->entry.service, service) == 0
-               ? t
+               ? &l->all[h]
                : NULL;
 }
 
@@ -178,7 +177,7 @@
 /* Requests a second that the limited targets of the service take from all
    VMs: those that are usable, or all if none is. */
 static double
-total_limit(CaroRequestLimits *l, const ServiceDemand *s, CaroTime now)
+total_limit(const CaroRequestLimits *l, const ServiceDemand *s, CaroTime now)
 {
     double usable = 0.0;
     double all = 0.0;
@@ -194,11 +193,9 @@
     return usable > 0.0 ? usable : all;
 }
 
-void
-CaroRequestLimits_RecordDemand(CaroRequestLimits *l, const char *service,
-                               CaroTime now)
+static void
+record_demand(const CaroRequestLimits *l, ServiceDemand *s, CaroTime now)
 {
-    ServiceDemand *s = get_service(l, service, now);
     CaroWindowCount_Add(&s->requests, DEMAND_WINDOW, now);
     if (l->has_limits) {
         double part = total_limit(l, s, now) / total_demand(l, s, now);
@@ -206,6 +203,13 @@
     }
 }
 
+void
+CaroRequestLimits_RecordDemand(CaroRequestLimits *l, const char *service,
+                               CaroTime now)
+{
+    record_demand(l, get_service(l, service, now), now);
+}
+
 static void
 set_limit(CaroRequestLimits *l, CaroHandle h, double limit, const char *source,
           CaroTime at, CaroTime now)
@@ -310,6 +314,34 @@
     return true;
 }
 
+bool
+CaroRequestLimits_IsOver(const CaroRequestLimits *l, CaroHandle target,
+                         CaroTime now)
+{
+    return CaroRequestLimits_Get(l, target) >= 0.0 &&
+           is_over_limit(l, target, &l->all[target], now);
+}
+
+bool
+CaroRequestLimits_HasAllowance(const CaroRequestLimits *l, const char *service,
+                               gsl_rng *rng, CaroTime now)
+{
+    ServiceDemand s = {.hash = XXH32(service, strlen(service), 0)};
+    bool is_known = false;
+    CARO_COPY(s.name, service);
+    for (int i = 0; i < l->n_services && !is_known; i++) {
+        if (strcmp(l->services[i].name, service) == 0) {
+            s = l->services[i];
+            is_known = true;
+        }
+    }
+    if (!is_known) {
+        CaroRequestAllowance_Start(&s.allowance, gsl_rng_uniform(rng), now);
+    }
+    record_demand(l, &s, now);
+    return CaroRequestAllowance_Take(&s.allowance, now);
+}
+
 CaroTime
 CaroRequestLimits_Refuse(CaroRequestLimits *l, const char *service,
                          const char *id, CaroTime now)
--- a/Modules/service_rollouts.c
+++ b/Modules/service_rollouts.c
@@ -278,6 +278,21 @@
            rollout->outcome != CARO_ROLLOUT_OUTCOME_RUNNING;
 }
 
+static CaroVersionRule
+choose_version(const CaroServiceRollouts *r, const Rollout *rollout,
+               double draw, CaroTime now)
+{
+    if (is_finished(rollout)) {
+        return rollout->outcome == CARO_ROLLOUT_OUTCOME_DONE
+                   ? CARO_VERSION_ONLY
+                   : CARO_VERSION_NOT;
+    }
+    CaroRolloutSchedule schedule = make_schedule(rollout, now);
+    double share = CaroRolloutSchedule_Share(&schedule, r->exposure_max,
+                                             r->request_allowance);
+    return draw < share ? CARO_VERSION_ONLY : CARO_VERSION_NOT;
+}
+
 CaroVersionRule
 CaroServiceRollouts_ChooseVersion(CaroServiceRollouts *r, const char *service,
                                   double draw, const char **version,
@@ -288,16 +303,25 @@
         return CARO_VERSION_ANY;
     }
     *version = rollout->request.version;
-    if (is_finished(rollout)) {
-        return rollout->outcome == CARO_ROLLOUT_OUTCOME_DONE
-                   ? CARO_VERSION_ONLY
-                   : CARO_VERSION_NOT;
+    if (!is_finished(rollout)) {
+        rollout->n_requests++;
     }
-    rollout->n_requests++;
-    CaroRolloutSchedule schedule = make_schedule(rollout, now);
-    double share = CaroRolloutSchedule_Share(&schedule, r->exposure_max,
-                                             r->request_allowance);
-    return draw < share ? CARO_VERSION_ONLY : CARO_VERSION_NOT;
+    return choose_version(r, rollout, draw, now);
+}
+
+CaroVersionRule
+CaroServiceRollouts_PeekVersion(const CaroServiceRollouts *r,
+                                const char *service, double draw,
+                                const char **version, CaroTime now)
+{
+    const Rollout *rollout = find_rollout(r, service);
+    if (rollout == NULL || rollout->request.version[0] == '\0') {
+        return CARO_VERSION_ANY;
+    }
+    *version = rollout->request.version;
+    Rollout counted = *rollout;
+    counted.n_requests++;
+    return choose_version(r, &counted, draw, now);
 }
 
 /* Returns the rollout of the service that has no outcome, or NULL. */
--- a/Objects/routes.c
+++ b/Objects/routes.c
@@ -278,6 +278,17 @@
     return key == NULL ? NULL : &r->accounts[key->account];
 }
 
+const char *
+CaroRoutes_FindKeyOf(const CaroRoutes *r, const char *account)
+{
+    for (const Key *key = r->keys; key != NULL; key = key->hh.next) {
+        if (strcmp(r->accounts[key->account].name, account) == 0) {
+            return key->text;
+        }
+    }
+    return NULL;
+}
+
 const char *
 CaroRoute_ChooseService(const CaroRoute *route, double draw)
 {
