--- a/Include/internal/caro_gateway_http.h
+++ b/Include/internal/caro_gateway_http.h
@@ -1,13 +1,14 @@
 /*
  * NAME
  *     caro_gateway_http - HTTP interfaces of the gateway for readiness, the
- *     address directory, metrics and state
+ *     address directory, metrics, state and explanations
  */
 #ifndef CARO_GATEWAY_HTTP_H
 #define CARO_GATEWAY_HTTP_H
 
 #include "caro_gateway_settings.h"
 #include "internal/caro_counters.h"
+#include "internal/caro_gateway_explain.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -26,6 +27,8 @@
     void (*write_latency)(void *context, struct evbuffer *out);
     /* Returns the state of the process as JSON; the caller owns it. */
     json_t *(*get_state)(void *context);
+    /* Explains a request that is not sent, likewise; NULL without memory. */
+    json_t *(*explain)(void *context, const CaroExplainRequest *request);
 } CaroGatewayHttpHandlers;
 
 /* Listens on the readiness and directory addresses and, unless its port is 0,
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -156,6 +156,21 @@
                : 0;
 }
 
+/* The state of the VM, without a request. */
+static CaroRequestCheckQuery
+make_vm_query(const CaroGateway *g, CaroTime now)
+{
+    return (CaroRequestCheckQuery){
+        .routes = CaroActiveConfig_Routes(g->config),
+        .has_target_list = CaroRegistry_IsLoaded(g->registry),
+        .is_config_fresh = is_config_fresh(g),
+        .has_unusable_config =
+            CaroActiveConfig_RejectedRevision(g->config) != 0,
+        .is_stopping = g->stop_requested_at != 0,
+        .time_to_exit = work_end(g) - now,
+        .uptime = now - g->started_at};
+}
+
 static CaroRequestCheckQuery
 make_check_query(const CaroGateway *g, const CaroHttpHead *head, CaroTime now)
 {
@@ -170,20 +185,13 @@
     if (query != NULL) {
         path.size = (size_t)(query - path.at);
     }
-    return (CaroRequestCheckQuery){
-        .routes = CaroActiveConfig_Routes(g->config),
-        .has_target_list = CaroRegistry_IsLoaded(g->registry),
-        .is_config_fresh = is_config_fresh(g),
-        .has_unusable_config =
-            CaroActiveConfig_RejectedRevision(g->config) != 0,
-        .is_stopping = g->stop_requested_at != 0,
-        .time_to_exit = work_end(g) - now,
-        .caller_timeout = ms * CARO_MS,
-        .uptime = now - g->started_at,
-        .host = CaroHttpHead_Find(head, "host"),
-        .path = path,
-        .key = CaroHttpHead_Find(
-            head, CaroPlatform_HeaderName(CARO_HEADER_API_KEY))};
+    CaroRequestCheckQuery q = make_vm_query(g, now);
+    q.caller_timeout = ms * CARO_MS;
+    q.host = CaroHttpHead_Find(head, "host");
+    q.path = path;
+    q.key =
+        CaroHttpHead_Find(head, CaroPlatform_HeaderName(CARO_HEADER_API_KEY));
+    return q;
 }
 
 static void
@@ -752,12 +760,31 @@
         CaroPromptGuard_Dump(g->guard, CaroClock_Now()));
 }
 
+static json_t *
+explain(void *context, const CaroExplainRequest *request)
+{
+    const CaroGateway *g = context;
+    CaroTime now = CaroClock_Now();
+    CaroExplainState state = {.vm = g->settings.vm,
+                              .domain = g->settings.domain,
+                              .targets = g->targets,
+                              .rollouts = g->rollouts,
+                              .limits = g->limits,
+                              .guard = g->guard,
+                              .pace = g->pace,
+                              .rng = g->rng,
+                              .config_age = config_age(g)};
+    CaroRequestCheckQuery query = make_vm_query(g, now);
+    return CaroGatewayExplain_Run(&state, &query, request, now);
+}
+
 static const CaroGatewayHttpHandlers http_handlers = {
     .is_ready = is_ready,
     .list_addresses = list_addresses,
     .get_counters = get_counters,
     .write_latency = write_latency,
     .get_state = get_state,
+    .explain = explain,
 };
 
 /* --- time --- */
--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -1,5 +1,5 @@
 /* HTTP interfaces of the gateway for readiness, the address directory, metrics
-   and state, over evhttp. */
+   state and explanations, over evhttp. */
 #include "internal/caro_gateway_http.h"
 
 #include "internal/caro_directory.h"
@@ -88,6 +88,58 @@
     json_decref(state);
 }
 
+/* Reads a parameter; returns NULL if it is absent. */
+static const char *
+read_parameter(struct evhttp_request *req, const char *name,
+               char out[HEAD_BYTES_MAX])
+{
+    return CaroHttp_Query(req, name, out, HEAD_BYTES_MAX) ? out : NULL;
+}
+
+/* The key is read from its usual header, so that it is in no URI. */
+static void
+on_where(struct evhttp_request *req, void *arg)
+{
+    CaroGatewayHttp *h = arg;
+    char host[HEAD_BYTES_MAX];
+    char path[HEAD_BYTES_MAX];
+    char account[HEAD_BYTES_MAX];
+    char tokens[HEAD_BYTES_MAX];
+    char parts[HEAD_BYTES_MAX];
+    CaroPromptParts parsed;
+    CaroExplainRequest request = {
+        .host = read_parameter(req, "host", host),
+        .path = read_parameter(req, "path", path),
+        .account = read_parameter(req, "account", account),
+        .parts = read_parameter(req, "parts", parts),
+        .key = CaroHttp_Header(req,
+                               CaroPlatform_HeaderName(CARO_HEADER_API_KEY))};
+    const char *number = read_parameter(req, "tokens", tokens);
+    CaroText text = {number, number == NULL ? 0 : strlen(number)};
+    if (request.host == NULL || request.path == NULL) {
+        CaroHttp_SendText(req, HTTP_BADREQUEST, "host and path are needed\n");
+        return;
+    }
+    if (number != NULL && !CaroText_ToNumber(text, &request.tokens)) {
+        CaroHttp_SendText(req, HTTP_BADREQUEST, "tokens is not a number\n");
+        return;
+    }
+    if (request.parts != NULL &&
+        CaroPlatform_ReadPromptParts(
+            (CaroText){request.parts, strlen(request.parts)}, &parsed) < 0) {
+        CaroHttp_SendText(req, HTTP_BADREQUEST,
+                          "parts is not ID:TOKENS,...\n");
+        return;
+    }
+    json_t *explanation = h->handlers->explain(h->context, &request);
+    if (explanation == NULL) {
+        evhttp_send_error(req, HTTP_INTERNAL, NULL);
+        return;
+    }
+    CaroHttp_SendJson(req, HTTP_OK, explanation);
+    json_decref(explanation);
+}
+
 static struct evhttp *
 listen_at(CaroGatewayHttp *h, struct event_base *base, const char *address,
           int index, CaroError *err)
@@ -150,6 +202,7 @@
         }
         evhttp_set_cb(server, "/metrics", on_metrics, h);
         evhttp_set_cb(server, "/state", on_state, h);
+        evhttp_set_cb(server, "/where", on_where, h);
     }
     return h;
 error:
