--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -17,6 +17,7 @@
 #include "internal/caro_http_server.h"
 #include "internal/caro_log.h"
 #include "internal/caro_peer_loads.h"
+#include "internal/caro_peer_reports.h"
 #include "internal/caro_platform.h"
 #include "internal/caro_prompt_guard.h"
 #include "internal/caro_registry.h"
@@ -50,7 +51,6 @@
 #define REJOIN_INTERVAL (7 * CARO_SECOND)
 /* Unchanged loads are sent again at this interval, as a datagram may have
    been lost. */
-#define LOAD_REPORT_INTERVAL (1500 * CARO_MS)
 /* Time without a request before the exit, so that the last responses are
    sent. */
 #define STOP_IDLE_MIN (500 * CARO_MS)
@@ -97,6 +97,7 @@
     CaroStoreClient *store;
     CaroRegistry *registry;
     CaroFleet *fleet;
+    CaroPeerReports *peer_reports;
     CaroGatewayHttp *status_http;
     struct event *tick;
 
@@ -104,10 +105,6 @@
     bool was_config_fresh;
 
     uint64_t boot_id;
-    uint32_t report_sequence;
-    uint32_t limit_report_sequence;
-    uint32_t room_report_sequence;
-    CaroTime next_load_report;
     CaroTime next_readers;
     CaroTime started_at;
     /* Calls received before the first reads of the store. */
@@ -540,104 +537,21 @@
 on_load_report(void *context, const caro_load_report *report)
 {
     CaroGateway *g = context;
-    CaroTime now = CaroClock_Now();
-    CaroTargetFailures failures;
-    CaroHandle vm = CaroMembership_Find(CaroFleet_GetMembershipConst(g->fleet),
-                                        report->sender);
-    if (vm != CARO_NO_HANDLE) {
-        CaroServiceRollouts_ApplyEvidence(g->rollouts, vm, report->boot_id,
-                                          report->evidence.evidence_val,
-                                          (int)report->evidence.evidence_len);
-    }
-    CaroPeerLoads_Apply(g->peer_loads, report, &failures, now);
-    for (int i = 0; i < failures.n; i++) {
-        CaroHandle h = failures.all[i].target;
-        CaroTargets_Avoid(g->targets, h, failures.all[i].failure, now);
-        if (failures.all[i].failure == CARO_TARGET_SILENT) {
-            CaroRelays_OnTargetSuspected(g->relays, h, now);
-        }
-    }
-    for (int i = 0; i < failures.n_leaving; i++) {
-        CaroLog_Info(
-            "registry",
-            "Another VM reported that an upstream leaves. "
-            "upstream=%s vm=%s",
-            CaroTargets_GetConst(g->targets, failures.leaving[i])->entry.id,
-            report->sender);
-    }
+    CaroPeerReports_ApplyLoad(g->peer_reports, report, CaroClock_Now());
 }
 
 static void
 on_pace_report(void *context, const caro_pace_report *report)
 {
     CaroGateway *g = context;
-    int n = CaroEnginePace_Apply(g->pace, g->targets, report, CaroClock_Now());
-    CaroCounters_Add(&g->counters, CARO_COUNT_PEER_PACE_SAMPLES, (uint64_t)n);
-}
-
-static void
-send_pace_report(CaroGateway *g, CaroTime now)
-{
-    CaroPaceReport out;
-    if (CaroEnginePace_Collect(g->pace, &out, now)) {
-        out.report.sender = g->settings.vm;
-        out.report.boot_id = g->boot_id;
-        CaroFleet_SendPaceReport(g->fleet, &out.report, g->report_sequence);
-    }
+    CaroPeerReports_ApplyPace(g->peer_reports, report, CaroClock_Now());
 }
 
 static void
 on_retention_report(void *context, const caro_retention_report *report)
 {
     CaroGateway *g = context;
-    int n = CaroRetainedPrompts_Apply(g->retained, g->targets, report,
-                                      CaroClock_Now());
-    CaroCounters_Add(&g->counters, CARO_COUNT_PEER_RETAINED_PARTS,
-                     (uint64_t)n);
-}
-
-static void
-send_retention_report(CaroGateway *g, CaroTime now)
-{
-    CaroRetentionReport out;
-    g->counters.values[CARO_COUNT_RETAINED_PARTS] =
-        (uint64_t)CaroRetainedPrompts_Count(g->retained);
-    if (CaroRetainedPrompts_Collect(g->retained, &out, now)) {
-        out.report.sender = g->settings.vm;
-        CaroFleet_SendRetentionReport(g->fleet, &out.report,
-                                      g->report_sequence);
-    }
-}
-
-/* Sends the requests in flight, the evidence of rollouts, samples of pace and
-   retained parts to the other VMs, after a change and at LOAD_REPORT_INTERVAL.
- */
-static void
-send_load_report(CaroGateway *g, CaroTime now)
-{
-    caro_target_load loads[CARO_LOADS_MAX];
-    caro_rollout_evidence evidence[CARO_ROLLOUTS_MAX];
-    bool has_evidence = CaroServiceRollouts_ConsumeChange(g->rollouts);
-    bool has_change = CaroRelays_ConsumeChange(g->relays) || has_evidence;
-    if (!has_change && now < g->next_load_report) {
-        return;
-    }
-    caro_load_report report = {.sender = g->settings.vm,
-                               .boot_id = g->boot_id,
-                               .sequence = ++g->report_sequence};
-    report.loads.loads_val = loads;
-    report.loads.loads_len =
-        (u_int)CaroPeerLoads_Collect(g->targets, loads, now);
-    report.evidence.evidence_val = evidence;
-    report.evidence.evidence_len =
-        (u_int)CaroServiceRollouts_CollectEvidence(g->rollouts, evidence);
-    g->next_load_report = now + LOAD_REPORT_INTERVAL;
-    if (has_change || report.loads.loads_len > 0 ||
-        report.evidence.evidence_len > 0) {
-        CaroFleet_SendLoadReport(g->fleet, &report);
-    }
-    send_pace_report(g, now);
-    send_retention_report(g, now);
+    CaroPeerReports_ApplyRetention(g->peer_reports, report, CaroClock_Now());
 }
 
 static void
@@ -647,23 +561,6 @@
     CaroPromptGuard_Apply(g->guard, report, CaroClock_Now());
 }
 
-static void
-tick_guard(CaroGateway *g, CaroTime now)
-{
-    CaroPromptReport out;
-    CaroPromptGuard_Tick(
-        g->guard, CaroMembership_Rank(CaroFleet_GetMembershipConst(g->fleet)),
-        now);
-    if (CaroPromptGuard_ConsumeQuarantine(g->guard)) {
-        CaroRelays_EndQuarantined(g->relays, now);
-    }
-    int fanout = CaroPromptGuard_Collect(g->guard, &out, now);
-    if (fanout > 0) {
-        out.report.sender = g->settings.vm;
-        CaroFleet_SendPromptReport(g->fleet, &out.report, fanout);
-    }
-}
-
 static void
 on_limit_report(void *context, const caro_limit_report *report)
 {
@@ -671,19 +568,6 @@
     CaroRequestLimits_Apply(g->limits, report, CaroClock_Now());
 }
 
-static void
-tick_limits(CaroGateway *g, int vms, CaroTime now)
-{
-    CaroLimitReport out;
-    CaroRequestLimits_SetVms(g->limits, vms);
-    if (CaroRequestLimits_Collect(g->limits, &out, now)) {
-        out.report.sender = g->settings.vm;
-        out.report.boot_id = g->boot_id;
-        out.report.sequence = ++g->limit_report_sequence;
-        CaroFleet_SendLimitReport(g->fleet, &out.report);
-    }
-}
-
 static void
 on_retry_loan(void *context, CaroRpcRequest *request,
               const caro_retry_loan *args)
@@ -699,45 +583,6 @@
     CaroServiceRoom_Apply(g->room, report, CaroClock_Now());
 }
 
-static void
-log_room_change(CaroGateway *g, const CaroRoomState *s)
-{
-    if (s->is_short) {
-        CaroCounters_Add(&g->counters, CARO_COUNT_ROOM_SHORTAGES, 1);
-    }
-    CaroLog_Info(
-        "room",
-        "%s service=%s wait_ms=%lld observed_age_ms=%lld capacity_per_s=%.1f "
-        "requests_per_s=%.1f/%.1f/%.1f/%.1f waited_per_s=%.1f "
-        "rejections_per_s=%.1f reports=%d "
-        "report_age_ms=%lld held=%d",
-        s->is_short ? "A service is short of room."
-                    : "A service is no longer short of room.",
-        s->service, (long long)(s->wait / CARO_MS),
-        (long long)(s->observed_age / CARO_MS), s->capacity, s->requests[0],
-        s->requests[1], s->requests[2], s->requests[3], s->waited,
-        s->rejections, s->reports, (long long)(s->report_age / CARO_MS),
-        s->held);
-}
-
-static void
-tick_room(CaroGateway *g, int vms, CaroTime now)
-{
-    CaroRoomReport out;
-    CaroRoomState state;
-    CaroServiceRoom_SetVms(g->room, vms);
-    while (CaroServiceRoom_Tick(g->room, &state, now)) {
-        log_room_change(g, &state);
-    }
-    if (CaroServiceRoom_Collect(g->room, &out, now)) {
-        out.report.sender = g->settings.vm;
-        out.report.boot_id = g->boot_id;
-        out.report.sequence = ++g->room_report_sequence;
-        CaroCounters_Add(&g->counters, CARO_COUNT_ROOM_REPORTS, 1);
-        CaroFleet_SendRoomReport(g->fleet, &out.report);
-    }
-}
-
 static const CaroFleetHandlers fleet_handlers = {
     .on_retry_loan = on_retry_loan,
     .on_room_report = on_room_report,
@@ -926,12 +771,7 @@
         CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet)));
     CaroRelays_CheckOverdue(g->relays, now);
     CaroServiceRollouts_Tick(g->rollouts, now);
-    send_load_report(g, now);
-    tick_guard(g, now);
-    int vms =
-        CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet));
-    tick_limits(g, vms, now);
-    tick_room(g, vms, now);
+    CaroPeerReports_Tick(g->peer_reports, now);
     CaroRelays_SetVms(g->relays, CaroRetryLending_Tick(g->lending, now));
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
@@ -1050,6 +890,26 @@
     return g->relays == NULL || g->registry == NULL ? CARO_ERR_NOMEM : 0;
 }
 
+static int
+start_reports(CaroGateway *g)
+{
+    CaroPeerReportsDeps deps = {.fleet = g->fleet,
+                                .targets = g->targets,
+                                .peer_loads = g->peer_loads,
+                                .pace = g->pace,
+                                .retained = g->retained,
+                                .rollouts = g->rollouts,
+                                .guard = g->guard,
+                                .limits = g->limits,
+                                .room = g->room,
+                                .relays = g->relays,
+                                .counters = &g->counters,
+                                .vm = g->settings.vm,
+                                .boot_id = g->boot_id};
+    g->peer_reports = CaroPeerReports_Create(&deps);
+    return g->peer_reports == NULL ? CARO_ERR_NOMEM : 0;
+}
+
 static int
 start_tick(CaroGateway *g)
 {
@@ -1105,7 +965,7 @@
     if (g->status_http == NULL) {
         goto error;
     }
-    if (start_tick(g) < 0) {
+    if (start_reports(g) < 0 || start_tick(g) < 0) {
         (void)CaroError_Set(err, CARO_ERR_NOMEM, "timers", settings->vm,
                             "no memory");
         goto error;
@@ -1166,6 +1026,7 @@
     CaroHttpServer_Destroy(g->http_server);
     CaroGatewayHttp_Destroy(g->status_http);
     CaroFleet_Destroy(g->fleet);
+    CaroPeerReports_Destroy(g->peer_reports);
     CaroRegistry_Destroy(g->registry);
     CaroStoreClient_Destroy(g->store);
     CaroChannelPool_Destroy(g->pool);
