--- a/Controllers/engine_pace.c
+++ b/Controllers/engine_pace.c
@@ -10,8 +10,8 @@
 /* Used while no engine of a service has a sample: 8 tokens per ms. */
 #define DEFAULT_PREFILL_US 125.0
 #define DEFAULT_EVENT_US 30000.0
-/* Tokens that an engine of the known deployments holds, used while no engine
-   of the service has rejected a prompt. */
+/* Tokens that an engine is taken to hold until one of its service has rejected
+   a prompt. */
 #define DEFAULT_MEMORY 88000.0
 /* The weight of a sample decreases by e in this time. */
 #define SAMPLE_AGE_SCALE (300 * CARO_SECOND)
