Log and count configurations that do not arrive from another VM

Cause: the logs didn't tell whether a call for a configuration was made, how it ended, and since when a VM knew of a configuration that it lacked, so that the hypotheses on late configurations could not be told apart. Change: a line for each failed call and for each read of the store that replaces one; the metrics config_lacking_ms and config_fetch_failures. No decision changes, so there is no test that failed before.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -64,6 +64,8 @@
     X(STORE_CHANGES_RECEIVED, "store_changes_from_readers")                   \
     X(STORE_READER_FAILURES, "store_reader_failures")                         \
     X(STORE_GAPS, "store_lists_after_gaps")                                   \
+    X(CONFIG_LACKING_MS, "config_lacking_ms")                                 \
+    X(CONFIG_FETCH_FAILURES, "config_fetch_failures")                         \
     X(SILENT_MOVED, "silent_streams_moved")                                   \
     X(PREEMPTED_MOVED, "preempted_streams_moved")                             \
     X(SILENCES_ENDED, "silences_waited_out")                                  \
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -100,6 +100,10 @@
 /* A configuration that a peer sent is in force. */
 void CaroRegistry_RecordPeerConfig(CaroRegistry *r, int64_t revision);
 
+/* Returns for how long this VM has known of a configuration that it lacks; 0
+   while it lacks none.  "now" is by CaroClock_Now. */
+CaroTime CaroRegistry_ConfigLackingTime(const CaroRegistry *r, CaroTime now);
+
 /* Fills the reply to another VM that knows a revision; its texts are borrowed
    until the registry's next call.  Returns false when this VM does not read
    the store. */
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -50,6 +50,8 @@
     CaroTime created_at;
     bool has_member_list;    /* Another VM has sent its member list. */
     bool is_fetching_config; /* A call for a peer's configuration is open. */
+    CaroHandle config_vm;    /* The VM called, and when. */
+    CaroTime config_called_at;
 };
 
 /* A probe in progress. */
@@ -93,6 +95,17 @@
     CaroFleet *f = context;
     const caro_config *config = result;
     f->is_fetching_config = false;
+    if (code < 0) {
+        CaroCounters_Add(f->options.counters, CARO_COUNT_CONFIG_FETCH_FAILURES,
+                         1);
+        CaroLog_Warn(
+            "fleet",
+            "A configuration could not be fetched from a VM. vm=%s "
+            "elapsed_ms=%lld error=\"%s\"",
+            CaroMembership_Get(f->membership, f->config_vm)->name,
+            (long long)((CaroClock_Now() - f->config_called_at) / CARO_MS),
+            CaroError_Name(code));
+    }
     if (code == 0 && config->text.text_len > 0) {
         f->handlers->on_config(f->context, config->text.text_val,
                                config->text.text_len,
@@ -109,6 +122,8 @@
         return;
     }
     f->is_fetching_config = true;
+    f->config_vm = vm;
+    f->config_called_at = CaroClock_Now();
     fill_heartbeat(f, vm, &h, updates);
     CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
                  CARO_RPC_TCP, CARO_CONFIG, &h, CONFIG_TIMEOUT, on_config, f);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -622,6 +622,10 @@
         CaroStoreClient_CountCalls(g->store);
     g->counters.values[CARO_COUNT_STORE_READER] =
         CaroRegistry_Role(g->registry) == CARO_STORE_READER;
+    g->counters.values[CARO_COUNT_CONFIG_LACKING_MS] =
+        (uint64_t)(CaroRegistry_ConfigLackingTime(g->registry,
+                                                  CaroClock_Now()) /
+                   CARO_MS);
     return &g->counters;
 }
 
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -396,7 +396,7 @@
 }
 
 static void
-read_config(CaroRegistry *r)
+read_config(CaroRegistry *r, CaroTime now)
 {
     char key[CARO_STORE_KEY_SIZE];
     CaroStoreCall call;
@@ -405,6 +405,14 @@
         CaroLog_Error("registry", "Out of memory reading the configuration.");
         return;
     }
+    if (CaroRegistry_LacksConfig(r, now)) {
+        CaroLog_Info(
+            "registry",
+            "A configuration did not arrive from another VM; the "
+            "store is read. revision=%lld lacking_ms=%lld",
+            (long long)r->wanted_config,
+            (long long)(CaroRegistry_ConfigLackingTime(r, now) / CARO_MS));
+    }
     r->is_reading_config = true;
     CaroStoreClient_Call(r->client, &call, CALL_TIMEOUT, on_config_read, r);
 }
@@ -493,7 +501,7 @@
     }
     if (!r->is_reading_config && now >= r->next_config_read &&
         (reads_store || CaroRegistry_LacksConfig(r, now))) {
-        read_config(r);
+        read_config(r, now);
     }
     if (!r->is_registering && now >= r->next_register && r->name[0] != '\0') {
         register_self(r);
--- a/Modules/registry_changes.c
+++ b/Modules/registry_changes.c
@@ -27,12 +27,17 @@
     return r->seen_config > known ? r->seen_config : known;
 }
 
+CaroTime
+CaroRegistry_ConfigLackingTime(const CaroRegistry *r, CaroTime now)
+{
+    return r->wanted_config > known_config(r) ? now - r->wanted_since : 0;
+}
+
 bool
 CaroRegistry_LacksConfig(const CaroRegistry *r, CaroTime now)
 {
     return r->readers.role == CARO_STORE_FOLLOWER &&
-           r->wanted_config > known_config(r) &&
-           now - r->wanted_since >= PEER_CONFIG_TIMEOUT;
+           CaroRegistry_ConfigLackingTime(r, now) >= PEER_CONFIG_TIMEOUT;
 }
 
 static long long
