A later configuration does not restart the wait for an earlier one

Cause: a follower reads the store when a configuration has not arrived from another VM in 500 ms. Each later announcement set the start of that wait anew, and replies of a reader come each 400 ms; so in a series of versions the VM waited until the series had ended. Change: the wait starts when the VM first lacks a configuration, and goes on until it lacks none. Measured: test_configurations_in_a_series_do_not_put_off_the_read failed before (no read in 1.2 s) and passes, three runs under sanitizers.

--- a/Include/internal/caro_registry_private.h
+++ b/Include/internal/caro_registry_private.h
@@ -66,7 +66,8 @@
                                      BootTime; 0 before. */
     CaroTime config_confirmed_at; /* Of the last that found config_revision to
                                      be the newest, likewise. */
-    /* A revision that a reader reported, which this VM lacks; 0 for none. */
+    /* The highest revision that a reader reported; 0 for none.  While this VM
+       lacks it, wanted_since is when it first lacked one. */
     int64_t wanted_config;
     CaroTime wanted_since;
     int64_t peer_config;        /* Highest revision that a peer's call gave. */
--- a/Modules/registry_changes.c
+++ b/Modules/registry_changes.c
@@ -215,8 +215,10 @@
 want_config(CaroRegistry *r, int64_t revision, CaroTime now)
 {
     if (revision > r->wanted_config && revision > known_config(r)) {
+        if (r->wanted_config <= known_config(r)) {
+            r->wanted_since = now;
+        }
         r->wanted_config = revision;
-        r->wanted_since = now;
         r->next_config_read = now;
     }
 }
--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -716,6 +716,24 @@
     assert_int_equal(f->n_config_reads, n);
 }
 
+/* Guards against a wait that each later announcement begins anew. */
+static void
+test_configurations_in_a_series_do_not_put_off_the_read(void **state)
+{
+    Fixture *f = *state;
+    follow(f);
+    run_for(f, 50 * MS);
+    int n = f->n_config_reads;
+    f->config = "{\"key\":\"op/config\",\"value\":\"\",\"revision\":7,"
+                "\"at\":10}";
+    for (uint64_t revision = 7; revision < 10; revision++) {
+        const Reply newer = {.revision = FIRST_REVISION,
+                             .config_revision = revision};
+        (void)answer(f, &newer);
+    }
+    assert_true(f->n_config_reads > n);
+}
+
 /* Guards against upstreams that are removed in an outage of the store because
    the readers alone notice it. */
 static void
@@ -874,6 +892,9 @@
         cmocka_unit_test_setup_teardown(
             test_configuration_that_does_not_arrive_is_read, set_up,
             tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_configurations_in_a_series_do_not_put_off_the_read, set_up,
+            tear_down),
         cmocka_unit_test_setup_teardown(
             test_outage_of_readers_keeps_expired_upstreams, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_reader_replaces_a_dead_watch,
