A read that is too early does not put off the next one

Cause: a read of the configuration that was in progress when a VM learnt of a newer one returned the older, and set the next read 2 s ahead. Change: while a VM lacks a configuration that it knows of, it reads each 500 ms. Measured: test_read_in_progress_does_not_put_off_the_next failed before (no second read in 600 ms) and passes, three runs under sanitizers.

--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -30,6 +30,8 @@
 /* Wait between reads until there is a configuration; no request is served
    before. */
 #define CONFIG_INITIAL_DELAY (150 * CARO_MS)
+/* Interval of reads while this VM lacks a configuration that it knows of. */
+#define MISSING_CONFIG_INTERVAL (500 * CARO_MS)
 /* The store responds in 4 ms, or in some hundred ms when it is slow. */
 #define CALL_TIMEOUT (1 * CARO_SECOND)
 /* Time for which the store holds a watch without changes, and the margin
@@ -392,6 +394,10 @@
                                              sent_at);
         }
     }
+    if (CaroRegistry_ConfigLackingTime(r, now) > 0) {
+        /* It was sent before the configuration was written. */
+        r->next_config_read = now + MISSING_CONFIG_INTERVAL;
+    }
     check_watch(r, now);
 }
 
--- a/Test/test_registry.c
+++ b/Test/test_registry.c
@@ -734,6 +734,24 @@
     assert_true(f->n_config_reads > n);
 }
 
+/* Guards against a read that was sent too early and puts off the next one. */
+static void
+test_read_in_progress_does_not_put_off_the_next(void **state)
+{
+    Fixture *f = *state;
+    const Reply newer = {.revision = FIRST_REVISION, .config_revision = 7};
+    f->config = "{\"key\":\"op/config\",\"value\":\"\",\"revision\":6,"
+                "\"at\":10}";
+    follow(f);
+    run_for(f, 50 * MS);
+    (void)answer(f, &newer);
+    int n = f->n_config_reads;
+    run_for(f, 650 * MS);
+    assert_int_equal(f->n_config_reads, n + 1);
+    run_for(f, 600 * MS);
+    assert_int_equal(f->n_config_reads, n + 2);
+}
+
 /* Guards against upstreams that are removed in an outage of the store because
    the readers alone notice it. */
 static void
@@ -895,6 +913,9 @@
         cmocka_unit_test_setup_teardown(
             test_configurations_in_a_series_do_not_put_off_the_read, set_up,
             tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_read_in_progress_does_not_put_off_the_next, set_up,
+            tear_down),
         cmocka_unit_test_setup_teardown(
             test_outage_of_readers_keeps_expired_upstreams, set_up, tear_down),
         cmocka_unit_test_setup_teardown(test_reader_replaces_a_dead_watch,
