A call that times out in silence retires its connection

Cause: calls by TCP share one kept connection to each VM. A call that timed out left its connection in use, and later calls waited behind what the system sends again at growing intervals, or behind a connection attempt made during the cut, while datagrams passed. Change: when nothing was received since a call was sent that times out, later calls to that VM use another connection; the old one is closed after its last call, so that calls in progress are not failed. Measured: test_call_after_a_timeout_opens_a_new_connection failed before and passes, test_slow_call_keeps_a_connection_that_receives passes.

--- a/Include/internal/caro_rpc.h
+++ b/Include/internal/caro_rpc.h
@@ -73,4 +73,7 @@
 uint64_t CaroRpc_UdpBytes(const CaroRpc *rpc);
 uint64_t CaroRpc_TcpBytes(const CaroRpc *rpc);
 
+/* Returns the number of TCP connections so far, opened and accepted. */
+uint64_t CaroRpc_CountConnections(const CaroRpc *rpc);
+
 #endif
--- a/Modules/rpc.c
+++ b/Modules/rpc.c
@@ -4,6 +4,9 @@
  * A call is pending from CaroRpc_Call until its reply, its timeout or the
  * loss of its connection, whichever comes first.  Its callback runs exactly
  * once.  A TCP connection is opened by the first call to a peer and reused.
+ * When a call on it times out and nothing was received since the call was
+ * sent, it may be dead while the system goes on sending at growing intervals;
+ * later calls then use another one, and it is closed after its last call.
  */
 #include "internal/caro_rpc.h"
 
@@ -44,6 +47,8 @@
     bool is_outgoing;
     struct bufferevent *bev;
     struct evbuffer *record; /* Record that is being handled. */
+    CaroTime received_at;    /* Last bytes from the peer; 0 for none. */
+    bool is_retired;         /* No longer in by_peer. */
     UT_hash_handle hh;       /* In by_peer, if is_outgoing. */
     UT_hash_handle hh_id;    /* In by_id. */
 } Connection;
@@ -53,6 +58,7 @@
     uint32_t xid; /* Key in the table of calls. */
     uint32_t procedure;
     uint64_t connection_id; /* 0: UDP, or no connection could be opened. */
+    CaroTime sent_at;
     CaroTime deadline; /* 0: sending failed; times out at the next check. */
     CaroRpcDone done;
     void *context;
@@ -134,7 +140,7 @@
 {
     CaroRpc *rpc = conn->rpc;
     uint64_t id = conn->id;
-    if (conn->is_outgoing) {
+    if (conn->is_outgoing && !conn->is_retired) {
         HASH_DELETE(hh, rpc->by_peer, conn);
     }
     HASH_DELETE(hh_id, rpc->by_id, conn);
@@ -144,6 +150,31 @@
     fail_calls(rpc, id);
 }
 
+/* Returns the connection with the id, or NULL if it was closed. */
+static Connection *
+find_connection(const CaroRpc *rpc, uint64_t id)
+{
+    Connection *conn;
+    HASH_FIND(hh_id, rpc->by_id, &id, sizeof(id), conn);
+    return conn;
+}
+
+/* Closes a retired connection that has no pending calls. */
+static void
+close_if_retired(CaroRpc *rpc, uint64_t id)
+{
+    Connection *conn = find_connection(rpc, id);
+    if (conn == NULL || !conn->is_retired) {
+        return;
+    }
+    for (const Call *call = rpc->calls; call != NULL; call = call->hh.next) {
+        if (call->connection_id == id) {
+            return;
+        }
+    }
+    connection_close(conn);
+}
+
 /* Queues a message as a record of a single fragment. */
 static void
 send_record(Connection *conn, const char *buf, size_t size)
@@ -304,6 +335,7 @@
     CaroRpc *rpc = conn->rpc;
     uint64_t id = conn->id;
     bool is_too_large = false;
+    conn->received_at = CaroClock_Now();
     while (read_fragment(conn, &is_too_large)) {
         size_t size = evbuffer_get_length(conn->record);
         char *buf = (char *)evbuffer_pullup(conn->record, -1);
@@ -311,16 +343,16 @@
             handle_message(rpc, buf, size, id, NULL);
         }
         /* A callback may have closed the connection. */
-        Connection *found;
-        HASH_FIND(hh_id, rpc->by_id, &id, sizeof(id), found);
-        if (found == NULL) {
+        if (find_connection(rpc, id) == NULL) {
             return;
         }
         evbuffer_drain(conn->record, size);
     }
     if (is_too_large) {
         connection_close(conn);
+        return;
     }
+    close_if_retired(rpc, id);
 }
 
 static void
@@ -407,7 +439,7 @@
     uint64_t id = conn->id;
     if (bufferevent_socket_connect(conn->bev, (struct sockaddr *)&to,
                                    sizeof(to)) < 0) {
-        HASH_FIND(hh_id, rpc->by_id, &id, sizeof(id), conn);
+        conn = find_connection(rpc, id);
         if (conn != NULL) {
             connection_close(conn);
         }
@@ -448,6 +480,19 @@
     }
 }
 
+/* Makes later calls to the peer use another connection if this one was silent
+   during the call. */
+static void
+retire_if_silent(CaroRpc *rpc, const Call *call)
+{
+    Connection *conn = find_connection(rpc, call->connection_id);
+    if (conn != NULL && conn->is_outgoing && !conn->is_retired &&
+        conn->received_at < call->sent_at) {
+        conn->is_retired = true;
+        HASH_DELETE(hh, rpc->by_peer, conn);
+    }
+}
+
 /* Fails the calls whose deadline has passed. */
 static void
 on_timeout_check(evutil_socket_t fd, short what, void *arg)
@@ -464,7 +509,10 @@
         HASH_ITER(hh, rpc->calls, call, next)
         {
             if (now >= call->deadline) {
+                uint64_t id = call->connection_id;
+                retire_if_silent(rpc, call);
                 finish_call(rpc, call, CARO_ERR_TIMEOUT, NULL);
+                close_if_retired(rpc, id);
                 has_finished_call = true;
                 break;
             }
@@ -564,7 +612,8 @@
     call->procedure = procedure;
     call->done = done;
     call->context = context;
-    call->deadline = CaroClock_Now() + timeout;
+    call->sent_at = CaroClock_Now();
+    call->deadline = call->sent_at + timeout;
     size_t size = 0;
     char *buf = CaroRpcMessage_EncodeCall(call->xid, procedure, args, &size);
     Connection *conn = NULL;
@@ -598,9 +647,7 @@
         send_datagram(rpc, &request->sender, buf, size);
     }
     else if (buf != NULL) {
-        Connection *conn;
-        HASH_FIND(hh_id, rpc->by_id, &request->connection_id,
-                  sizeof(request->connection_id), conn);
+        Connection *conn = find_connection(rpc, request->connection_id);
         if (conn != NULL) {
             send_record(conn, buf, size);
         }
@@ -626,3 +673,9 @@
 {
     return rpc->tcp_bytes;
 }
+
+uint64_t
+CaroRpc_CountConnections(const CaroRpc *rpc)
+{
+    return rpc->next_connection_id;
+}
--- a/Test/test_rpc.c
+++ b/Test/test_rpc.c
@@ -147,6 +147,59 @@
     assert_int_equal(fixture.calls, 1);
 }
 
+/* Guards against calls that wait behind what a dead connection did not send.
+ */
+static void
+test_call_after_a_timeout_opens_a_new_connection(void **state)
+{
+    (void)state;
+    struct sockaddr_storage address;
+    int size = sizeof(address);
+    CaroRpc_Destroy(fixture.server);
+    fixture.server = NULL;
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    int on = 1;
+    assert_int_equal(evutil_parse_sockaddr_port(fixture.server_address,
+                                                (struct sockaddr *)&address,
+                                                &size),
+                     0);
+    (void)setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    assert_int_equal(
+        bind(listener, (struct sockaddr *)&address, (socklen_t)size), 0);
+    assert_int_equal(listen(listener, 4), 0);
+    for (int i = 0; i < 2; i++) {
+        call(CARO_RPC_TCP, CARO_CONFIG, 1, 30 * CARO_MS);
+        assert_int_equal(fixture.code, CARO_ERR_TIMEOUT);
+        int fd = accept(listener, NULL, NULL);
+        assert_true(fd >= 0);
+        (void)close(fd);
+    }
+    (void)close(listener);
+}
+
+/* Guards against a connection that is given up while its peer replies. */
+static void
+test_slow_call_keeps_a_connection_that_receives(void **state)
+{
+    (void)state;
+    fixture.ignores_requests = true;
+    caro_heartbeat h = {.sender = "n1"};
+    CaroRpc_Call(fixture.client, fixture.server_address, CARO_RPC_TCP,
+                 CARO_CONFIG, &h, 300 * CARO_MS, on_done, &fixture);
+    event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+    struct timeval wait = {.tv_usec = 50000};
+    event_base_loopexit(fixture.base, &wait);
+    event_base_dispatch(fixture.base);
+    fixture.ignores_requests = false;
+    call(CARO_RPC_TCP, CARO_CONFIG, 41, CARO_SECOND);
+    assert_int_equal(fixture.code, 0);
+    event_base_dispatch(fixture.base);
+    assert_int_equal(fixture.code, CARO_ERR_TIMEOUT);
+    call(CARO_RPC_TCP, CARO_CONFIG, 41, CARO_SECOND);
+    assert_int_equal(fixture.code, 0);
+    assert_int_equal(CaroRpc_CountConnections(fixture.client), 1);
+}
+
 static void
 test_malformed_datagrams_are_ignored(void **state)
 {
@@ -178,6 +231,10 @@
                                         setup, teardown),
         cmocka_unit_test_setup_teardown(test_tcp_call_fails_when_peer_is_down,
                                         setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_call_after_a_timeout_opens_a_new_connection, setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_slow_call_keeps_a_connection_that_receives, setup, teardown),
         cmocka_unit_test_setup_teardown(test_malformed_datagrams_are_ignored,
                                         setup, teardown),
     };
