Revisions of the store are ordered across restorations

Cause: a store that is restored from an older copy gives revisions out again, and each part compared them as numbers of one history. Change: a CaroRevision has the timeline of the store in its upper bits, so that one integer comparison is right in all places, in messages between VMs too; in the first timeline it equals the number, which VMs of earlier versions send. The adapter reads the header and converts in both directions; an invalid number or header makes the response or the item unreadable. No decision uses the timeline yet.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -12,6 +12,7 @@
 #include "caro_error.h"
 #include "internal/caro_http_reader.h"
 #include "internal/caro_prompt_parts.h"
+#include "internal/caro_revision.h"
 #include "internal/caro_routes.h"
 #include "internal/caro_targets.h"
 
@@ -42,6 +43,7 @@
     CARO_HEADER_KV_PIN_TIME,     /* Milliseconds to keep KV memory pinned. */
     CARO_HEADER_RESERVATION,     /* A slot that was reserved in advance. */
     CARO_HEADER_RETRY_AFTER,     /* Seconds, with a fraction. */
+    CARO_HEADER_STORE_TIMELINE,  /* Of the store; see caro_revision.h. */
     CARO_HEADER_COUNT,
     CARO_HEADER_OTHER = CARO_HEADER_COUNT
 } CaroHeaderId;
@@ -72,6 +74,10 @@
 /* Parses CARO_HEADER_TARGET_LEAVING.  Returns whether the target leaves. */
 bool CaroPlatform_ReadLeaving(CaroText value);
 
+/* Parses CARO_HEADER_STORE_TIMELINE; a response without it (no text) is of the
+   first timeline, 0.  Returns 0 or CARO_ERR_INPUT. */
+int CaroPlatform_ReadTimeline(CaroText value, int64_t *timeline);
+
 /* Parses CARO_HEADER_RETRY_AFTER, a decimal number of at least 0.  Returns 0
    or CARO_ERR_INPUT. */
 int CaroPlatform_ReadRetryAfter(CaroText value, double *seconds);
@@ -206,15 +212,17 @@
 int CaroPlatform_CallRange(CaroStoreCall *call, const char *prefix,
                            const char *after);
 
-/* Lists the changes after a revision; the store delays its response until
-   there is one, for at most "wait". */
+/* Lists the changes after a revision of the store's present timeline; the
+   store delays its response until there is one, for at most "wait". */
 int CaroPlatform_CallWatch(CaroStoreCall *call, const char *prefix,
-                           int64_t revision, CaroTime wait);
+                           CaroRevision revision, CaroTime wait);
 
-/* Writes a key if its revision equals "expected", or unconditionally if that
-   is negative.  A key with a lease (0: none) is deleted when it expires. */
+/* Writes a key if its revision equals "expected", of the store's present
+   timeline, or unconditionally if that is negative.  A key with a lease (0:
+   none) is deleted when it expires. */
 int CaroPlatform_CallPut(CaroStoreCall *call, const char *key,
-                         const char *value, int64_t expected, int64_t lease);
+                         const char *value, CaroRevision expected,
+                         int64_t lease);
 
 /* Creates a lease. */
 int CaroPlatform_CallLease(CaroStoreCall *call, CaroTime ttl);
@@ -227,7 +235,7 @@
     char *key;
     char *value; /* Terminated; NULL when the key was deleted. */
     size_t size; /* Bytes of the value. */
-    int64_t revision;
+    CaroRevision revision;
 } CaroStoreItem;
 
 /* A response of the store.  Members that the call does not return are 0. */
@@ -238,7 +246,9 @@
     bool has_list;    /* A list of items, which may be empty, was in it. */
     bool has_more;    /* The list continues after the last item. */
     bool has_store_revision; /* "revision" is that of the whole store. */
-    int64_t revision;        /* Revision of the whole store; after a write, the
+    int64_t timeline;        /* Of the store; set by the store client for each
+                                status. */
+    CaroRevision revision;   /* Revision of the whole store; after a write, the
                                 revision of the write. */
     int64_t lease;           /* Id of the lease; 0 for none. */
 } CaroStoreResponse;
@@ -246,8 +256,10 @@
 /* Parses a response, to be released with CaroStoreResponse_Clear.  Odd items
    do not affect the others: a value that cannot be read is empty, an item
    without a key is left out.  Returns 0, CARO_ERR_INPUT or CARO_ERR_NOMEM,
-   with nothing to release. */
+   with nothing to release. "timeline" is that of the response's head; a
+   revision out of range is CARO_ERR_INPUT, or an item that cannot be read. */
 int CaroPlatform_ReadStoreResponse(const char *bytes, size_t size,
+                                   int64_t timeline,
                                    CaroStoreResponse *response);
 void CaroStoreResponse_Clear(CaroStoreResponse *response);
 
--- a/Modules/store_client.c
+++ b/Modules/store_client.c
@@ -27,7 +27,8 @@
     struct event *timer;
     struct evbuffer *body;
     int status;
-    bool is_put_off; /* The timeout has been put off once. */
+    int64_t timeline; /* Of the store, by the head; negative if malformed. */
+    bool is_put_off;  /* The timeout has been put off once. */
     CaroTime sent_at;
     CaroStoreClientDone done; /* NULL while the connection is idle. */
     void *context;
@@ -95,6 +96,11 @@
 {
     Connection *c = context;
     c->status = head->status;
+    CaroText timeline = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_STORE_TIMELINE));
+    if (CaroPlatform_ReadTimeline(timeline, &c->timeline) < 0) {
+        c->timeline = -1;
+    }
 }
 
 static void
@@ -129,9 +135,16 @@
     CaroStoreResponse response;
     memset(&response, 0, sizeof(response));
     size_t size = evbuffer_get_length(c->body);
-    if (status == 200 || status == 412) {
+    response.timeline = c->timeline;
+    if (c->timeline < 0) {
+        CaroLog_Warn("store", "The store's timeline is malformed. status=%d",
+                     status);
+        code = CARO_ERR_INPUT;
+    }
+    else if (status == 200 || status == 412) {
         code = CaroPlatform_ReadStoreResponse(
-            (const char *)evbuffer_pullup(c->body, -1), size, &response);
+            (const char *)evbuffer_pullup(c->body, -1), size, c->timeline,
+            &response);
     }
     evbuffer_drain(c->body, size);
     (void)event_del(c->timer);
--- a/Test/fuzz_parsers.c
+++ b/Test/fuzz_parsers.c
@@ -116,7 +116,7 @@
     if (CaroPlatform_ReadConfig(text, size, &routes, &err) == 0) {
         CaroRoutes_Destroy(routes);
     }
-    if (CaroPlatform_ReadStoreResponse(text, size, &response) == 0) {
+    if (CaroPlatform_ReadStoreResponse(text, size, 0, &response) == 0) {
         CaroStoreResponse_Clear(&response);
     }
     (void)CaroPlatform_ReadTarget("id", text, size, &entry, &err);
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -107,7 +107,8 @@
         "{\"key\":\"servers/j\",\"revision\":5,\"deleted\":true}],"
         "\"at\":9}";
     assert_int_equal(
-        CaroPlatform_ReadStoreResponse(events, strlen(events), &response), 0);
+        CaroPlatform_ReadStoreResponse(events, strlen(events), 0, &response),
+        0);
     assert_int_equal(response.n_items, 2);
     assert_string_equal(response.items[0].value, "hi");
     assert_int_equal(response.items[0].size, 2);
@@ -117,11 +118,12 @@
     static const char single[] =
         "{\"key\":\"k\",\"value\":\"\",\"revision\":3,\"at\":8}";
     assert_int_equal(
-        CaroPlatform_ReadStoreResponse(single, strlen(single), &response), 0);
+        CaroPlatform_ReadStoreResponse(single, strlen(single), 0, &response),
+        0);
     assert_int_equal(response.n_items, 1);
     assert_int_equal(response.items[0].size, 0);
     CaroStoreResponse_Clear(&response);
-    assert_true(CaroPlatform_ReadStoreResponse("<html>", 6, &response) < 0);
+    assert_true(CaroPlatform_ReadStoreResponse("<html>", 6, 0, &response) < 0);
     const char *rest;
     assert_int_equal(CaroPlatform_KeyKind("servers/i-1", &rest),
                      CARO_KEY_TARGET);
--- a/Test/test_store_entries.c
+++ b/Test/test_store_entries.c
@@ -62,8 +62,8 @@
                          "\"value\":\"aGk=\",\"revision\":6}],"
                          "\"has_more\":true,\"at\":9}",
                          items[i]);
-        assert_int_equal(CaroPlatform_ReadStoreResponse(text, (size_t)n, &r),
-                         0);
+        assert_int_equal(
+            CaroPlatform_ReadStoreResponse(text, (size_t)n, 0, &r), 0);
         bool has_key = i >= WITHOUT_KEY;
         assert_int_equal(r.n_items, has_key ? 3 : 2);
         assert_int_equal(r.n_unreadable, has_key ? 0 : 1);
@@ -96,7 +96,8 @@
                      "{\"entries\":[{\"key\":\"%s\",\"value\":\"\","
                      "\"revision\":4}],\"at\":9}",
                      key);
-    assert_int_equal(CaroPlatform_ReadStoreResponse(text, (size_t)n, &r), 0);
+    assert_int_equal(CaroPlatform_ReadStoreResponse(text, (size_t)n, 0, &r),
+                     0);
     assert_int_equal(r.n_items, 1);
     assert_string_equal(r.items[0].key, key);
     assert_int_equal(r.items[0].size, 0);
