What the VMs had written is written again to a restored store

Cause: outcomes of rollouts and quarantines that the store had lost stayed lost: a finished outcome was never written twice, one of the copy replaced a later one, a request that the operator wrote again began a new rollout, and conditions named revisions of before. Change: between the restoration and the end of the next list nothing is written. What a VM knows holds against an older outcome of the copy and is written again, behind a request that was written again; quarantines in force too.

--- a/Include/internal/caro_prompt_guard.h
+++ b/Include/internal/caro_prompt_guard.h
@@ -48,6 +48,10 @@
 void CaroPromptGuard_Apply(CaroPromptGuard *g,
                            const caro_prompt_report *report, CaroTime now);
 
+/* The store was restored from an older copy: quarantines in force that it does
+   not list are written again. */
+void CaroPromptGuard_OnStoreRestored(CaroPromptGuard *g);
+
 /* The store has this quarantine; "bytes" is NULL when the key was deleted, and
    "wall_ms" is the present time of the wall clock. */
 void CaroPromptGuard_OnStored(CaroPromptGuard *g, const char *bytes,
--- a/Include/internal/caro_service_rollouts.h
+++ b/Include/internal/caro_service_rollouts.h
@@ -48,10 +48,20 @@
    NULL when the key was deleted. */
 void CaroServiceRollouts_OnRequest(CaroServiceRollouts *r, const char *service,
                                    const char *bytes, size_t size,
-                                   int64_t revision, CaroTime now);
+                                   CaroRevision revision, CaroTime now);
 void CaroServiceRollouts_OnOutcome(CaroServiceRollouts *r, const char *service,
                                    const char *bytes, size_t size,
-                                   int64_t revision);
+                                   CaroRevision revision);
+
+/*
+ * The store was restored from an older copy, at "now": outcomes that this VM
+ * knows may be missing there, or older ones may be in their place.  Nothing is
+ * written until OnListed, which ends the reading of a list up to a revision at
+ * least; then the outcomes that the store lacks are written again.
+ */
+void CaroServiceRollouts_OnStoreRestored(CaroServiceRollouts *r, CaroTime now);
+void CaroServiceRollouts_OnListed(CaroServiceRollouts *r,
+                                  CaroRevision revision);
 
 /*
  * Chooses the version rule of one request; "draw" is uniform in [0, 1).
--- a/Modules/prompt_guard.c
+++ b/Modules/prompt_guard.c
@@ -299,6 +299,16 @@
     }
 }
 
+void
+CaroPromptGuard_OnStoreRestored(CaroPromptGuard *g)
+{
+    int n;
+    CaroQuarantine *all = CaroPromptCrashes_Quarantines(g->table, &n);
+    for (int i = 0; i < n; i++) {
+        all[i].is_stored = false;
+    }
+}
+
 static void
 on_written(void *context, int code, int status,
            const CaroStoreResponse *response, CaroTime sent_at)
--- a/Modules/service_rollouts.c
+++ b/Modules/service_rollouts.c
@@ -5,6 +5,10 @@
  * version and its revision is higher.  An outcome is written with a
  * compare-and-swap against the last outcome that this VM knows of; when the
  * response is lost, the watch of the store shows whether it was written.
+ *
+ * A store restored from an older copy may lack an outcome or have an older
+ * one.  What this VM knows holds, and is written again.  A request that the
+ * operator writes again in the new timeline is the same request.
  */
 #include "internal/caro_service_rollouts.h"
 
@@ -40,11 +44,13 @@
     bool is_used;
     char service[CARO_STORE_KEY_SIZE]; /* As in the keys of the store. */
     CaroRolloutRequest request;
-    int64_t request_revision;
+    CaroRevision request_revision;
     CaroTime request_seen_at;
-    bool has_outcome; /* The store has an outcome of this request. */
+    bool has_outcome; /* This request has an outcome. */
+    /* The restored store lacks the outcome. */
+    bool is_outcome_lost;
     CaroRolloutOutcome outcome;
-    int64_t outcome_revision; /* 0 when the store has no outcome. */
+    CaroRevision outcome_revision; /* 0 when the store has no outcome. */
     CaroCanaryTest *test;
     /* Requests of this VM for the service since the rollout request. */
     long n_requests;
@@ -53,7 +59,7 @@
     /* Outcome of the write in progress, and the revision of the request that
        it belongs to. */
     CaroRolloutOutcome pending_outcome;
-    int64_t pending_revision;
+    CaroRevision pending_revision;
 } Rollout;
 
 struct CaroServiceRollouts {
@@ -61,6 +67,8 @@
     CaroUsualTimes *usual_times; /* Of versions that are not in question. */
     double exposure_max;
     double request_allowance;
+    bool is_list_due;       /* The store was restored and not listed yet. */
+    CaroTime restored_at;   /* Last restoration; 0 for none. */
     bool has_unsent_change; /* Cleared by CaroServiceRollouts_ConsumeChange. */
     int rank;
     int n_vms;
@@ -143,10 +151,22 @@
     return NULL;
 }
 
+/* Returns whether the operator has only written the known request again, after
+   the store was restored from an older copy. */
+static bool
+is_written_again(const Rollout *rollout, const CaroRolloutRequest *request,
+                 CaroRevision revision)
+{
+    return rollout->request.version[0] != '\0' &&
+           !CaroRevision_IsSameTimeline(revision, rollout->request_revision) &&
+           strcmp(request->version, rollout->request.version) == 0 &&
+           request->duration == rollout->request.duration;
+}
+
 void
 CaroServiceRollouts_OnRequest(CaroServiceRollouts *r, const char *service,
-                              const char *bytes, size_t size, int64_t revision,
-                              CaroTime now)
+                              const char *bytes, size_t size,
+                              CaroRevision revision, CaroTime now)
 {
     CaroRolloutRequest request;
     CaroError err;
@@ -181,6 +201,20 @@
         CaroRolloutRequest_Clear(&request);
         return;
     }
+    if (is_written_again(rollout, &request, revision)) {
+        /* An outcome has to follow its request. */
+        rollout->is_outcome_lost =
+            rollout->has_outcome && rollout->outcome_revision < revision;
+        rollout->request_revision = revision;
+        CaroRolloutRequest_Clear(&request);
+        CaroLog_Info("moves",
+                     "A rollout request was written again to the restored "
+                     "store. service=%s version=%s revision=%lld",
+                     service, rollout->request.version,
+                     (long long)CaroRevision_Number(revision));
+        return;
+    }
+    rollout->is_outcome_lost = false;
     CaroRolloutRequest_Clear(&rollout->request);
     rollout->request = request;
     rollout->request_revision = revision;
@@ -197,7 +231,8 @@
                  "A rollout was requested. service=%s version=%s "
                  "duration_ms=%lld revision=%lld",
                  service, request.version,
-                 (long long)(request.duration / CARO_MS), (long long)revision);
+                 (long long)(request.duration / CARO_MS),
+                 (long long)CaroRevision_Number(revision));
 }
 
 static const char *
@@ -211,9 +246,55 @@
     return names[outcome];
 }
 
+/* Returns whether what a later timeline of the store has is older than the
+   outcome that this VM knows of the same request. */
+static bool
+is_outcome_older(const Rollout *rollout, const char *bytes, size_t size,
+                 CaroRevision revision)
+{
+    char version[CARO_NAME_SIZE];
+    CaroRolloutOutcome outcome;
+    bool is_known =
+        rollout->has_outcome && rollout->request.version[0] != '\0' &&
+        (rollout->is_outcome_lost ||
+         !CaroRevision_IsSameTimeline(revision, rollout->outcome_revision));
+    if (!is_known) {
+        return false;
+    }
+    return bytes == NULL ||
+           CaroPlatform_ReadRolloutOutcome(bytes, size, version, &outcome) <
+               0 ||
+           strcmp(version, rollout->request.version) != 0 ||
+           (outcome == CARO_ROLLOUT_OUTCOME_RUNNING &&
+            rollout->outcome != CARO_ROLLOUT_OUTCOME_RUNNING);
+}
+
+void
+CaroServiceRollouts_OnStoreRestored(CaroServiceRollouts *r, CaroTime now)
+{
+    r->is_list_due = true;
+    r->restored_at = now;
+}
+
+void
+CaroServiceRollouts_OnListed(CaroServiceRollouts *r, CaroRevision revision)
+{
+    r->is_list_due = false;
+    for (int i = 0; i < ROLLOUTS_MAX; i++) {
+        Rollout *rollout = &r->rollouts[i];
+        if (rollout->is_used && rollout->outcome_revision != 0 &&
+            !CaroRevision_IsSameTimeline(rollout->outcome_revision,
+                                         revision)) {
+            rollout->outcome_revision = 0;
+            rollout->is_outcome_lost = rollout->has_outcome;
+        }
+    }
+}
+
 void
 CaroServiceRollouts_OnOutcome(CaroServiceRollouts *r, const char *service,
-                              const char *bytes, size_t size, int64_t revision)
+                              const char *bytes, size_t size,
+                              CaroRevision revision)
 {
     char version[CARO_NAME_SIZE];
     char name[CARO_NAME_SIZE];
@@ -231,6 +312,12 @@
         rollout->is_used = false; /* Neither a request nor an outcome. */
         return;
     }
+    if (is_outcome_older(rollout, bytes, size, revision)) {
+        rollout->outcome_revision = bytes == NULL ? 0 : revision;
+        rollout->is_outcome_lost = true;
+        return;
+    }
+    rollout->is_outcome_lost = false;
     rollout->outcome_revision = bytes == NULL ? 0 : revision;
     rollout->has_outcome =
         bytes != NULL &&
@@ -591,8 +678,11 @@
     rollout->is_writing = false;
     rollout->next_write = CaroClock_Now() + WRITE_RETRY_DELAY;
     if (code == 0 && status == 200 &&
-        rollout->pending_revision == rollout->request_revision) {
+        rollout->pending_revision == rollout->request_revision &&
+        CaroRevision_IsSameTimeline(response->revision,
+                                    rollout->request_revision)) {
         rollout->has_outcome = true;
+        rollout->is_outcome_lost = false;
         rollout->outcome = rollout->pending_outcome;
         rollout->outcome_revision = response->revision;
     }
@@ -655,8 +745,17 @@
     if (CaroCanaryTest_Tick(rollout->test, now / CARO_MS)) {
         r->has_unsent_change = true;
     }
-    if (rollout->request.version[0] == '\0' || is_finished(rollout) ||
-        rollout->is_writing || now < rollout->next_write) {
+    if (rollout->request.version[0] == '\0' || rollout->is_writing ||
+        now < rollout->next_write || r->is_list_due) {
+        return;
+    }
+    if (rollout->is_outcome_lost) {
+        if (is_rank_delay_over(r, now - r->restored_at)) {
+            write_outcome(r, rollout, rollout->outcome, now);
+        }
+        return;
+    }
+    if (is_finished(rollout)) {
         return;
     }
     CaroRolloutSchedule schedule = make_schedule(rollout, now);
