--- a/Controllers/config_freshness.c
+++ b/Controllers/config_freshness.c
@@ -6,7 +6,7 @@
 #define HANDLING_DIVISOR 10
 
 void
-CaroConfigFreshness_Record(CaroConfigFreshness *f, int64_t revision,
+CaroConfigFreshness_Record(CaroConfigFreshness *f, CaroRevision revision,
                            CaroTime sent)
 {
     if (revision > f->revision ||
@@ -17,7 +17,7 @@
 }
 
 void
-CaroConfigFreshness_RecordPeer(CaroConfigFreshness *f, int64_t revision,
+CaroConfigFreshness_RecordPeer(CaroConfigFreshness *f, CaroRevision revision,
                                CaroTime age, CaroTime asked)
 {
     /* A confirmation of another revision does not apply to this one. */
--- a/Controllers/lease_grace.c
+++ b/Controllers/lease_grace.c
@@ -42,6 +42,12 @@
     g->responded_at = at;
 }
 
+void
+CaroLeaseGrace_RecordRestoration(CaroLeaseGrace *g, CaroTime now)
+{
+    g->restored_at = now;
+}
+
 bool
 CaroLeaseGrace_Keeps(const CaroLeaseGrace *g, CaroTime now)
 {
@@ -49,5 +55,7 @@
         g->responded_at != 0 && now - g->responded_at >= OUTAGE_MIN;
     bool has_recovered =
         g->recovered_at != 0 && now - g->recovered_at < LEASE_GRACE_MAX;
-    return is_outage || has_recovered;
+    bool was_restored =
+        g->restored_at != 0 && now - g->restored_at < LEASE_GRACE_MAX;
+    return is_outage || has_recovered || was_restored;
 }
--- a/Include/internal/caro_active_config.h
+++ b/Include/internal/caro_active_config.h
@@ -20,14 +20,33 @@
 CaroActiveConfig *CaroActiveConfig_Create(CaroCounters *counters);
 void CaroActiveConfig_Destroy(CaroActiveConfig *c);
 
+/* Outcome of CaroActiveConfig_Apply; errors are negative. */
+enum {
+    CARO_CONFIG_KNOWN = 0, /* It is in force, or an older one than that. */
+    CARO_CONFIG_APPLIED = 1,
+    CARO_CONFIG_SUPERSEDED = 2 /* The store has lost the one in force. */
+};
+
 /*
  * Puts a configuration in force unless it is older than the present one or
- * the same.  "source" says where it comes from, for the log.  Returns 1 when
- * it is in force now, 0 when it is not newer, or CARO_ERR_INPUT or
- * CARO_ERR_NOMEM when it could not be read.
+ * the same.  Within a timeline of the store (caro_revision.h) the revision
+ * decides.  Across timelines the operator's version does: a store restored
+ * from an older copy shows an older configuration until the operator has
+ * written the newest again.  One that it still shows
+ * CARO_CONFIG_REWRITE_TIMEOUT after it was first read, at "now" by
+ * CaroClock_BootTime, is put in force.  "source" says where it comes from, for
+ * the log.  Returns an outcome, or CARO_ERR_INPUT or CARO_ERR_NOMEM when it
+ * could not be read.
  */
 int CaroActiveConfig_Apply(CaroActiveConfig *c, const char *bytes, size_t size,
-                           int64_t revision, const char *source);
+                           CaroRevision revision, const char *source,
+                           CaroTime now);
+
+#define CARO_CONFIG_REWRITE_TIMEOUT (10 * CARO_SECOND)
+
+/* Returns whether a configuration with the revision, which another VM has in
+   force, was not examined yet. */
+bool CaroActiveConfig_Wants(const CaroActiveConfig *c, CaroRevision revision);
 
 /* Returns the routes, borrowed until the next Apply; NULL before the first
    configuration. */
@@ -43,6 +62,6 @@
 
 /* Returns the revision of a newer configuration that could not be read, or
    0. */
-int64_t CaroActiveConfig_RejectedRevision(const CaroActiveConfig *c);
+CaroRevision CaroActiveConfig_RejectedRevision(const CaroActiveConfig *c);
 
 #endif
--- a/Include/internal/caro_config_freshness.h
+++ b/Include/internal/caro_config_freshness.h
@@ -12,23 +12,24 @@
 #ifndef CARO_CONFIG_FRESHNESS_H
 #define CARO_CONFIG_FRESHNESS_H
 
-#include "internal/caro_types.h"
+#include "internal/caro_revision.h"
 
 typedef struct {
-    int64_t revision;      /* Configuration revision; 0 before the first. */
+    CaroRevision revision; /* Of the configuration; 0 before the first. */
     CaroTime confirmed_at; /* Last confirmation; 0 if there was none. */
 } CaroConfigFreshness;
 
 /* Records that a call sent at "sent" found the revision to be the newest. */
-void CaroConfigFreshness_Record(CaroConfigFreshness *f, int64_t revision,
+void CaroConfigFreshness_Record(CaroConfigFreshness *f, CaroRevision revision,
                                 CaroTime sent);
 
 /*
  * Records the confirmation that a peer reported.  "age" is its age at the
  * peer, -1 for none; "asked" is when the peer was asked.
  */
-void CaroConfigFreshness_RecordPeer(CaroConfigFreshness *f, int64_t revision,
-                                    CaroTime age, CaroTime asked);
+void CaroConfigFreshness_RecordPeer(CaroConfigFreshness *f,
+                                    CaroRevision revision, CaroTime age,
+                                    CaroTime asked);
 
 /*
  * Tells whether requests with API keys may be served.  "revocation_max" is the
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -64,6 +64,9 @@
     X(STORE_CHANGES_RECEIVED, "store_changes_from_readers")                   \
     X(STORE_READER_FAILURES, "store_reader_failures")                         \
     X(STORE_GAPS, "store_lists_after_gaps")                                   \
+    X(STORE_TIMELINE, "store_timeline")                                       \
+    X(STORE_RESTORATIONS, "store_restorations")                               \
+    X(CONFIG_SUPERSEDED, "config_superseded")                                 \
     X(CONFIG_LACKING_MS, "config_lacking_ms")                                 \
     X(CONFIG_FETCH_FAILURES, "config_fetch_failures")                         \
     X(SILENT_MOVED, "silent_streams_moved")                                   \
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -36,28 +36,31 @@
     /* Returns the configuration in force, borrowed; false when there is
        none. */
     bool (*get_config)(void *context, const char **bytes, size_t *size,
-                       int64_t *revision);
+                       CaroRevision *revision);
     /* A peer sent its configuration, which was newer when it was requested;
        the text is borrowed. */
     void (*on_config)(void *context, const char *bytes, size_t size,
-                      int64_t revision);
+                      CaroRevision revision);
     /* --- optional --- */
+    /* Returns whether a peer's configuration with the revision is to be
+       fetched; without the handler, one that is newer than that in force. */
+    bool (*wants_config)(void *context, CaroRevision revision);
     /* A peer, probed at "probed_at", confirmed the revision "age" before; an
        "age" of -1 means that it has not. */
-    void (*on_peer_freshness)(void *context, int64_t revision, CaroTime age,
-                              CaroTime probed_at);
+    void (*on_peer_freshness)(void *context, CaroRevision revision,
+                              CaroTime age, CaroTime probed_at);
     /* A peer reported its requests in flight; borrowed. */
     void (*on_load_report)(void *context, const caro_load_report *report);
     /* A peer reported parts of prompts that crash upstreams; borrowed. */
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
     /* Fills the reply to a peer that asks for the changes of the store after a
        revision; returns false for no reply. */
-    bool (*collect_store_changes)(void *context, int64_t after,
+    bool (*collect_store_changes)(void *context, CaroRevision after,
                                   caro_store_change changes[CARO_CHANGES_MAX],
                                   caro_store_changes *reply);
     /* A call for changes, sent at "sent_at" (CaroClock_BootTime) with the
        revision "asked", has ended; "reply" is borrowed, NULL for none. */
-    void (*on_store_changes)(void *context, CaroHandle vm, int64_t asked,
+    void (*on_store_changes)(void *context, CaroHandle vm, CaroRevision asked,
                              CaroTime sent_at,
                              const caro_store_changes *reply);
     /* Another VM's use of limited upstreams. */
@@ -142,7 +145,7 @@
 /* Asks a VM for the changes of the store after a revision; the outcome goes to
    on_store_changes. */
 void CaroFleet_RequestStoreChanges(CaroFleet *f, CaroHandle vm,
-                                   int64_t revision, CaroTime timeout);
+                                   CaroRevision revision, CaroTime timeout);
 
 /* Requests the configuration of a VM that has a newer one, unless such a call
    is in progress. */
--- a/Include/internal/caro_lease_grace.h
+++ b/Include/internal/caro_lease_grace.h
@@ -22,6 +22,7 @@
     CaroTime outage_start;
     CaroTime outage_end;
     CaroTime recovered_at;
+    CaroTime restored_at; /* Last restoration of the store; 0 for none. */
 } CaroLeaseGrace;
 
 /* Records that the store responded to some VM at the time "at", which may be
@@ -29,6 +30,10 @@
 void CaroLeaseGrace_RecordResponse(CaroLeaseGrace *g, CaroTime at,
                                    CaroTime now);
 
+/* Records that the store was restored from an older copy, in which targets
+   that are alive may be missing. */
+void CaroLeaseGrace_RecordRestoration(CaroLeaseGrace *g, CaroTime now);
+
 /* Returns whether a target whose registration is missing may be alive, and
    is kept for now. */
 bool CaroLeaseGrace_Keeps(const CaroLeaseGrace *g, CaroTime now);
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -7,6 +7,11 @@
  * force is the newest; and registers this VM under a lease.  Upstream
  * instances whose leases expire during an outage of the store, or shortly
  * after it, are kept for a grace period.
+ *
+ * A store that was restored from an older copy begins a new timeline
+ * (caro_revision.h).  It is listed anew, and for a short time no read confirms
+ * the configuration: what the operator had written since is not in the copy,
+ * and is written again.
  */
 #ifndef CARO_REGISTRY_H
 #define CARO_REGISTRY_H
@@ -24,12 +29,12 @@
 /* Texts passed to a handler are borrowed for the call. */
 typedef struct {
     /* A configuration newer than all before was read.  Returns 0 when it was
-       applied; it is offered again by the next read otherwise. */
+       in force; it is offered again by the next read otherwise. */
     int (*on_config)(void *context, const char *bytes, size_t size,
-                     int64_t revision);
+                     CaroRevision revision);
     /* This revision was the newest when the store answered a call that was
        sent at "sent_at", by CaroClock_BootTime. */
-    void (*on_config_confirmed)(void *context, int64_t revision,
+    void (*on_config_confirmed)(void *context, CaroRevision revision,
                                 CaroTime sent_at);
     /* An upstream instance was added, changed or is about to be removed; in
        the last case its slot may be reused after the call. */
@@ -40,12 +45,17 @@
        key was deleted. */
     void (*on_rollout_request)(void *context, const char *service,
                                const char *bytes, size_t size,
-                               int64_t revision);
+                               CaroRevision revision);
     void (*on_rollout_outcome)(void *context, const char *service,
                                const char *bytes, size_t size,
-                               int64_t revision);
+                               CaroRevision revision);
     /* A quarantine of parts of prompts was read; likewise. */
     void (*on_quarantine)(void *context, const char *bytes, size_t size);
+    /* The store was restored from an older copy.  What this VM wrote there may
+       be missing; a list follows.  May be NULL. */
+    void (*on_store_restored)(void *context);
+    /* A list was read completely, up to a revision at least.  May be NULL. */
+    void (*on_listed)(void *context, CaroRevision revision);
 } CaroRegistryHandlers;
 
 /* The client, the table, the counters, the generator and the handlers are
@@ -85,7 +95,7 @@
 /* Returns the reader to call now with CaroRegistry_Revision; CARO_NO_HANDLE
    for none. */
 CaroHandle CaroRegistry_NextReader(CaroRegistry *r);
-int64_t CaroRegistry_Revision(const CaroRegistry *r);
+CaroRevision CaroRegistry_Revision(const CaroRegistry *r);
 
 /*
  * Applies the reply of a reader, NULL for none, to a call with the revision
@@ -94,11 +104,12 @@
  * newer configuration, which is to be fetched from it.
  */
 int CaroRegistry_ApplyChanges(CaroRegistry *r, CaroHandle reader,
-                              int64_t asked, CaroTime sent_at,
+                              CaroRevision asked, CaroTime sent_at,
                               const caro_store_changes *reply);
 
-/* A configuration that a peer sent is in force. */
-void CaroRegistry_RecordPeerConfig(CaroRegistry *r, int64_t revision);
+/* A configuration that a peer sent was examined; it need not be fetched
+   again. */
+void CaroRegistry_RecordPeerConfig(CaroRegistry *r, CaroRevision revision);
 
 /* Returns for how long this VM has known of a configuration that it lacks; 0
    while it lacks none.  "now" is by CaroClock_Now. */
@@ -107,13 +118,16 @@
 /* Fills the reply to another VM that knows a revision; its texts are borrowed
    until the registry's next call.  Returns false when this VM does not read
    the store. */
-bool CaroRegistry_CollectChanges(CaroRegistry *r, int64_t after,
+bool CaroRegistry_CollectChanges(CaroRegistry *r, CaroRevision after,
                                  caro_store_change changes[CARO_CHANGES_MAX],
                                  caro_store_changes *reply);
 
 /* Returns what this VM does now. */
 CaroStoreRole CaroRegistry_Role(const CaroRegistry *r);
 
+/* Returns the timeline of the store, -1 before its first response. */
+int64_t CaroRegistry_Timeline(const CaroRegistry *r);
+
 /* Returns whether a list has been read completely since the start. */
 bool CaroRegistry_IsLoaded(const CaroRegistry *r);
 
--- a/Include/internal/caro_registry_private.h
+++ b/Include/internal/caro_registry_private.h
@@ -3,8 +3,9 @@
  *     caro_registry_private - state shared by the parts of the registry
  *
  * For Modules/registry*.c only.  registry.c makes the calls to the store,
- * registry_items.c applies what they return, and registry_changes.c exchanges
- * changes with other VMs.
+ * registry_items.c applies what they return, registry_changes.c exchanges
+ * changes with other VMs, and registry_timeline.c handles a store that was
+ * restored.
  */
 #ifndef CARO_REGISTRY_PRIVATE_H
 #define CARO_REGISTRY_PRIVATE_H
@@ -14,6 +15,11 @@
 #include "internal/caro_store_log.h"
 #include "internal/caro_store_readers.h"
 
+/* Upstreams whose leaving is remembered for the case that the store is
+   restored from a copy in which they are registered: all that one change of a
+   version may replace in the seconds that a copy is old. */
+enum { CARO_REGISTRY_DEPARTED = 256 };
+
 /* The one in use, and earlier ones that have not timed out yet. */
 enum { CARO_REGISTRY_WATCHES = 4 };
 
@@ -24,8 +30,8 @@
 typedef struct {
     CaroRegistry *registry;
     bool is_open;
-    int64_t revision;    /* It asks for the changes after this one. */
-    CaroTime started_at; /* By BootTime. */
+    CaroRevision revision; /* It asks for the changes after this one. */
+    CaroTime started_at;   /* By BootTime. */
 } CaroRegistryWatch;
 
 struct CaroRegistry {
@@ -36,28 +42,36 @@
     const CaroRegistryHandlers *handlers;
     void *context;
 
+    int64_t timeline; /* Of the store; -1 before its first response. */
+    /* When this VM learnt of a restoration, by BootTime; 0 for none. */
+    CaroTime restored_at;
+    /* Of the store when it was first listed after that; 0 before. */
+    CaroRevision restored_revision;
     bool is_listing;
     bool is_loaded;
     bool needs_list;
     CaroTime list_sent_at; /* Sending of its first page, by BootTime. */
     /* The last one that was sent is used; an earlier one may be open. */
     CaroRegistryWatch watches[CARO_REGISTRY_WATCHES];
-    CaroRegistryWatch *watch; /* NULL while none is used. */
-    int64_t list_revision;    /* Revision of the list's first page. */
-    int64_t watch_revision;   /* The next watch asks for later changes. */
+    CaroRegistryWatch *watch;    /* NULL while none is used. */
+    CaroRevision list_revision;  /* Revision of the list's first page. */
+    CaroRevision watch_revision; /* The next watch asks for later changes. */
     uint32_t list_sequence;
     /* Sequence number of the last list that contained the target. */
     uint32_t last_list[CARO_TARGETS_MAX];
     CaroTime next_watch;
     CaroTime watch_backoff;
-    int64_t malformed_revision; /* Highest of a malformed registration. */
-    int64_t logged_revision;    /* Of those that an earlier response had. */
-    bool has_missing;           /* False only if no target is missing. */
+    CaroRevision malformed_revision; /* Highest of a malformed registration. */
+    CaroRevision logged_revision; /* Of those that an earlier response had. */
+    bool has_missing;             /* False only if no target is missing. */
+    /* Hashes of the starts that were removed last; a ring. */
+    uint32_t departed[CARO_REGISTRY_DEPARTED];
+    uint32_t n_departed;
 
     bool is_reading_config;
     CaroTime next_config_read;
     CaroTime config_backoff;
-    int64_t config_revision;
+    CaroRevision config_revision;
 
     CaroStoreReaders readers;
     CaroStoreReadersView view;
@@ -68,10 +82,10 @@
                                      be the newest, likewise. */
     /* The highest revision that a reader reported; 0 for none.  While this VM
        lacks it, wanted_since is when it first lacked one. */
-    int64_t wanted_config;
+    CaroRevision wanted_config;
     CaroTime wanted_since;
-    int64_t peer_config;        /* Highest revision that a peer's call gave. */
-    int64_t seen_config;        /* Highest revision that a read gave. */
+    CaroRevision peer_config;   /* Highest revision that a peer's call gave. */
+    CaroRevision seen_config;   /* Highest revision that a read gave. */
     CaroTime unavailable_since; /* 0 while reads of this VM succeed. */
     CaroLeaseGrace lease_grace;
 
@@ -99,6 +113,16 @@
 /* Applies a configuration that was read, unless one as new is in force. */
 void CaroRegistry_ApplyConfig(CaroRegistry *r, const CaroStoreItem *item);
 
+/* Compares a timeline that the store or a reader reported with the known one;
+   a later one makes the store be listed anew.  Returns false for an earlier
+   one, whose message has to be dropped. */
+bool CaroRegistry_ObserveTimeline(CaroRegistry *r, int64_t timeline,
+                                  CaroTime now);
+
+/* Returns how long after a call that was sent at "sent_at", by BootTime, a
+   read can confirm the configuration; 0 when this one can. */
+CaroTime CaroRegistry_SettleDelay(const CaroRegistry *r, CaroTime sent_at);
+
 /* Determines this VM's role, and makes the calls due that a new one needs. */
 void CaroRegistry_UpdateRole(CaroRegistry *r, CaroTime now);
 
--- a/Include/internal/caro_store_log.h
+++ b/Include/internal/caro_store_log.h
@@ -20,7 +20,7 @@
 void CaroStoreLog_Destroy(CaroStoreLog *l);
 
 /* Empties the log; it begins after the revision. */
-void CaroStoreLog_Reset(CaroStoreLog *l, int64_t revision);
+void CaroStoreLog_Reset(CaroStoreLog *l, CaroRevision revision);
 
 /*
  * Adds the changes of a response, which is complete up to "revision", and
@@ -29,12 +29,12 @@
  * after "revision".  A value that does not fit in a reply is omitted.
  */
 void CaroStoreLog_Append(CaroStoreLog *l, const CaroStoreItem *items,
-                         int n_items, int64_t revision);
+                         int n_items, CaroRevision revision);
 
 /* Returns the revision up to which the log has all changes, and the one after
    which it begins. */
-int64_t CaroStoreLog_Revision(const CaroStoreLog *l);
-int64_t CaroStoreLog_Start(const CaroStoreLog *l);
+CaroRevision CaroStoreLog_Revision(const CaroStoreLog *l);
+CaroRevision CaroStoreLog_Start(const CaroStoreLog *l);
 
 /*
  * Fills the changes after a revision, the revision up to which they are
@@ -42,13 +42,13 @@
  * changes are whole revisions with at most 6 KB in total; they are borrowed
  * until the log changes.
  */
-void CaroStoreLog_Collect(const CaroStoreLog *l, int64_t after,
+void CaroStoreLog_Collect(const CaroStoreLog *l, CaroRevision after,
                           caro_store_change changes[CARO_CHANGES_MAX],
                           caro_store_changes *reply);
 
 /* A read of the store that was sent at "sent_at" reported this revision of the
    whole store. */
-void CaroStoreLog_RecordRead(CaroStoreLog *l, int64_t revision,
+void CaroStoreLog_RecordRead(CaroStoreLog *l, CaroRevision revision,
                              CaroTime sent_at);
 
 /* The log had all changes that the store had at the time "at", as far as
--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -13,7 +13,12 @@
     char *text;         /* As the operators wrote it. */
     size_t size;
     CaroConfigFreshness freshness;
-    int64_t rejected_revision; /* Highest that could not be read. */
+    CaroRevision rejected_revision; /* Highest that could not be read. */
+    /* Last of a later timeline with an older version, and when it was first
+       read; last of an earlier timeline that was examined. */
+    CaroRevision superseded_revision;
+    CaroTime superseded_at;
+    CaroRevision earlier_revision;
 };
 
 CaroActiveConfig *
@@ -39,7 +44,7 @@
 /* Records a configuration that could not be read.  It is logged once; the
    registry reads it again and again. */
 static void
-reject(CaroActiveConfig *c, int64_t revision, const char *source,
+reject(CaroActiveConfig *c, CaroRevision revision, const char *source,
        const CaroError *err)
 {
     if (revision <= c->rejected_revision) {
@@ -49,31 +54,89 @@
     CaroCounters_Add(c->counters, CARO_COUNT_CONFIG_REJECTED, 1);
     CaroLog_Error("config",
                   "A configuration was rejected; requests are refused until "
-                  "there is another one. revision=%lld in_force=%lld "
-                  "source=%s at=%s reason=\"%s\"",
-                  (long long)revision, (long long)c->freshness.revision,
+                  "there is another one. revision=%lld timeline=%lld "
+                  "in_force=%lld source=%s at=%s reason=\"%s\"",
+                  (long long)CaroRevision_Number(revision),
+                  (long long)CaroRevision_Timeline(revision),
+                  (long long)CaroRevision_Number(c->freshness.revision),
                   source, err->peer, err->detail);
 }
 
-int
-CaroActiveConfig_Apply(CaroActiveConfig *c, const char *bytes, size_t size,
-                       int64_t revision, const char *source)
+/* Returns whether the version of a configuration, and not its revision, says
+   whether it is newer than the one in force. */
+static bool
+is_other_timeline(const CaroActiveConfig *c, CaroRevision revision)
 {
-    CaroRoutes *routes = NULL;
-    char *text = NULL;
-    CaroError err;
-    if (revision <= c->freshness.revision) {
-        return 0;
+    return c->routes != NULL &&
+           !CaroRevision_IsSameTimeline(revision, c->freshness.revision);
+}
+
+/* Handles a configuration of a later timeline with an older version.  Returns
+   whether the store has shown it for so long that it will not be replaced. */
+static bool
+is_rewrite_overdue(CaroActiveConfig *c, const CaroRoutes *routes,
+                   CaroRevision revision, CaroTime now)
+{
+    if (revision != c->superseded_revision) {
+        c->superseded_revision = revision;
+        c->superseded_at = now;
+        CaroCounters_Add(c->counters, CARO_COUNT_CONFIG_SUPERSEDED, 1);
+        CaroLog_Warn("config",
+                     "The restored store has an older configuration; the one "
+                     "in force is kept until the operator writes it again. "
+                     "version=%lld in_force=%lld revision=%lld timeline=%lld",
+                     (long long)CaroRoutes_Version(routes),
+                     (long long)CaroRoutes_Version(c->routes),
+                     (long long)CaroRevision_Number(revision),
+                     (long long)CaroRevision_Timeline(revision));
     }
-    int rc = CaroPlatform_ReadConfig(bytes, size, &routes, &err);
-    if (rc < 0) {
-        goto error;
+    return now - c->superseded_at >= CARO_CONFIG_REWRITE_TIMEOUT;
+}
+
+/* Compares a configuration of another timeline with the one in force.  Returns
+   the outcome; CARO_CONFIG_APPLIED if it is to be put in force. */
+static int
+compare_versions(CaroActiveConfig *c, const CaroRoutes *routes,
+                 CaroRevision revision, CaroTime now)
+{
+    int64_t version = CaroRoutes_Version(routes);
+    int64_t present = CaroRoutes_Version(c->routes);
+    if (revision < c->freshness.revision) {
+        c->earlier_revision = revision;
+        if (version <= present) {
+            return CARO_CONFIG_KNOWN;
+        }
+        /* The store had lost it when the present one was confirmed. */
+        c->freshness.confirmed_at = 0;
+        return CARO_CONFIG_APPLIED;
+    }
+    if (version > present) {
+        return CARO_CONFIG_APPLIED;
+    }
+    if (version < present) {
+        return is_rewrite_overdue(c, routes, revision, now)
+                   ? CARO_CONFIG_APPLIED
+                   : CARO_CONFIG_SUPERSEDED;
     }
-    text = malloc(size + 1);
+    c->freshness.revision = revision;
+    CaroLog_Info("config",
+                 "The configuration in force was written again to the "
+                 "restored store. version=%lld revision=%lld timeline=%lld",
+                 (long long)version, (long long)CaroRevision_Number(revision),
+                 (long long)CaroRevision_Timeline(revision));
+    return CARO_CONFIG_KNOWN;
+}
+
+/* Puts a configuration in force, whose text is copied. */
+static int
+put_in_force(CaroActiveConfig *c, const char *bytes, size_t size,
+             CaroRoutes *routes, CaroRevision revision, const char *source,
+             CaroError *err)
+{
+    char *text = malloc(size + 1);
     if (text == NULL) {
-        rc = CaroError_Set(&err, CARO_ERR_NOMEM, "document", "configuration",
-                           "out of memory");
-        goto error;
+        return CaroError_Set(err, CARO_ERR_NOMEM, "document", "configuration",
+                             "out of memory");
     }
     memcpy(text, bytes, size);
     text[size] = '\0';
@@ -89,18 +152,54 @@
     CaroLog_Info(
         "config",
         "A configuration was applied. version=%lld revision=%lld "
-        "routes=%d idle_ms=%lld source=%s",
-        (long long)CaroRoutes_Version(routes), (long long)revision,
-        CaroRoutes_Count(routes),
+        "timeline=%lld routes=%d idle_ms=%lld source=%s",
+        (long long)CaroRoutes_Version(routes),
+        (long long)CaroRevision_Number(revision),
+        (long long)CaroRevision_Timeline(revision), CaroRoutes_Count(routes),
         (long long)(CaroRoutes_Limits(routes)->idle_timeout / CARO_MS),
         source);
-    return 1;
-error:
-    reject(c, revision, source, &err);
-    CaroRoutes_Destroy(routes);
+    return CARO_CONFIG_APPLIED;
+}
+
+int
+CaroActiveConfig_Apply(CaroActiveConfig *c, const char *bytes, size_t size,
+                       CaroRevision revision, const char *source, CaroTime now)
+{
+    CaroRoutes *routes = NULL;
+    CaroError err;
+    bool is_other = is_other_timeline(c, revision);
+    if (!is_other && revision <= c->freshness.revision) {
+        return CARO_CONFIG_KNOWN;
+    }
+    int rc = CaroPlatform_ReadConfig(bytes, size, &routes, &err);
+    if (rc >= 0 && is_other) {
+        rc = compare_versions(c, routes, revision, now);
+        if (rc != CARO_CONFIG_APPLIED) {
+            CaroRoutes_Destroy(routes);
+            return rc;
+        }
+    }
+    if (rc >= 0) {
+        rc = put_in_force(c, bytes, size, routes, revision, source, &err);
+    }
+    if (rc < 0) {
+        reject(c, revision, source, &err);
+        CaroRoutes_Destroy(routes);
+    }
     return rc;
 }
 
+bool
+CaroActiveConfig_Wants(const CaroActiveConfig *c, CaroRevision revision)
+{
+    if (revision < c->freshness.revision) {
+        return is_other_timeline(c, revision) &&
+               revision > c->earlier_revision;
+    }
+    return revision > c->freshness.revision &&
+           revision > c->superseded_revision;
+}
+
 const CaroRoutes *
 CaroActiveConfig_Routes(const CaroActiveConfig *c)
 {
@@ -126,7 +225,7 @@
     return &c->freshness;
 }
 
-int64_t
+CaroRevision
 CaroActiveConfig_RejectedRevision(const CaroActiveConfig *c)
 {
     return c->rejected_revision > c->freshness.revision ? c->rejected_revision
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -109,7 +109,7 @@
     if (code == 0 && config->text.text_len > 0) {
         f->handlers->on_config(f->context, config->text.text_val,
                                config->text.text_len,
-                               (int64_t)config->revision);
+                               (CaroRevision)config->revision);
     }
 }
 
@@ -129,6 +129,16 @@
                  CARO_RPC_TCP, CARO_CONFIG, &h, CONFIG_TIMEOUT, on_config, f);
 }
 
+/* Returns whether the configuration of another VM is to be fetched. */
+static bool
+wants_config(const CaroFleet *f, CaroRevision revision)
+{
+    return f->handlers->wants_config != NULL
+               ? f->handlers->wants_config(f->context, revision)
+               : revision >
+                     f->handlers->get_config_freshness(f->context).revision;
+}
+
 static void
 apply_heartbeat(CaroFleet *f, const caro_heartbeat *h, CaroTime now)
 {
@@ -138,13 +148,11 @@
     }
     CaroMembership_RecordHeard(f->membership, h->sender, now);
     CaroHandle vm = CaroMembership_Find(f->membership, h->sender);
-    CaroConfigFreshness freshness =
-        f->handlers->get_config_freshness(f->context);
     if (vm > 0 && f->handlers->on_evidence != NULL) {
         f->handlers->on_evidence(f->context, vm, h->evidence.evidence_val,
                                  (int)h->evidence.evidence_len);
     }
-    if (vm > 0 && (int64_t)h->config_revision > freshness.revision) {
+    if (vm > 0 && wants_config(f, (CaroRevision)h->config_revision)) {
         CaroFleet_FetchConfig(f, vm);
     }
 }
@@ -159,7 +167,7 @@
         apply_heartbeat(f, h, CaroClock_Now());
         if (f->handlers->on_peer_freshness != NULL) {
             f->handlers->on_peer_freshness(f->context,
-                                           (int64_t)h->config_revision,
+                                           (CaroRevision)h->config_revision,
                                            h->config_age, p->sent_at);
         }
         process_events(f);
@@ -317,7 +325,7 @@
     caro_config reply;
     const char *bytes;
     size_t size;
-    int64_t revision;
+    CaroRevision revision;
     memset(&reply, 0, sizeof(reply));
     if (f->handlers->get_config(f->context, &bytes, &size, &revision)) {
         reply.revision = (uint64_t)revision;
@@ -336,8 +344,8 @@
     memset(&reply, 0, sizeof(reply));
     if (f->handlers->collect_store_changes != NULL &&
         args->revision <= INT64_MAX &&
-        f->handlers->collect_store_changes(f->context, (int64_t)args->revision,
-                                           changes, &reply)) {
+        f->handlers->collect_store_changes(
+            f->context, (CaroRevision)args->revision, changes, &reply)) {
         CaroRpc_Reply(request, &reply);
     }
     else {
@@ -623,7 +631,7 @@
 typedef struct {
     CaroFleet *fleet;
     CaroHandle vm;
-    int64_t asked;
+    CaroRevision asked;
     CaroTime sent_at; /* By CaroClock_BootTime. */
 } ChangesCall;
 
@@ -638,8 +646,8 @@
 }
 
 void
-CaroFleet_RequestStoreChanges(CaroFleet *f, CaroHandle vm, int64_t revision,
-                              CaroTime timeout)
+CaroFleet_RequestStoreChanges(CaroFleet *f, CaroHandle vm,
+                              CaroRevision revision, CaroTime timeout)
 {
     caro_store_changes_args args = {.sender = f->name,
                                     .revision = (uint64_t)revision};
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -336,29 +336,31 @@
 
 /* --- configuration --- */
 
-/* Applies a configuration from the store or a peer.  Returns 0, or an error
-   when it could not be read. */
+/* Applies a configuration from the store or a peer; see
+   CaroActiveConfig_Apply. */
 static int
-apply_config(CaroGateway *g, const char *bytes, size_t size, int64_t revision,
-             const char *source)
+apply_config(CaroGateway *g, const char *bytes, size_t size,
+             CaroRevision revision, const char *source)
 {
-    int rc = CaroActiveConfig_Apply(g->config, bytes, size, revision, source);
-    if (rc > 0) {
+    int rc = CaroActiveConfig_Apply(g->config, bytes, size, revision, source,
+                                    CaroClock_BootTime());
+    if (rc == CARO_CONFIG_APPLIED) {
         CaroHttpServerLimits limits = http_server_limits(
             g, CaroRoutes_Limits(CaroActiveConfig_Routes(g->config)));
         CaroHttpServer_SetLimits(g->http_server, &limits);
     }
-    return rc < 0 ? rc : 0;
+    return rc;
 }
 
 static int
-on_config(void *context, const char *bytes, size_t size, int64_t revision)
+on_config(void *context, const char *bytes, size_t size, CaroRevision revision)
 {
-    return apply_config(context, bytes, size, revision, "store");
+    int rc = apply_config(context, bytes, size, revision, "store");
+    return rc == CARO_CONFIG_APPLIED ? 0 : rc;
 }
 
 static void
-on_config_confirmed(void *context, int64_t revision, CaroTime sent_at)
+on_config_confirmed(void *context, CaroRevision revision, CaroTime sent_at)
 {
     CaroGateway *g = context;
     CaroConfigFreshness_Record(CaroActiveConfig_Freshness(g->config), revision,
@@ -392,7 +394,7 @@
 
 static void
 on_rollout_request(void *context, const char *service, const char *bytes,
-                   size_t size, int64_t revision)
+                   size_t size, CaroRevision revision)
 {
     CaroGateway *g = context;
     CaroServiceRollouts_OnRequest(g->rollouts, service, bytes, size, revision,
@@ -401,7 +403,7 @@
 
 static void
 on_rollout_outcome(void *context, const char *service, const char *bytes,
-                   size_t size, int64_t revision)
+                   size_t size, CaroRevision revision)
 {
     CaroGateway *g = context;
     CaroServiceRollouts_OnOutcome(g->rollouts, service, bytes, size, revision);
@@ -415,7 +417,24 @@
                              (int64_t)CaroClock_WallMs(), CaroClock_Now());
 }
 
+static void
+on_store_restored(void *context)
+{
+    CaroGateway *g = context;
+    CaroPromptGuard_OnStoreRestored(g->guard);
+    CaroServiceRollouts_OnStoreRestored(g->rollouts, CaroClock_Now());
+}
+
+static void
+on_listed(void *context, CaroRevision revision)
+{
+    CaroGateway *g = context;
+    CaroServiceRollouts_OnListed(g->rollouts, revision);
+}
+
 static const CaroRegistryHandlers registry_handlers = {
+    .on_store_restored = on_store_restored,
+    .on_listed = on_listed,
     .on_config = on_config,
     .on_config_confirmed = on_config_confirmed,
     .on_target = on_target,
@@ -435,7 +454,7 @@
 }
 
 static void
-on_peer_freshness(void *context, int64_t revision, CaroTime age,
+on_peer_freshness(void *context, CaroRevision revision, CaroTime age,
                   CaroTime probed_at)
 {
     CaroGateway *g = context;
@@ -454,7 +473,15 @@
 }
 
 static bool
-get_config(void *context, const char **bytes, size_t *size, int64_t *revision)
+wants_config(void *context, CaroRevision revision)
+{
+    const CaroGateway *g = context;
+    return CaroActiveConfig_Wants(g->config, revision);
+}
+
+static bool
+get_config(void *context, const char **bytes, size_t *size,
+           CaroRevision *revision)
 {
     const CaroGateway *g = context;
     *bytes = CaroActiveConfig_Text(g->config, size);
@@ -463,10 +490,11 @@
 }
 
 static void
-on_peer_config(void *context, const char *bytes, size_t size, int64_t revision)
+on_peer_config(void *context, const char *bytes, size_t size,
+               CaroRevision revision)
 {
     CaroGateway *g = context;
-    if (apply_config(g, bytes, size, revision, "peer") == 0) {
+    if (apply_config(g, bytes, size, revision, "peer") >= 0) {
         CaroRegistry_RecordPeerConfig(g->registry, revision);
     }
 }
@@ -484,8 +512,8 @@
 }
 
 static void
-on_store_changes(void *context, CaroHandle vm, int64_t asked, CaroTime sent_at,
-                 const caro_store_changes *reply)
+on_store_changes(void *context, CaroHandle vm, CaroRevision asked,
+                 CaroTime sent_at, const caro_store_changes *reply)
 {
     CaroGateway *g = context;
     int rc = CaroRegistry_ApplyChanges(g->registry, vm, asked, sent_at, reply);
@@ -493,8 +521,8 @@
         return;
     }
     /* After the changes, as a confirmation holds for its revision only. */
-    on_peer_freshness(g, (int64_t)reply->config_revision, reply->config_age,
-                      sent_at);
+    on_peer_freshness(g, (CaroRevision)reply->config_revision,
+                      reply->config_age, sent_at);
     if (rc > 0) {
         CaroFleet_FetchConfig(g->fleet, vm);
     }
@@ -504,7 +532,7 @@
 }
 
 static bool
-collect_store_changes(void *context, int64_t after,
+collect_store_changes(void *context, CaroRevision after,
                       caro_store_change changes[CARO_CHANGES_MAX],
                       caro_store_changes *reply)
 {
@@ -593,6 +621,7 @@
     .on_load_report = on_load_report,
     .get_config_freshness = get_config_freshness,
     .on_peer_freshness = on_peer_freshness,
+    .wants_config = wants_config,
     .get_config = get_config,
     .on_config = on_peer_config,
     .collect_store_changes = collect_store_changes,
@@ -622,6 +651,9 @@
         CaroStoreClient_CountCalls(g->store);
     g->counters.values[CARO_COUNT_STORE_READER] =
         CaroRegistry_Role(g->registry) == CARO_STORE_READER;
+    int64_t timeline = CaroRegistry_Timeline(g->registry);
+    g->counters.values[CARO_COUNT_STORE_TIMELINE] =
+        timeline < 0 ? 0 : (uint64_t)timeline;
     g->counters.values[CARO_COUNT_CONFIG_LACKING_MS] =
         (uint64_t)(CaroRegistry_ConfigLackingTime(g->registry,
                                                   CaroClock_Now()) /
@@ -668,14 +700,19 @@
         }
     }
     return json_pack(
-        "{s:s, s:b, s:s, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, s:o, "
+        "{s:s, s:b, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, "
+        "s:o, "
         "s:o, s:o}",
         "vm", g->settings.vm, "ready", is_ready(g), "store_role",
         CaroStoreRole_Name(CaroRegistry_Role(g->registry)), "store_revision",
-        (json_int_t)CaroRegistry_Revision(g->registry), "config_revision",
-        (json_int_t)CaroActiveConfig_FreshnessConst(g->config)->revision,
+        (json_int_t)CaroRevision_Number(CaroRegistry_Revision(g->registry)),
+        "store_timeline", (json_int_t)CaroRegistry_Timeline(g->registry),
+        "config_revision",
+        (json_int_t)CaroRevision_Number(
+            CaroActiveConfig_FreshnessConst(g->config)->revision),
         "config_rejected",
-        (json_int_t)CaroActiveConfig_RejectedRevision(g->config),
+        (json_int_t)CaroRevision_Number(
+            CaroActiveConfig_RejectedRevision(g->config)),
         "proof_age_ms", (json_int_t)(config_age(g) / CARO_MS), "vms",
         CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet)),
         "requests", CaroRelays_Count(g->relays), "connections",
@@ -785,7 +822,8 @@
             is_fresh
                 ? "The configuration is confirmed as the newest."
                 : "The configuration is no longer confirmed as the newest.",
-            (long long)CaroActiveConfig_FreshnessConst(g->config)->revision,
+            (long long)CaroRevision_Number(
+                CaroActiveConfig_FreshnessConst(g->config)->revision),
             (long long)(config_age(g) / CARO_MS));
     }
     if (g->stop_requested_at != 0) {
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -73,6 +73,7 @@
     r->handlers = handlers;
     r->context = context;
     r->needs_list = true;
+    r->timeline = -1;
     r->watch_backoff = BACKOFF_MIN;
     r->config_backoff = BACKOFF_MIN;
     CaroTime start =
@@ -174,8 +175,13 @@
             }
         }
     }
-    CaroLog_Info("registry", "A list was read. upstreams=%d revision=%lld", n,
-                 (long long)r->list_revision);
+    CaroLog_Info("registry",
+                 "A list was read. upstreams=%d revision=%lld timeline=%lld",
+                 n, (long long)CaroRevision_Number(r->list_revision),
+                 (long long)r->timeline);
+    if (r->handlers->on_listed != NULL) {
+        r->handlers->on_listed(r->context, r->list_revision);
+    }
 }
 
 static void
@@ -193,9 +199,20 @@
         return;
     }
     record_store_response(r, now);
+    if (!CaroRegistry_ObserveTimeline(r, response->timeline, now) ||
+        (r->list_revision != 0 &&
+         !CaroRevision_IsSameTimeline(r->list_revision, response->revision))) {
+        r->is_listing = false;
+        r->next_watch = now;
+        return;
+    }
     if (r->list_revision == 0) {
         r->list_revision = response->revision;
         r->list_sent_at = sent_at;
+        if (r->restored_at != 0 &&
+            CaroRevision_Timeline(r->restored_revision) < r->timeline) {
+            r->restored_revision = r->list_revision;
+        }
     }
     if (r->readers.role != CARO_STORE_DIRECT &&
         r->list_revision < r->watch_revision) {
@@ -203,8 +220,8 @@
         CaroLog_Warn("registry",
                      "A list of the store is older than what is known. "
                      "revision=%lld known=%lld",
-                     (long long)r->list_revision,
-                     (long long)r->watch_revision);
+                     (long long)CaroRevision_Number(r->list_revision),
+                     (long long)CaroRevision_Number(r->watch_revision));
         r->is_listing = false;
         r->next_watch = back_off(r, &r->watch_backoff, now);
         return;
@@ -240,10 +257,17 @@
     else if (code < 0 || status != 200) {
         return; /* Another one took its place. */
     }
+    if (code == 0 &&
+        (!CaroRegistry_ObserveTimeline(r, response->timeline, now) ||
+         response->timeline != CaroRevision_Timeline(w->revision))) {
+        /* The number that it asked from means another change now. */
+        r->next_watch = is_current && !r->needs_list ? now : r->next_watch;
+        return;
+    }
     if (code == 0 && status == 410) {
         CaroLog_Warn("registry",
                      "The store no longer has the history of a watch. at=%lld",
-                     (long long)r->watch_revision);
+                     (long long)CaroRevision_Number(r->watch_revision));
         r->needs_list = true;
         r->next_watch = now;
         return;
@@ -327,7 +351,7 @@
         CaroLog_Warn("registry",
                      "A watch did not return changes that a read reported. "
                      "revision=%lld",
-                     (long long)r->watch_revision);
+                     (long long)CaroRevision_Number(r->watch_revision));
         r->watch = NULL;
         r->next_watch = now;
     }
@@ -379,8 +403,12 @@
         return;
     }
     record_store_response(r, now);
-    record_read(r, response, sent_at);
     r->config_backoff = BACKOFF_MIN;
+    if (!CaroRegistry_ObserveTimeline(r, response->timeline, now)) {
+        r->next_config_read = now + CONFIG_INITIAL_DELAY;
+        return;
+    }
+    record_read(r, response, sent_at);
     r->next_config_read = next_read(r, sent_at, now);
     if (status == 200 && response->n_items == 1) {
         const CaroStoreItem *item = &response->items[0];
@@ -388,13 +416,17 @@
         if (item->revision > r->seen_config) {
             r->seen_config = item->revision;
         }
-        if (item->revision == r->config_revision) {
+        if (item->revision == r->config_revision &&
+            CaroRegistry_SettleDelay(r, sent_at) == 0) {
             r->config_confirmed_at = sent_at;
             r->handlers->on_config_confirmed(r->context, r->config_revision,
                                              sent_at);
         }
     }
-    if (CaroRegistry_ConfigLackingTime(r, now) > 0) {
+    if (CaroRegistry_SettleDelay(r, sent_at) > 0) {
+        r->next_config_read = now + CaroRegistry_SettleDelay(r, sent_at);
+    }
+    else if (CaroRegistry_ConfigLackingTime(r, now) > 0) {
         /* It was sent before the configuration was written. */
         r->next_config_read = now + MISSING_CONFIG_INTERVAL;
     }
@@ -429,9 +461,13 @@
 {
     CaroRegistry *r = context;
     CaroTime now = CaroClock_Now();
-    (void)response;
     (void)sent_at;
     r->is_registering = false;
+    if (code == 0 &&
+        (!CaroRegistry_ObserveTimeline(r, response->timeline, now) ||
+         r->lease == 0)) {
+        return; /* The key and its lease may be gone. */
+    }
     r->is_registered = code == 0 && status == 200;
     if (code == 0 && status == 404) {
         r->lease = 0; /* It expired; the next attempt requests a new one. */
@@ -448,6 +484,10 @@
     (void)sent_at;
     r->is_registering = false;
     r->next_register = CaroClock_Now();
+    if (code == 0 && !CaroRegistry_ObserveTimeline(r, response->timeline,
+                                                   r->next_register)) {
+        return;
+    }
     if (code == 0 && status == 200 && response->lease != 0) {
         r->lease = response->lease;
     }
--- a/Modules/registry_changes.c
+++ b/Modules/registry_changes.c
@@ -19,10 +19,10 @@
 /* Time for a configuration to arrive from a peer. */
 #define PEER_CONFIG_TIMEOUT (500 * CARO_MS)
 
-static int64_t
+static CaroRevision
 known_config(const CaroRegistry *r)
 {
-    int64_t known = r->config_revision;
+    CaroRevision known = r->config_revision;
     known = r->peer_config > known ? r->peer_config : known;
     return r->seen_config > known ? r->seen_config : known;
 }
@@ -123,14 +123,14 @@
                : CaroStoreReaders_NextCall(&r->readers, CaroClock_BootTime());
 }
 
-int64_t
+CaroRevision
 CaroRegistry_Revision(const CaroRegistry *r)
 {
     return r->watch_revision;
 }
 
 void
-CaroRegistry_RecordPeerConfig(CaroRegistry *r, int64_t revision)
+CaroRegistry_RecordPeerConfig(CaroRegistry *r, CaroRevision revision)
 {
     if (revision > r->peer_config) {
         r->peer_config = revision;
@@ -144,7 +144,7 @@
 }
 
 bool
-CaroRegistry_CollectChanges(CaroRegistry *r, int64_t after,
+CaroRegistry_CollectChanges(CaroRegistry *r, CaroRevision after,
                             caro_store_change changes[CARO_CHANGES_MAX],
                             caro_store_changes *reply)
 {
@@ -169,7 +169,7 @@
 
 /* Returns what is wrong with a reply, or NULL. */
 static const char *
-find_fault(const caro_store_changes *reply, int64_t asked)
+find_fault(const caro_store_changes *reply, CaroRevision asked)
 {
     uint64_t last = (uint64_t)asked + 1;
     if (reply->revision < (uint64_t)asked || reply->revision > INT64_MAX ||
@@ -208,11 +208,11 @@
     CaroLog_Info("registry",
                  "A reader cannot pass on all changes; the store is listed. "
                  "revision=%lld",
-                 (long long)r->watch_revision);
+                 (long long)CaroRevision_Number(r->watch_revision));
 }
 
 static void
-want_config(CaroRegistry *r, int64_t revision, CaroTime now)
+want_config(CaroRegistry *r, CaroRevision revision, CaroTime now)
 {
     if (revision > r->wanted_config && revision > known_config(r)) {
         if (r->wanted_config <= known_config(r)) {
@@ -284,7 +284,7 @@
 {
     CaroStoreItem items[CARO_CHANGES_MAX] = {0};
     bool needs_list = false;
-    int64_t revision = (int64_t)reply->revision;
+    CaroRevision revision = (CaroRevision)reply->revision;
     bool has_omitted = handle_omitted(r, reply, &needs_list, now);
     if (needs_list && r->readers.role != CARO_STORE_FOLLOWER) {
         return false; /* Its own watch returns the values. */
@@ -328,8 +328,9 @@
 }
 
 int
-CaroRegistry_ApplyChanges(CaroRegistry *r, CaroHandle reader, int64_t asked,
-                          CaroTime sent_at, const caro_store_changes *reply)
+CaroRegistry_ApplyChanges(CaroRegistry *r, CaroHandle reader,
+                          CaroRevision asked, CaroTime sent_at,
+                          const caro_store_changes *reply)
 {
     CaroTime now = CaroClock_Now();
     CaroTime boot = CaroClock_BootTime();
@@ -351,10 +352,14 @@
             &r->lease_grace, now - (boot - sent_at) - reply->answer_age, now);
     }
     bool is_applied = false;
+    (void)CaroRegistry_ObserveTimeline(
+        r, CaroRevision_Timeline((CaroRevision)reply->revision), now);
     if (!reply->reaches_back) {
         request_list(r, now);
     }
-    else if (!r->is_listing) {
+    else if (!r->is_listing &&
+             CaroRevision_IsSameTimeline((CaroRevision)reply->revision,
+                                         r->watch_revision)) {
         is_applied = apply_changes(r, reply, now);
     }
     if (is_applied && !reply->has_more && !r->needs_list &&
--- a/Modules/registry_items.c
+++ b/Modules/registry_items.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* Longer than the lease of a registration, three heartbeats of 1.2 s. */
+#define DEPARTED_REST_TIME (5 * CARO_SECOND)
+
 static void
 remove_target(CaroRegistry *r, CaroHandle h, const char *cause)
 {
@@ -17,6 +20,37 @@
     CaroTargets_Remove(r->targets, h);
 }
 
+static void
+record_departure(CaroRegistry *r, CaroHandle h)
+{
+    r->departed[r->n_departed++ % CARO_REGISTRY_DEPARTED] =
+        CaroTargets_GetConst(r->targets, h)->start_hash;
+}
+
+static bool
+has_departed(const CaroRegistry *r, CaroHandle h)
+{
+    uint32_t n = r->n_departed < CARO_REGISTRY_DEPARTED
+                     ? r->n_departed
+                     : CARO_REGISTRY_DEPARTED;
+    for (uint32_t i = 0; i < n; i++) {
+        if (r->departed[i] ==
+            CaroTargets_GetConst(r->targets, h)->start_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Returns whether an entry may have been copied before the store was restored,
+   and is not known to have been written since. */
+static bool
+may_be_copied(const CaroRegistry *r, CaroRevision revision)
+{
+    return revision <= r->restored_revision &&
+           CaroRevision_IsSameTimeline(revision, r->restored_revision);
+}
+
 /* An entry that cannot be read names no upstream, also in the place of one
    that did.  It is logged once for each change of it. */
 static void
@@ -27,8 +61,9 @@
         CaroLog_Warn("registry",
                      "The registration of an upstream is malformed. id=%.*s "
                      "revision=%lld at=%s reason=\"%s\"",
-                     CARO_TARGET_ID_SIZE, id, (long long)item->revision,
-                     err->peer, err->detail);
+                     CARO_TARGET_ID_SIZE, id,
+                     (long long)CaroRevision_Number(item->revision), err->peer,
+                     err->detail);
     }
     if (item->revision > r->malformed_revision) {
         r->malformed_revision = item->revision;
@@ -55,6 +90,10 @@
             &CaroTargets_GetConst(r->targets, old)->entry, &entry)) {
         remove_target(r, old, "it restarted under the same id");
     }
+    else if (old != CARO_NO_HANDLE && may_be_copied(r, item->revision) &&
+             CaroTargets_GetConst(r->targets, old)->entry.is_leaving) {
+        entry.is_leaving = true;
+    }
     CaroHandle h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
     if (h == CARO_NO_HANDLE) {
         CaroHandle replaced =
@@ -71,6 +110,16 @@
                       id, CARO_TARGETS_MAX);
         return;
     }
+    if (old == CARO_NO_HANDLE && may_be_copied(r, item->revision) &&
+        has_departed(r, h)) {
+        CaroLog_Info("registry",
+                     "An upstream that had left is registered in the restored "
+                     "store; it gets no requests until its lease has been "
+                     "renewed. id=%s",
+                     id);
+        CaroTargets_Get(r->targets, h)->notice.unavailable_until =
+            CaroClock_Now() + DEPARTED_REST_TIME;
+    }
     r->last_list[h] = r->list_sequence;
     r->handlers->on_target(r->context, h);
 }
@@ -82,6 +131,7 @@
     CaroTarget *target = CaroTargets_Get(r->targets, h);
     const CaroLeaseGrace *g = &r->lease_grace;
     if (!CaroLeaseGrace_Keeps(g, now)) {
+        record_departure(r, h);
         remove_target(r, h, cause);
     }
     else if (!target->is_missing) {
@@ -182,6 +232,7 @@
         CaroLog_Warn("registry",
                      "Entries of the store without a key were left out. "
                      "entries=%d revision=%lld",
-                     response->n_unreadable, (long long)response->revision);
+                     response->n_unreadable,
+                     (long long)CaroRevision_Number(response->revision));
     }
 }
--- a/Objects/store_log.c
+++ b/Objects/store_log.c
@@ -18,7 +18,7 @@
     char *key;
     char *value; /* NULL when the key was deleted or the value is omitted. */
     size_t size;
-    int64_t revision;
+    CaroRevision revision;
     bool is_deleted;
 } Change;
 
@@ -27,11 +27,11 @@
     int first;
     int n;
     size_t bytes;
-    int64_t start;    /* The changes are complete after this revision, */
-    int64_t revision; /* up to this one. */
+    CaroRevision start;    /* The changes are complete after this revision, */
+    CaroRevision revision; /* up to this one. */
     /* Reads that reported a later revision, the oldest first. */
     struct {
-        int64_t revision;
+        CaroRevision revision;
         CaroTime sent_at;
     } reads[READS_MAX];
     int n_reads;
@@ -86,7 +86,7 @@
 /* Sets the revision that the log has reached, and evaluates the reads that
    waited for it. */
 static void
-set_revision(CaroStoreLog *l, int64_t revision)
+set_revision(CaroStoreLog *l, CaroRevision revision)
 {
     int n = 0;
     l->revision = revision;
@@ -102,7 +102,7 @@
 }
 
 void
-CaroStoreLog_Reset(CaroStoreLog *l, int64_t revision)
+CaroStoreLog_Reset(CaroStoreLog *l, CaroRevision revision)
 {
     while (l->n > 0) {
         drop_first(l);
@@ -112,9 +112,9 @@
 }
 
 static bool
-are_in_order(const CaroStoreItem *items, int n, int64_t revision)
+are_in_order(const CaroStoreItem *items, int n, CaroRevision revision)
 {
-    int64_t last = 0;
+    CaroRevision last = 0;
     for (int i = 0; i < n; i++) {
         if (items[i].revision < last || items[i].revision > revision ||
             strlen(items[i].key) > CARO_STORE_KEY_MAX) {
@@ -158,7 +158,7 @@
 
 void
 CaroStoreLog_Append(CaroStoreLog *l, const CaroStoreItem *items, int n_items,
-                    int64_t revision)
+                    CaroRevision revision)
 {
     if (revision <= l->revision) {
         return;
@@ -176,13 +176,13 @@
     set_revision(l, revision);
 }
 
-int64_t
+CaroRevision
 CaroStoreLog_Revision(const CaroStoreLog *l)
 {
     return l->revision;
 }
 
-int64_t
+CaroRevision
 CaroStoreLog_Start(const CaroStoreLog *l)
 {
     return l->start;
@@ -190,7 +190,7 @@
 
 /* Returns the first change after a revision, or the end. */
 static int
-find_after(const CaroStoreLog *l, int64_t after)
+find_after(const CaroStoreLog *l, CaroRevision after)
 {
     int low = 0;
     int high = l->n;
@@ -218,7 +218,7 @@
 }
 
 void
-CaroStoreLog_Collect(const CaroStoreLog *l, int64_t after,
+CaroStoreLog_Collect(const CaroStoreLog *l, CaroRevision after,
                      caro_store_change changes[CARO_CHANGES_MAX],
                      caro_store_changes *reply)
 {
@@ -261,7 +261,8 @@
 }
 
 void
-CaroStoreLog_RecordRead(CaroStoreLog *l, int64_t revision, CaroTime sent_at)
+CaroStoreLog_RecordRead(CaroStoreLog *l, CaroRevision revision,
+                        CaroTime sent_at)
 {
     if (revision <= l->revision) {
         CaroStoreLog_RecordComplete(l, sent_at);
--- a/Test/test_active_config.c
+++ b/Test/test_active_config.c
@@ -13,7 +13,8 @@
 static int
 apply(CaroActiveConfig *c, const char *text, int64_t revision)
 {
-    return CaroActiveConfig_Apply(c, text, strlen(text), revision, "test");
+    return CaroActiveConfig_Apply(c, text, strlen(text), revision, "test",
+                                  CARO_SECOND);
 }
 
 static void
@@ -71,12 +72,127 @@
     CaroActiveConfig_Destroy(c);
 }
 
+/* --- a store that was restored from an older copy --- */
+
+#define VERSION(text) "{\"version\":" text "," ROUTE
+
+static CaroActiveConfig *
+create_with_version_11(CaroCounters *counters)
+{
+    CaroActiveConfig *c = CaroActiveConfig_Create(counters);
+    assert_int_equal(apply(c, VERSION("11"), 39), CARO_CONFIG_APPLIED);
+    CaroActiveConfig_Freshness(c)->confirmed_at = CARO_SECOND;
+    return c;
+}
+
+static int64_t
+version_of(const CaroActiveConfig *c)
+{
+    return CaroRoutes_Version(CaroActiveConfig_Routes(c));
+}
+
+/* Guards against a revision that was given out twice, for two contents. */
+static void
+test_number_given_out_again_is_another_configuration(void **state)
+{
+    (void)state;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = create_with_version_11(&counters);
+    CaroRevision again = CaroRevision_Make(1, 39);
+    assert_true(CaroActiveConfig_Wants(c, again));
+    assert_int_equal(apply(c, VERSION("14"), again), CARO_CONFIG_APPLIED);
+    assert_int_equal(version_of(c), 14);
+    assert_int_equal(CaroActiveConfig_FreshnessConst(c)->revision, again);
+    CaroActiveConfig_Destroy(c);
+}
+
+/* Guards against an acknowledged version that comes back older. */
+static void
+test_copy_does_not_bring_back_an_older_version(void **state)
+{
+    (void)state;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = create_with_version_11(&counters);
+    CaroRevision copied = CaroRevision_Make(1, 25);
+    for (int i = 0; i < 3; i++) {
+        assert_int_equal(apply(c, VERSION("8"), copied),
+                         CARO_CONFIG_SUPERSEDED);
+    }
+    assert_int_equal(counters.values[CARO_COUNT_CONFIG_SUPERSEDED], 1);
+    assert_int_equal(version_of(c), 11);
+    assert_int_equal(CaroActiveConfig_FreshnessConst(c)->revision, 39);
+    assert_false(CaroActiveConfig_Wants(c, copied));
+    /* The operator writes it again. */
+    CaroRevision again = CaroRevision_Make(1, 26);
+    assert_int_equal(apply(c, VERSION("11"), again), CARO_CONFIG_KNOWN);
+    assert_int_equal(CaroActiveConfig_FreshnessConst(c)->revision, again);
+    assert_int_equal(CaroActiveConfig_FreshnessConst(c)->confirmed_at,
+                     CARO_SECOND);
+    assert_int_equal(apply(c, VERSION("12"), again + 1), CARO_CONFIG_APPLIED);
+    /* A late copy from a VM that started beside it. */
+    assert_int_equal(apply(c, VERSION("8"), copied), CARO_CONFIG_KNOWN);
+    assert_int_equal(version_of(c), 12);
+    CaroActiveConfig_Destroy(c);
+}
+
+/* Guards against VMs that refuse all requests because the operator does not
+   write the version again that one of them had seen. */
+static void
+test_copy_that_stays_is_put_in_force(void **state)
+{
+    (void)state;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = create_with_version_11(&counters);
+    CaroRevision copied = CaroRevision_Make(1, 25);
+    CaroTime overdue = CARO_SECOND + CARO_CONFIG_REWRITE_TIMEOUT;
+    assert_int_equal(apply(c, VERSION("8"), copied), CARO_CONFIG_SUPERSEDED);
+    const char *text = VERSION("8");
+    assert_int_equal(CaroActiveConfig_Apply(c, text, strlen(text), copied,
+                                            "test", overdue - 1),
+                     CARO_CONFIG_SUPERSEDED);
+    assert_int_equal(
+        CaroActiveConfig_Apply(c, text, strlen(text), copied, "test", overdue),
+        CARO_CONFIG_APPLIED);
+    assert_int_equal(version_of(c), 8);
+    CaroActiveConfig_Destroy(c);
+}
+
+/* Guards against a VM that started beside the copy and keeps what it found
+   although other VMs know better, and confirms it. */
+static void
+test_vm_that_started_beside_the_copy_learns_the_version_of_others(void **state)
+{
+    (void)state;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = CaroActiveConfig_Create(&counters);
+    CaroRevision copied = CaroRevision_Make(1, 25);
+    assert_int_equal(apply(c, VERSION("8"), copied), CARO_CONFIG_APPLIED);
+    CaroConfigFreshness_Record(CaroActiveConfig_Freshness(c), copied,
+                               CARO_SECOND);
+    assert_true(CaroActiveConfig_Wants(c, 39));
+    assert_int_equal(apply(c, VERSION("11"), 39), CARO_CONFIG_APPLIED);
+    assert_int_equal(version_of(c), 11);
+    assert_int_equal(CaroActiveConfig_FreshnessConst(c)->confirmed_at, 0);
+    assert_int_equal(apply(c, VERSION("8"), copied), CARO_CONFIG_SUPERSEDED);
+    assert_int_equal(apply(c, VERSION("11"), copied + 1), CARO_CONFIG_KNOWN);
+    assert_int_equal(version_of(c), 11);
+    /* An older one of the earlier timeline is examined once. */
+    assert_false(CaroActiveConfig_Wants(c, 39));
+    assert_false(CaroActiveConfig_Wants(c, 38));
+    CaroActiveConfig_Destroy(c);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_newer_configuration_replaces_older),
         cmocka_unit_test(test_unreadable_configuration_supersedes),
+        cmocka_unit_test(test_number_given_out_again_is_another_configuration),
+        cmocka_unit_test(test_copy_does_not_bring_back_an_older_version),
+        cmocka_unit_test(test_copy_that_stays_is_put_in_force),
+        cmocka_unit_test(
+            test_vm_that_started_beside_the_copy_learns_the_version_of_others),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/Tools/fake/registry.c
+++ b/Tools/fake/registry.c
@@ -7,7 +7,8 @@
  * no response), lose (fraction of writes whose response is lost after they
  * took effect), forget=1 (the history so far is compacted: watches from an
  * earlier revision get status 410), odd=1 (lists and watches contain entries
- * that cannot be read).
+ * that cannot be read), copy=1 (keeps a copy of the items, the leases and the
+ * revision), restore=1 (goes back to the copy and begins a new era).
  */
 #include "fake.h"
 
@@ -58,6 +59,11 @@
     int n_history;
     int64_t compacted_revision; /* Watches from before it fail. */
     int64_t revision;
+    int64_t era; /* In each response; rises with each restoration. */
+    /* The copy: all items, leases and the revision at its time. */
+    Item *copied_items;
+    Lease *copied_leases;
+    int64_t copied_revision;
     uint64_t calls;
     bool is_down;
     bool is_unresponsive;
@@ -79,8 +85,12 @@
 }
 
 static void
-reply(struct evhttp_request *req, int status, json_t *value)
+reply(const Registry *r, struct evhttp_request *req, int status, json_t *value)
 {
+    char era[24];
+    (void)snprintf(era, sizeof(era), "%lld", (long long)r->era);
+    evhttp_add_header(evhttp_request_get_output_headers(req), "Store-Era",
+                      era);
     CaroHttp_SendJson(req, status, value);
     json_decref(value);
 }
@@ -103,8 +113,9 @@
 static bool
 try_respond_to_watch(Registry *r, const Watch *w, CaroTime now)
 {
-    if (w->after_revision < r->compacted_revision) {
-        reply(w->req, 410, json_object());
+    if (w->after_revision < r->compacted_revision ||
+        w->after_revision > r->revision) {
+        reply(r, w->req, 410, json_object());
         return true;
     }
     json_t *events = json_array();
@@ -120,7 +131,7 @@
         return false;
     }
     add_odd_entries(r, events);
-    reply(w->req, 200,
+    reply(r, w->req, 200,
           json_pack("{s:o, s:I}", "events", events, "at",
                     (json_int_t)r->revision));
     return true;
@@ -190,16 +201,77 @@
 }
 
 static void
-remove_item(Registry *r, Item *item)
+free_item(Item **table, Item *item)
 {
-    r->revision++;
-    append_history(r, item->key, NULL);
-    HASH_DEL(r->items, item);
+    HASH_DEL(*table, item);
     free(item->key);
     free(item->value64);
     free(item);
 }
 
+static void
+remove_item(Registry *r, Item *item)
+{
+    r->revision++;
+    append_history(r, item->key, NULL);
+    free_item(&r->items, item);
+}
+
+/* Replaces the items and leases of one place by copies of another's. */
+static void
+copy_state(Item **items, Lease **leases, const Item *from_items,
+           const Lease *from_leases)
+{
+    Item *item;
+    Item *next;
+    Lease *lease;
+    Lease *next_lease;
+    HASH_ITER(hh, *items, item, next)
+    {
+        free_item(items, item);
+    }
+    HASH_ITER(hh, *leases, lease, next_lease)
+    {
+        HASH_DEL(*leases, lease);
+        free(lease);
+    }
+    for (const Item *from = from_items; from != NULL; from = from->hh.next) {
+        item = calloc(1, sizeof(*item));
+        if (item == NULL) {
+            abort();
+        }
+        *item = *from;
+        item->key = strdup(from->key);
+        item->value64 = strdup(from->value64);
+        HASH_ADD_KEYPTR(hh, *items, item->key, strlen(item->key), item);
+    }
+    for (const Lease *from = from_leases; from != NULL; from = from->hh.next) {
+        lease = calloc(1, sizeof(*lease));
+        if (lease == NULL) {
+            abort();
+        }
+        *lease = *from;
+        HASH_ADD(hh, *leases, id, sizeof(lease->id), lease);
+    }
+}
+
+static void
+restore_copy(Registry *r, CaroTime now)
+{
+    copy_state(&r->items, &r->leases, r->copied_items, r->copied_leases);
+    for (Lease *lease = r->leases; lease != NULL; lease = lease->hh.next) {
+        lease->expires_at = now + lease->ttl;
+    }
+    while (r->n_history > 0 &&
+           r->history[r->n_history - 1].revision > r->copied_revision) {
+        r->n_history--;
+        free(r->history[r->n_history].key);
+        free(r->history[r->n_history].value64);
+    }
+    r->revision = r->copied_revision;
+    r->era++;
+}
+
 /* Removes items whose lease or time to live has ended, and ended leases. */
 static void
 remove_expired(Registry *r, CaroTime now)
@@ -270,7 +342,7 @@
                      : NULL;
     json_t *value = item == NULL ? json_object() : item_json(item);
     (void)json_object_set_new(value, "at", json_integer(r->revision));
-    reply(req, item == NULL ? 404 : 200, value);
+    reply(r, req, item == NULL ? 404 : 200, value);
 }
 
 static int
@@ -310,7 +382,7 @@
     if (!has_more) { /* The next page begins behind the last key. */
         add_odd_entries(r, entries);
     }
-    reply(req, 200,
+    reply(r, req, 200,
           json_pack("{s:o, s:b, s:I}", "entries", entries, "has_more",
                     has_more, "at", (json_int_t)r->revision));
 }
@@ -349,7 +421,7 @@
         drop_connection(req);
         return;
     }
-    reply(req, status, value);
+    reply(r, req, status, value);
 }
 
 static bool
@@ -438,11 +510,11 @@
     Lease *lease;
     HASH_FIND(hh, r->leases, &id, sizeof(id), lease);
     if (lease == NULL) {
-        reply(req, 404, json_object());
+        reply(r, req, 404, json_object());
         return;
     }
     lease->expires_at = CaroClock_Now() + lease->ttl;
-    reply(req, 200,
+    reply(r, req, 200,
           json_pack("{s:I}", "ttl_ms", (json_int_t)(lease->ttl / CARO_MS)));
 }
 
@@ -500,6 +572,14 @@
     if (Fake_GetNumber(req, "forget", 0.0) > 0.0) {
         r->compacted_revision = r->revision;
     }
+    if (Fake_GetNumber(req, "copy", 0.0) > 0.0) {
+        copy_state(&r->copied_items, &r->copied_leases, r->items, r->leases);
+        r->copied_revision = r->revision;
+    }
+    if (Fake_GetNumber(req, "restore", 0.0) > 0.0) {
+        restore_copy(r, CaroClock_Now());
+        respond_to_watches(r, CaroClock_Now());
+    }
     (void)snprintf(text, sizeof(text), "calls %llu\n",
                    (unsigned long long)r->calls);
     CaroHttp_SendText(req, HTTP_OK, text);
@@ -510,6 +590,7 @@
 {
     static Registry r;
     r.revision = 1;
+    r.era = 1;
     r.base = event_base_new();
     r.history = calloc(HISTORY_MAX, sizeof(*r.history));
     struct evhttp *http = Fake_Listen(r.base, options->listen);
