--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -157,18 +157,22 @@
     for ((i = 0; i < $3; i++)); do keys="$keys,\"key-$long-$i\""; done
     record "$(now_ms)" 0 planned "config $version idle_timeout_ms=$1"
     local route='"host":"desk.example","timeout_ms":8000'
-    gateway_write op/config "{\"version\":$version,\"routes\":[
-{\"name\":\"r-s\",$route,\"path_prefix\":\"/s/\",\"kind\":\"streaming\",
- \"target_latency_ms\":2000,\"target_gap_ms\":700,\"resumable\":true,
- \"max_attempts\":5,\"service\":\"chat\"},
-{\"name\":\"r-o\",$route,\"path_prefix\":\"/o/\",\"kind\":\"non_idempotent\",
- \"max_attempts\":1,\"service\":\"desk\"},
-{\"name\":\"r-l\",$route,\"path_prefix\":\"/l/\",\"kind\":\"idempotent\",
- \"target_latency_ms\":150,\"max_attempts\":2,\"service\":\"desk\"}$routes],
-\"services\":[],\"tenants\":[{\"name\":\"yard\",\"api_keys\":[$keys]},
-{\"name\":\"none $long\",\"api_keys\":[]}],
-\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":100000,
-\"header_timeout_ms\":700,\"idle_timeout_ms\":$1}}" >/dev/null || true
+    cat >"$fleet_dir/config.next" <<END
+{"version":$version,"routes":[
+{"name":"r-s",$route,"path_prefix":"/s/","kind":"streaming",
+ "target_latency_ms":2000,"target_gap_ms":700,"resumable":true,
+ "max_attempts":5,"service":"chat"},
+{"name":"r-o",$route,"path_prefix":"/o/","kind":"non_idempotent",
+ "max_attempts":1,"service":"desk"},
+{"name":"r-l",$route,"path_prefix":"/l/","kind":"idempotent",
+ "target_latency_ms":150,"max_attempts":2,"service":"desk"}$routes],
+"services":[],"tenants":[{"name":"yard","api_keys":[$keys]},
+{"name":"none $long","api_keys":[]}],
+"limits":{"max_header_bytes":8192,"max_body_bytes":100000,
+"header_timeout_ms":700,"idle_timeout_ms":$1}}
+END
+    mv "$fleet_dir/config.next" "$fleet_dir/config.json"
+    gateway_write op/config "$(cat "$fleet_dir/config.json")" >/dev/null || true
 }
 
 # Changes in quick succession, with idle timeouts around the callers' pauses.
@@ -188,6 +192,23 @@
     done
 }
 
+# The store is restored from an older copy, also within the recovery from
+# another restoration; the operator then writes the newest configuration again.
+restore_store() {
+    local pause_ms
+    for pause_ms in 1500 400 2500; do
+        fleet_fault "$(gateway_registry)" copy=1
+        pause "$pause_ms"
+        record "$(now_ms)" 0 none "the store is restored from a copy"
+        fleet_fault "$(gateway_registry)" down=1
+        pause 500
+        fleet_fault "$(gateway_registry)" "down=0&restore=1"
+        [ ! -f "$fleet_dir/config.json" ] ||
+            gateway_write op/config "$(cat "$fleet_dir/config.json")" \
+                >/dev/null || true
+    done
+}
+
 # Draws one event.  Everything is drawn before a subshell begins.
 step() { # PLANNED_ONLY
     local i ms what
@@ -327,6 +348,9 @@
 gateway_load --seconds "$seconds" --seed "$seed" --workers "$workers" \
     --soak-pause-ms 1600 >"$fleet_dir/load.txt" &
 load=$!
+if [ $((seed % 4)) = 0 ] && [ "$planned_only" = 0 ]; then
+    restore_store &
+fi
 ends_at=$(($(now_ms) + 1000 * seconds))
 while [ "$(now_ms)" -lt "$ends_at" ]; do
     step "$planned_only"
