A VM that starts during the outage notices the restoration

What callers would see: a key that was revoked just before the outage is accepted by a VM that started in it, until the operator has written again. Cause: such a VM knew a configuration from another VM and no timeline, took the first one that the store told for granted, and its first read of the copy confirmed the version before. An outage that began before a restoration had settled ended the waiting time likewise. Change: a configuration of another VM tells the timeline to a VM that has none; the waiting time begins anew when the store returns from such an outage.

--- a/Include/internal/caro_registry_private.h
+++ b/Include/internal/caro_registry_private.h
@@ -45,6 +45,7 @@
     int64_t timeline; /* Of the store; -1 before its first response. */
     /* When this VM learnt of a restoration, by BootTime; 0 for none. */
     CaroTime restored_at;
+    CaroTime settled_at; /* Reads sent from then on confirm, by BootTime. */
     /* Of the store when it was first listed after that; 0 before. */
     CaroRevision restored_revision;
     bool is_listing;
@@ -119,6 +120,10 @@
 bool CaroRegistry_ObserveTimeline(CaroRegistry *r, int64_t timeline,
                                   CaroTime now);
 
+/* The store responds again after an outage.  One that began before the
+   restoration had settled puts off what the operator writes again. */
+void CaroRegistry_OnStoreReturn(CaroRegistry *r);
+
 /* Returns how long after a call that was sent at "sent_at", by BootTime, a
    read can confirm the configuration; 0 when this one can. */
 CaroTime CaroRegistry_SettleDelay(const CaroRegistry *r, CaroTime sent_at);
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -132,6 +132,7 @@
         CaroLog_Info("registry", "The store is available again. away_ms=%lld",
                      (long long)((now - r->unavailable_since) / CARO_MS));
         r->unavailable_since = 0;
+        CaroRegistry_OnStoreReturn(r);
     }
 }
 
--- a/Modules/registry_changes.c
+++ b/Modules/registry_changes.c
@@ -132,6 +132,10 @@
 void
 CaroRegistry_RecordPeerConfig(CaroRegistry *r, CaroRevision revision)
 {
+    if (r->timeline < 0) {
+        /* A later one shows that the store was restored meanwhile. */
+        r->timeline = CaroRevision_Timeline(revision);
+    }
     if (revision > r->peer_config) {
         r->peer_config = revision;
     }
--- a/Modules/registry_timeline.c
+++ b/Modules/registry_timeline.c
@@ -33,6 +33,7 @@
                  (long long)CaroRevision_Number(r->config_revision));
     r->timeline = timeline;
     r->restored_at = CaroClock_BootTime();
+    r->settled_at = r->restored_at + RESTORED_SETTLE_TIME;
     r->config_confirmed_at = 0;
     r->watch = NULL;
     r->needs_list = true;
@@ -62,13 +63,18 @@
     return timeline == r->timeline;
 }
 
+void
+CaroRegistry_OnStoreReturn(CaroRegistry *r)
+{
+    if (r->restored_at != 0 && r->answered_at < r->settled_at) {
+        r->settled_at = CaroClock_BootTime() + RESTORED_SETTLE_TIME;
+    }
+}
+
 CaroTime
 CaroRegistry_SettleDelay(const CaroRegistry *r, CaroTime sent_at)
 {
-    CaroTime elapsed = sent_at - r->restored_at;
-    return r->restored_at == 0 || elapsed >= RESTORED_SETTLE_TIME
-               ? 0
-               : RESTORED_SETTLE_TIME - elapsed;
+    return sent_at >= r->settled_at ? 0 : r->settled_at - sent_at;
 }
 
 int64_t
