Pages on the restored store; a version that was given up does not come back

Cause: after the store's older configuration was put in force, a VM of the earlier timeline could bring the lost one back. Change: its revision counts as examined.

--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -113,10 +113,13 @@
     if (version > present) {
         return CARO_CONFIG_APPLIED;
     }
+    if (version < present && !is_rewrite_overdue(c, routes, revision, now)) {
+        return CARO_CONFIG_SUPERSEDED;
+    }
     if (version < present) {
-        return is_rewrite_overdue(c, routes, revision, now)
-                   ? CARO_CONFIG_APPLIED
-                   : CARO_CONFIG_SUPERSEDED;
+        /* VMs that still have the lost one do not bring it back. */
+        c->earlier_revision = c->freshness.revision;
+        return CARO_CONFIG_APPLIED;
     }
     c->freshness.revision = revision;
     CaroLog_Info("config",
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -449,7 +449,7 @@
             "registry",
             "A configuration did not arrive from another VM; the "
             "store is read. revision=%lld lacking_ms=%lld",
-            (long long)r->wanted_config,
+            (long long)CaroRevision_Number(r->wanted_config),
             (long long)(CaroRegistry_ConfigLackingTime(r, now) / CARO_MS));
     }
     r->is_reading_config = true;
@@ -482,11 +482,12 @@
                  const CaroStoreResponse *response, CaroTime sent_at)
 {
     CaroRegistry *r = context;
+    CaroTime now = CaroClock_Now();
     (void)sent_at;
     r->is_registering = false;
-    r->next_register = CaroClock_Now();
-    if (code == 0 && !CaroRegistry_ObserveTimeline(r, response->timeline,
-                                                   r->next_register)) {
+    r->next_register = now;
+    if (code == 0 &&
+        !CaroRegistry_ObserveTimeline(r, response->timeline, now)) {
         return;
     }
     if (code == 0 && status == 200 && response->lease != 0) {
