--- a/Test/test_active_config.c
+++ b/Test/test_active_config.c
@@ -154,6 +154,7 @@
         CaroActiveConfig_Apply(c, text, strlen(text), copied, "test", overdue),
         CARO_CONFIG_APPLIED);
     assert_int_equal(version_of(c), 8);
+    assert_false(CaroActiveConfig_Wants(c, 39));
     CaroActiveConfig_Destroy(c);
 }
 
