Fuzz target links the revisions of the store

Cause: the parsers of the store's responses call Objects/revision.c, which the script's list of files did not have; make test builds the fuzz target by this script alone. Change: the file is in the list.

--- a/Test/fuzz_run.sh
+++ b/Test/fuzz_run.sh
@@ -11,7 +11,8 @@
     -fno-sanitize-recover=all -IInclude -IProtocol \
     $(pkg-config --cflags $packages) -o "$out/fuzz_parsers" \
     Test/fuzz_parsers.c Parser/*.c platform/*.c Objects/error.c \
-    Objects/name.c Objects/prompt_parts.c Objects/routes.c Objects/ticket.c Modules/http.c \
+    Objects/name.c Objects/prompt_parts.c Objects/revision.c Objects/routes.c \
+    Objects/ticket.c Modules/http.c \
     Modules/http_reader.c \
     $(pkg-config --libs $packages) -lhttp_parser -lm
 cp -r Test/corpus "$out/"
