Comments of the registry after a second reading

Cause: a sentence on the outcome of a configuration was wrong since the timelines. Change: comments and a blank line.

--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -28,8 +28,9 @@
 
 /* Texts passed to a handler are borrowed for the call. */
 typedef struct {
-    /* A configuration newer than all before was read.  Returns 0 when it was
-       in force; it is offered again by the next read otherwise. */
+    /* A configuration newer than all before was read.  Returns 0 when it, or
+       a later one, is in force; it is offered again by the next read
+       otherwise. */
     int (*on_config)(void *context, const char *bytes, size_t size,
                      CaroRevision revision);
     /* This revision was the newest when the store answered a call that was
--- a/Modules/registry_timeline.c
+++ b/Modules/registry_timeline.c
@@ -16,6 +16,7 @@
 #define RESTORED_REGISTER_JITTER (1 * CARO_SECOND)
 /* Lists of VMs that do not read the store, over this time. */
 #define RESTORED_LIST_JITTER (500 * CARO_MS)
+
 /* Forgets what holds for the earlier timeline only.  Upstreams and the
    configuration stay as they are until the new timeline shows others. */
 static void
