Log what had arrived when a call timed out, and the size of a configuration

Neither the store client nor the RPC layer told whether a call that timed out had received nothing, or most of its answer, so that a time-out that does not know the size (hypothesis 1) looked like a lost link or a lack of processor time.

The configuration has 848,694 bytes, 1.13 MB in base64, 0.9 s of a link of 10 Mbit/s that carries nothing else.

--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -155,11 +155,11 @@
     CaroLog_Info(
         "config",
         "A configuration was applied. version=%lld revision=%lld "
-        "timeline=%lld routes=%d idle_ms=%lld source=%s",
+        "timeline=%lld routes=%d bytes=%zu idle_ms=%lld source=%s",
         (long long)CaroRoutes_Version(routes),
         (long long)CaroRevision_Number(revision),
         (long long)CaroRevision_Timeline(revision), CaroRoutes_Count(routes),
-        (long long)(CaroRoutes_Limits(routes)->idle_timeout / CARO_MS),
+        size, (long long)(CaroRoutes_Limits(routes)->idle_timeout / CARO_MS),
         source);
     return CARO_CONFIG_APPLIED;
 }
--- a/Modules/rpc.c
+++ b/Modules/rpc.c
@@ -11,6 +11,7 @@
 #include "internal/caro_rpc.h"
 
 #include "internal/caro_clock.h"
+#include "internal/caro_log.h"
 #include "internal/caro_rpc_message.h"
 
 #include <assert.h>
@@ -480,6 +481,24 @@
     }
 }
 
+/* Logs a timeout during which part of a record has arrived. */
+static void
+log_partial_record(const CaroRpc *rpc, const Call *call, CaroTime now)
+{
+    const Connection *conn = find_connection(rpc, call->connection_id);
+    size_t size =
+        conn == NULL
+            ? 0
+            : evbuffer_get_length(bufferevent_get_input(conn->bev));
+    if (size > 0) {
+        CaroLog_Info("rpc",
+                     "A call timed out while its reply arrived. peer=%s "
+                     "received_bytes=%zu elapsed_ms=%lld",
+                     conn->peer, size,
+                     (long long)((now - call->sent_at) / CARO_MS));
+    }
+}
+
 /* Makes later calls to the peer use another connection if this one was silent
    during the call. */
 static void
@@ -510,6 +529,7 @@
         {
             if (now >= call->deadline) {
                 uint64_t id = call->connection_id;
+                log_partial_record(rpc, call, now);
                 retire_if_silent(rpc, call);
                 finish_call(rpc, call, CARO_ERR_TIMEOUT, NULL);
                 close_if_retired(rpc, id);
--- a/Modules/store_client.c
+++ b/Modules/store_client.c
@@ -187,6 +187,14 @@
         set_timer(c, UNREAD_DELAY);
         return;
     }
+    if (evbuffer_get_length(c->body) > 0) {
+        CaroLog_Info("store",
+                     "A call timed out while its response arrived. "
+                     "received_bytes=%zu elapsed_ms=%lld",
+                     evbuffer_get_length(c->body),
+                     (long long)((CaroClock_BootTime() - c->sent_at) /
+                                 CARO_MS));
+    }
     fail_call(c, CARO_ERR_TIMEOUT);
 }
 
