A large configuration is confirmed by the revision of the store

Callers saw requests with keys refused and old routes served on VMs with slow links. Cause: readers of the store read the whole configuration each second, others each 2 to 2.6 s, to confirm that it is the newest: 1.13 MB in base64 for 849 KB, 0.9 s of a link of 10 Mbit/s, which then carried nothing else.

From 32 KB on a VM now reads the revision of the store, without a key, and the configuration counts as confirmed at that time when the log has reached the revision without a newer one. A VM that lacks a configuration, or whose store was restored a moment ago, reads the value as before. A watch that is behind such a read is replaced, also in small fleets.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -212,6 +212,9 @@
 int CaroPlatform_CallRange(CaroStoreCall *call, const char *prefix,
                            const char *after);
 
+/* Reads the revision of the whole store, and no key. */
+int CaroPlatform_CallRevision(CaroStoreCall *call);
+
 /* Lists the changes after a revision of the store's present timeline; the
    store delays its response until there is one, for at most "wait". */
 int CaroPlatform_CallWatch(CaroStoreCall *call, const char *prefix,
--- a/Include/internal/caro_registry_private.h
+++ b/Include/internal/caro_registry_private.h
@@ -73,6 +73,9 @@
     CaroTime next_config_read;
     CaroTime config_backoff;
     CaroRevision config_revision;
+    size_t config_bytes; /* Of the last one that arrived. */
+    /* The newest in the log, which may be omitted there. */
+    CaroRevision logged_config;
 
     CaroStoreReaders readers;
     CaroStoreReadersView view;
@@ -114,6 +117,9 @@
 /* Applies a configuration that was read, unless one as new is in force. */
 void CaroRegistry_ApplyConfig(CaroRegistry *r, const CaroStoreItem *item);
 
+/* Records that the log has reached a change of the configuration. */
+void CaroRegistry_RecordLoggedConfig(CaroRegistry *r, CaroRevision revision);
+
 /* Compares a timeline that the store or a reader reported with the known one;
    a later one makes the store be listed anew.  Returns false for an earlier
    one, whose message has to be dropped. */
--- a/Modules/registry.c
+++ b/Modules/registry.c
@@ -32,6 +32,9 @@
 #define CONFIG_INITIAL_DELAY (150 * CARO_MS)
 /* Interval of reads while this VM lacks a configuration that it knows of. */
 #define MISSING_CONFIG_INTERVAL (500 * CARO_MS)
+/* A configuration from this size on is not read again to confirm it: the
+   revision of the whole store, and the log, tell that it has not changed. */
+#define LARGE_CONFIG_BYTES 32768
 /* The store responds in 4 ms, or in some hundred ms when it is slow. */
 #define CALL_TIMEOUT (1 * CARO_SECOND)
 /* Time for which the store holds a watch without changes, and the margin
@@ -136,6 +139,22 @@
     }
 }
 
+/* Confirms a large configuration by the log: it was complete at some time and
+   has no later one. */
+static void
+confirm_by_log(CaroRegistry *r)
+{
+    CaroTime at = CaroStoreLog_CompleteAt(r->log);
+    if (r->config_bytes < LARGE_CONFIG_BYTES || r->logged_config == 0 ||
+        r->logged_config != r->config_revision ||
+        !CaroRevision_IsSameTimeline(r->logged_config, r->watch_revision) ||
+        at <= r->config_confirmed_at || CaroRegistry_SettleDelay(r, at) > 0) {
+        return;
+    }
+    r->config_confirmed_at = at;
+    r->handlers->on_config_confirmed(r->context, r->config_revision, at);
+}
+
 static void on_list_page(void *context, int code, int status,
                          const CaroStoreResponse *response, CaroTime sent_at);
 
@@ -176,6 +195,7 @@
             }
         }
     }
+    confirm_by_log(r);
     CaroLog_Info("registry",
                  "A list was read. upstreams=%d revision=%lld timeline=%lld",
                  n, (long long)CaroRevision_Number(r->list_revision),
@@ -294,6 +314,7 @@
         r->watch_revision = response->revision;
         CaroStoreLog_Append(r->log, response->items, response->n_items,
                             response->revision);
+        confirm_by_log(r);
     }
     r->watch_backoff = BACKOFF_MIN;
     r->next_watch = response->n_items > 0
@@ -322,8 +343,7 @@
     if (w == NULL) {
         return; /* The oldest of them times out in some seconds. */
     }
-    bool is_behind = r->readers.role != CARO_STORE_DIRECT &&
-                     CaroStoreLog_BehindSince(r->log) != 0;
+    bool is_behind = CaroStoreLog_BehindSince(r->log) != 0;
     CaroTime wait = is_behind ? BEHIND_WATCH_WAIT : WATCH_WAIT;
     if (CaroPlatform_CallWatch(&call, "", r->watch_revision, wait) < 0) {
         CaroLog_Error("registry", "Out of memory starting a watch.");
@@ -338,12 +358,13 @@
 }
 
 /* Replaces a watch that does not return the changes that a read has reported,
-   and ends the pause of a reader's watch that is behind. */
+   and ends the pause of one that is behind, unless this VM reads the store
+   only for some seconds and its log confirms nothing. */
 static void
 check_watch(CaroRegistry *r, CaroTime now)
 {
     CaroTime behind_since = CaroStoreLog_BehindSince(r->log);
-    if (behind_since == 0 || r->readers.role == CARO_STORE_DIRECT) {
+    if (behind_since == 0) {
         return;
     }
     CaroTime boot = CaroClock_BootTime();
@@ -356,7 +377,9 @@
         r->watch = NULL;
         r->next_watch = now;
     }
-    if (r->readers.role == CARO_STORE_READER && r->watch == NULL &&
+    bool is_pause_short = r->readers.role != CARO_STORE_FALLBACK ||
+                          r->config_bytes >= LARGE_CONFIG_BYTES;
+    if (is_pause_short && r->watch == NULL &&
         r->watch_backoff == BACKOFF_MIN) {
         r->next_watch = now;
     }
@@ -391,22 +414,34 @@
     }
 }
 
-static void
-on_config_read(void *context, int code, int status,
-               const CaroStoreResponse *response, CaroTime sent_at)
+/* Handles what the responses to both kinds of reads have in common.  Returns
+   whether the response can be used. */
+static bool
+handle_read(CaroRegistry *r, int code, int status,
+            const CaroStoreResponse *response, CaroTime now)
 {
-    CaroRegistry *r = context;
-    CaroTime now = CaroClock_Now();
     r->is_reading_config = false;
     if (code < 0 || (status != 200 && status != 404)) {
         record_store_failure(r, "read", code, status, now);
         r->next_config_read = back_off(r, &r->config_backoff, now);
-        return;
+        return false;
     }
     record_store_response(r, now);
     r->config_backoff = BACKOFF_MIN;
     if (!CaroRegistry_ObserveTimeline(r, response->timeline, now)) {
         r->next_config_read = now + CONFIG_INITIAL_DELAY;
+        return false;
+    }
+    return true;
+}
+
+static void
+on_config_read(void *context, int code, int status,
+               const CaroStoreResponse *response, CaroTime sent_at)
+{
+    CaroRegistry *r = context;
+    CaroTime now = CaroClock_Now();
+    if (!handle_read(r, code, status, response, now)) {
         return;
     }
     record_read(r, response, sent_at);
@@ -434,13 +469,46 @@
     check_watch(r, now);
 }
 
+static void
+on_revision_read(void *context, int code, int status,
+                 const CaroStoreResponse *response, CaroTime sent_at)
+{
+    CaroRegistry *r = context;
+    CaroTime now = CaroClock_Now();
+    if (!handle_read(r, code, status, response, now)) {
+        return;
+    }
+    r->answered_at = sent_at;
+    r->next_config_read = next_read(r, sent_at, now);
+    if (response->has_store_revision) {
+        CaroStoreLog_RecordRead(r->log, response->revision, sent_at);
+        confirm_by_log(r);
+    }
+    check_watch(r, now);
+}
+
+/* Returns whether the revision of the store is enough to tell whether the
+   configuration has changed. */
+static bool
+is_revision_enough(const CaroRegistry *r, CaroTime now)
+{
+    return r->config_bytes >= LARGE_CONFIG_BYTES && r->is_loaded &&
+           !r->needs_list && r->logged_config != 0 &&
+           r->logged_config == r->config_revision &&
+           CaroRegistry_ConfigLackingTime(r, now) == 0 &&
+           CaroRegistry_SettleDelay(r, CaroClock_BootTime()) == 0;
+}
+
 static void
 read_config(CaroRegistry *r, CaroTime now)
 {
     char key[CARO_STORE_KEY_SIZE];
     CaroStoreCall call;
+    bool is_short = is_revision_enough(r, now);
     CaroPlatform_WriteKey(key, sizeof(key), CARO_KEY_CONFIG, "");
-    if (CaroPlatform_CallGet(&call, key) < 0) {
+    int rc = is_short ? CaroPlatform_CallRevision(&call)
+                      : CaroPlatform_CallGet(&call, key);
+    if (rc < 0) {
         CaroLog_Error("registry", "Out of memory reading the configuration.");
         return;
     }
@@ -453,7 +521,8 @@
             (long long)(CaroRegistry_ConfigLackingTime(r, now) / CARO_MS));
     }
     r->is_reading_config = true;
-    CaroStoreClient_Call(r->client, &call, CALL_TIMEOUT, on_config_read, r);
+    CaroStoreClient_Call(r->client, &call, CALL_TIMEOUT,
+                         is_short ? on_revision_read : on_config_read, r);
 }
 
 static void
--- a/Modules/registry_items.c
+++ b/Modules/registry_items.c
@@ -169,6 +169,9 @@
 void
 CaroRegistry_ApplyConfig(CaroRegistry *r, const CaroStoreItem *item)
 {
+    if (item->value != NULL) {
+        r->config_bytes = item->size;
+    }
     if (item->value != NULL && item->revision > r->config_revision &&
         r->handlers->on_config(r->context, item->value, item->size,
                                item->revision) == 0) {
@@ -176,12 +179,21 @@
     }
 }
 
+void
+CaroRegistry_RecordLoggedConfig(CaroRegistry *r, CaroRevision revision)
+{
+    if (revision > r->logged_config) {
+        r->logged_config = revision;
+    }
+}
+
 static void
 apply_item(CaroRegistry *r, const CaroStoreItem *item, CaroTime now)
 {
     const char *rest;
     switch (CaroPlatform_KeyKind(item->key, &rest)) {
     case CARO_KEY_CONFIG:
+        CaroRegistry_RecordLoggedConfig(r, item->revision);
         CaroRegistry_ApplyConfig(r, item);
         break;
     case CARO_KEY_TARGET:
--- a/Modules/registry_timeline.c
+++ b/Modules/registry_timeline.c
@@ -36,6 +36,7 @@
     r->restored_at = CaroClock_BootTime();
     r->settled_at = r->restored_at + RESTORED_SETTLE_TIME;
     r->config_confirmed_at = 0;
+    r->logged_config = 0;
     r->watch = NULL;
     r->needs_list = true;
     r->watch_backoff = BACKOFF_MIN;
--- a/Test/registry_fixture.h
+++ b/Test/registry_fixture.h
@@ -53,6 +53,7 @@
     long long era;      /* In each response; 0 for none. */
     const char *config; /* The response to a read of the configuration. */
     int n_config_reads;
+    int n_revision_reads;
     /* What the handlers were called with. */
     CaroTime confirmed_at;
     int n_restorations;
@@ -172,6 +173,14 @@
             return;
         }
     }
+    if (strncmp(uri, "/kv-range", 9) == 0 && strstr(uri, "none") != NULL) {
+        f->n_revision_reads++;
+        (void)snprintf(text, sizeof(text),
+                       "{\"entries\":[],\"has_more\":false,\"at\":%lld}",
+                       f->revision);
+        respond(f, request, 200, text);
+        return;
+    }
     if (strncmp(uri, "/kv-range", 9) == 0) {
         write_target(item, sizeof(item), "i-1", FIRST_REVISION);
         (void)snprintf(text, sizeof(text),
