Configurations go between VMs as their difference, in a zstd frame

Callers saw requests handled by a configuration that had been replaced, on VMs that fetched the new one from a VM with a link of 10 Mbit/s. Cause: each fetch carried the whole text, 849 KB of it for up to 13 VMs of one reader at once, 9 s of its link, of which the VMs had two thirds already. The class: the same value sent again where only its change is new.

The newest text now goes as a zstd frame whose prefix is the text that the asking VM has, if the giver still keeps that, and else without a prefix.

--- a/Include/internal/caro_active_config.h
+++ b/Include/internal/caro_active_config.h
@@ -10,6 +10,7 @@
 #define CARO_ACTIVE_CONFIG_H
 
 #include "internal/caro_config_freshness.h"
+#include "internal/caro_config_texts.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_routes.h"
 
@@ -55,6 +56,9 @@
 /* Returns the text, borrowed likewise, and its size; NULL before the first. */
 const char *CaroActiveConfig_Text(const CaroActiveConfig *c, size_t *size);
 
+/* Returns the texts of the last configurations in force, borrowed. */
+CaroConfigTexts *CaroActiveConfig_Texts(CaroActiveConfig *c);
+
 /* Returns the revision and the time of its confirmation, borrowed. */
 CaroConfigFreshness *CaroActiveConfig_Freshness(CaroActiveConfig *c);
 const CaroConfigFreshness *
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -42,6 +42,14 @@
     void (*on_config)(void *context, const char *bytes, size_t size,
                       CaroRevision revision);
     /* --- optional --- */
+    /* Fills *out with the configuration in force for a VM that has the
+       revision "base", borrowed; returns false when there is none.  With this
+       handler and the next one, configurations are sent in compressed form. */
+    bool (*pack_config)(void *context, CaroRevision base,
+                        caro_packed_config *out);
+    /* A peer sent its configuration, likewise; borrowed.  Returns 0, or an
+       error when it cannot be unpacked. */
+    int (*on_packed_config)(void *context, const caro_packed_config *packed);
     /* Returns whether a peer's configuration with the revision is to be
        fetched; without the handler, one that is newer than that in force. */
     bool (*wants_config)(void *context, CaroRevision revision);
--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=all
 endif
 
-PACKAGES = libevent libtirpc jansson argtable2 log4c gsl libxxhash libcrypto
+PACKAGES = libevent libtirpc jansson argtable2 log4c gsl libxxhash libcrypto \
+           libzstd
 PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null)
 CFLAGS = -std=c11 -O2 -g -D_GNU_SOURCE -Wall -Wextra -Werror $(SANFLAGS) \
--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -10,8 +10,7 @@
 struct CaroActiveConfig {
     CaroCounters *counters;
     CaroRoutes *routes; /* NULL before the first configuration. */
-    char *text;         /* As the operators wrote it. */
-    size_t size;
+    CaroConfigTexts *texts;
     CaroConfigFreshness freshness;
     CaroRevision rejected_revision; /* Highest that could not be read. */
     /* Last of a later timeline with an older version, and when it was first
@@ -25,8 +24,14 @@
 CaroActiveConfig_Create(CaroCounters *counters)
 {
     CaroActiveConfig *c = calloc(1, sizeof(*c));
-    if (c != NULL) {
-        c->counters = counters;
+    if (c == NULL) {
+        return NULL;
+    }
+    c->counters = counters;
+    c->texts = CaroConfigTexts_Create();
+    if (c->texts == NULL) {
+        free(c);
+        return NULL;
     }
     return c;
 }
@@ -36,7 +41,7 @@
 {
     if (c != NULL) {
         CaroRoutes_Destroy(c->routes);
-        free(c->text);
+        CaroConfigTexts_Destroy(c->texts);
         free(c);
     }
 }
@@ -122,6 +127,7 @@
         return CARO_CONFIG_APPLIED;
     }
     c->freshness.revision = revision;
+    CaroConfigTexts_SetRevision(c->texts, revision);
     CaroLog_Info("config",
                  "The configuration in force was written again to the "
                  "restored store. version=%lld revision=%lld timeline=%lld",
@@ -136,16 +142,10 @@
              CaroRoutes *routes, CaroRevision revision, const char *source,
              CaroError *err)
 {
-    char *text = malloc(size + 1);
-    if (text == NULL) {
+    if (CaroConfigTexts_Add(c->texts, bytes, size, revision) < 0) {
         return CaroError_Set(err, CARO_ERR_NOMEM, "document", "configuration",
                              "out of memory");
     }
-    memcpy(text, bytes, size);
-    text[size] = '\0';
-    free(c->text);
-    c->text = text;
-    c->size = size;
     CaroRoutes_Destroy(c->routes);
     c->routes = routes;
     /* When the older revision was confirmed, nothing newer than it existed;
@@ -212,8 +212,13 @@
 const char *
 CaroActiveConfig_Text(const CaroActiveConfig *c, size_t *size)
 {
-    *size = c->size;
-    return c->text;
+    return CaroConfigTexts_Newest(c->texts, size);
+}
+
+CaroConfigTexts *
+CaroActiveConfig_Texts(CaroActiveConfig *c)
+{
+    return c->texts;
 }
 
 CaroConfigFreshness *
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -52,6 +52,9 @@
     bool is_fetching_config; /* A call for a peer's configuration is open. */
     CaroHandle config_vm;    /* The VM called, and when. */
     CaroTime config_called_at;
+    /* VMs that did not reply to a call for the packed form. */
+    bool sends_plain_config[CARO_VMS_MAX];
+    bool wants_whole_config; /* The last one could not be unpacked. */
 };
 
 /* A probe in progress. */
@@ -89,11 +92,10 @@
         (u_int)CaroMembership_CollectGossip(f->membership, to, updates);
 }
 
+/* Ends the call for a configuration; logs a failure. */
 static void
-on_config(void *context, int code, const void *result)
+finish_fetch(CaroFleet *f, int code)
 {
-    CaroFleet *f = context;
-    const caro_config *config = result;
     f->is_fetching_config = false;
     if (code < 0) {
         CaroCounters_Add(f->options.counters, CARO_COUNT_CONFIG_FETCH_FAILURES,
@@ -106,6 +108,16 @@
             (long long)((CaroClock_Now() - f->config_called_at) / CARO_MS),
             CaroError_Name(code));
     }
+}
+
+static void
+on_config(void *context, int code, const void *result)
+{
+    CaroFleet *f = context;
+    const caro_config *config = result;
+    /* A VM that was upgraded meanwhile is asked for the packed form again. */
+    f->sends_plain_config[f->config_vm] &= code == 0;
+    finish_fetch(f, code);
     if (code == 0 && config->text.text_len > 0) {
         f->handlers->on_config(f->context, config->text.text_val,
                                config->text.text_len,
@@ -113,20 +125,47 @@
     }
 }
 
+static void
+on_packed_config(void *context, int code, const void *result)
+{
+    CaroFleet *f = context;
+    const caro_packed_config *packed = result;
+    if (code == CARO_ERR_TIMEOUT) {
+        /* Earlier versions do not reply to the procedure. */
+        f->sends_plain_config[f->config_vm] = true;
+    }
+    if (code == 0 && packed->frame.frame_len > 0) {
+        code = f->handlers->on_packed_config(f->context, packed);
+        f->wants_whole_config = code < 0;
+    }
+    finish_fetch(f, code);
+}
+
 void
 CaroFleet_FetchConfig(CaroFleet *f, CaroHandle vm)
 {
-    caro_member_update updates[CARO_UPDATES_MAX];
-    caro_heartbeat h;
+    const char *peer = CaroMembership_Get(f->membership, vm)->peer;
     if (f->is_fetching_config) {
         return;
     }
     f->is_fetching_config = true;
     f->config_vm = vm;
     f->config_called_at = CaroClock_Now();
-    fill_heartbeat(f, vm, &h, updates);
-    CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
-                 CARO_RPC_TCP, CARO_CONFIG, &h, CONFIG_TIMEOUT, on_config, f);
+    if (f->handlers->on_packed_config == NULL || f->sends_plain_config[vm]) {
+        caro_member_update updates[CARO_UPDATES_MAX];
+        caro_heartbeat h;
+        fill_heartbeat(f, vm, &h, updates);
+        CaroRpc_Call(f->rpc, peer, CARO_RPC_TCP, CARO_CONFIG, &h,
+                     CONFIG_TIMEOUT, on_config, f);
+        return;
+    }
+    CaroConfigFreshness freshness =
+        f->handlers->get_config_freshness(f->context);
+    caro_config_args args = {
+        .sender = f->name,
+        .revision = f->wants_whole_config ? 0 : (uint64_t)freshness.revision};
+    CaroRpc_Call(f->rpc, peer, CARO_RPC_TCP, CARO_PACKED_CONFIG, &args,
+                 CONFIG_TIMEOUT, on_packed_config, f);
 }
 
 /* Returns whether the configuration of another VM is to be fetched. */
@@ -335,6 +374,21 @@
     CaroRpc_Reply(request, &reply);
 }
 
+static void
+reply_packed_config(CaroFleet *f, CaroRpcRequest *request,
+                    const caro_config_args *args)
+{
+    caro_packed_config reply;
+    memset(&reply, 0, sizeof(reply));
+    if (f->handlers->pack_config == NULL) {
+        CaroRpc_Ignore(request);
+        return;
+    }
+    (void)f->handlers->pack_config(f->context, (CaroRevision)args->revision,
+                                   &reply);
+    CaroRpc_Reply(request, &reply);
+}
+
 static void
 reply_store_changes(CaroFleet *f, CaroRpcRequest *request,
                     const caro_store_changes_args *args)
@@ -383,6 +437,9 @@
     case CARO_CONFIG:
         reply_config(f, request);
         break;
+    case CARO_PACKED_CONFIG:
+        reply_packed_config(f, request, args);
+        break;
     case CARO_STORE_CHANGES:
         reply_store_changes(f, request, args);
         break;
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -499,6 +499,30 @@
     }
 }
 
+static bool
+pack_config(void *context, CaroRevision base, caro_packed_config *out)
+{
+    CaroGateway *g = context;
+    return CaroConfigTexts_Pack(CaroActiveConfig_Texts(g->config), base,
+                                out) == 0;
+}
+
+static int
+on_packed_config(void *context, const caro_packed_config *packed)
+{
+    CaroGateway *g = context;
+    char *text;
+    size_t size;
+    int rc = CaroConfigTexts_Unpack(CaroActiveConfig_Texts(g->config), packed,
+                                    &text, &size);
+    if (rc < 0) {
+        return rc;
+    }
+    on_peer_config(g, text, size, (CaroRevision)packed->revision);
+    free(text);
+    return 0;
+}
+
 /* Sends the call to a reader of the store that is due. */
 static void
 ask_reader(CaroGateway *g)
@@ -624,6 +648,8 @@
     .wants_config = wants_config,
     .get_config = get_config,
     .on_config = on_peer_config,
+    .pack_config = pack_config,
+    .on_packed_config = on_packed_config,
     .collect_store_changes = collect_store_changes,
     .on_store_changes = on_store_changes,
 };
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -37,6 +37,7 @@
     [CARO_ROOM_REPORT] = PROCEDURE(caro_room_report, caro_room_report),
     [CARO_PROMPT_RETENTION] =
         PROCEDURE(caro_retention_report, caro_retention_report),
+    [CARO_PACKED_CONFIG] = PROCEDURE(caro_config_args, caro_packed_config),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -206,6 +206,24 @@
 	} text;
 };
 typedef struct caro_config caro_config;
+#define CARO_CONFIG_FRAME_MAX 1056768
+
+struct caro_config_args {
+	char *sender;
+	u_quad_t revision;
+};
+typedef struct caro_config_args caro_config_args;
+
+struct caro_packed_config {
+	u_quad_t revision;
+	u_quad_t base;
+	u_int size;
+	struct {
+		u_int frame_len;
+		char *frame_val;
+	} frame;
+};
+typedef struct caro_packed_config caro_packed_config;
 #define CARO_WHY_MAX 8
 
 struct caro_why_args {
@@ -544,6 +562,9 @@
 #define CARO_PROMPT_RETENTION 20
 extern  caro_retention_report * caro_prompt_retention_1(caro_retention_report *, CLIENT *);
 extern  caro_retention_report * caro_prompt_retention_1_svc(caro_retention_report *, struct svc_req *);
+#define CARO_PACKED_CONFIG 21
+extern  caro_packed_config * caro_packed_config_1(caro_config_args *, CLIENT *);
+extern  caro_packed_config * caro_packed_config_1_svc(caro_config_args *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -607,6 +628,9 @@
 #define CARO_PROMPT_RETENTION 20
 extern  caro_retention_report * caro_prompt_retention_1();
 extern  caro_retention_report * caro_prompt_retention_1_svc();
+#define CARO_PACKED_CONFIG 21
+extern  caro_packed_config * caro_packed_config_1();
+extern  caro_packed_config * caro_packed_config_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -631,6 +655,8 @@
 extern  bool_t xdr_caro_order_forward (XDR *, caro_order_forward*);
 extern  bool_t xdr_caro_order_decide (XDR *, caro_order_decide*);
 extern  bool_t xdr_caro_config (XDR *, caro_config*);
+extern  bool_t xdr_caro_config_args (XDR *, caro_config_args*);
+extern  bool_t xdr_caro_packed_config (XDR *, caro_packed_config*);
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
 extern  bool_t xdr_caro_decision (XDR *, caro_decision*);
 extern  bool_t xdr_caro_why_reply (XDR *, caro_why_reply*);
@@ -677,6 +703,8 @@
 extern bool_t xdr_caro_order_forward ();
 extern bool_t xdr_caro_order_decide ();
 extern bool_t xdr_caro_config ();
+extern bool_t xdr_caro_config_args ();
+extern bool_t xdr_caro_packed_config ();
 extern bool_t xdr_caro_why_args ();
 extern bool_t xdr_caro_decision ();
 extern bool_t xdr_caro_why_reply ();
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -151,6 +151,25 @@
     opaque text<CARO_CONFIG_MAX>;
 };
 
+/* A frame of an incompressible configuration is little longer than it. */
+const CARO_CONFIG_FRAME_MAX = 1056768;
+
+/* Asks for the receiver's configuration.  Older versions ignore the
+   procedure. */
+struct caro_config_args {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper revision; /* That which the sender has; 0 for none. */
+};
+
+/* A configuration as a zstd frame. */
+struct caro_packed_config {
+    unsigned hyper revision;
+    unsigned hyper base; /* Revision of the text that is the frame's prefix; 0
+                            for none. */
+    unsigned int size; /* Bytes of the text. */
+    opaque frame<CARO_CONFIG_FRAME_MAX>; /* Empty if the VM has none. */
+};
+
 const CARO_WHY_MAX = 8;
 
 struct caro_why_args {
@@ -417,5 +436,6 @@
         caro_room_report CARO_ROOM_REPORT(caro_room_report) = 19;
         caro_retention_report
             CARO_PROMPT_RETENTION(caro_retention_report) = 20;
+        caro_packed_config CARO_PACKED_CONFIG(caro_config_args) = 21;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -341,6 +341,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_config_args (XDR *xdrs, caro_config_args *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_packed_config (XDR *xdrs, caro_packed_config *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->size))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->frame.frame_val, (u_int *) &objp->frame.frame_len, CARO_CONFIG_FRAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_why_args (XDR *xdrs, caro_why_args *objp)
 {
