A configuration that was left out of a reply stays in the log

The change is kept without its value, and a configuration that came from a VM counts as the one of the log once the log has its revision.

--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -239,6 +239,7 @@
     char *value; /* Terminated; NULL when the key was deleted. */
     size_t size; /* Bytes of the value. */
     CaroRevision revision;
+    bool is_omitted; /* A reader did not pass on the value. */
 } CaroStoreItem;
 
 /* A response of the store.  Members that the call does not return are 0. */
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -112,6 +112,11 @@
    again. */
 void CaroRegistry_RecordPeerConfig(CaroRegistry *r, CaroRevision revision);
 
+/* A configuration of "size" bytes is in force that did not come from the
+   store. */
+void CaroRegistry_RecordConfigInForce(CaroRegistry *r, CaroRevision revision,
+                                      size_t size);
+
 /* Returns for how long this VM has known of a configuration that it lacks; 0
    while it lacks none.  "now" is by CaroClock_Now. */
 CaroTime CaroRegistry_ConfigLackingTime(const CaroRegistry *r, CaroTime now);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -494,9 +494,13 @@
                CaroRevision revision)
 {
     CaroGateway *g = context;
-    if (apply_config(g, bytes, size, revision, "peer") >= 0) {
+    int rc = apply_config(g, bytes, size, revision, "peer");
+    if (rc >= 0) {
         CaroRegistry_RecordPeerConfig(g->registry, revision);
     }
+    if (rc == CARO_CONFIG_APPLIED) {
+        CaroRegistry_RecordConfigInForce(g->registry, revision, size);
+    }
 }
 
 static bool
--- a/Modules/registry_changes.c
+++ b/Modules/registry_changes.c
@@ -141,6 +141,17 @@
     }
 }
 
+void
+CaroRegistry_RecordConfigInForce(CaroRegistry *r, CaroRevision revision,
+                                 size_t size)
+{
+    if (revision > r->config_revision) {
+        /* config_confirmed_at holds: nothing newer existed then. */
+        r->config_revision = revision;
+        r->config_bytes = size;
+    }
+}
+
 static CaroTime
 age_of(CaroTime at, CaroTime now)
 {
@@ -237,14 +248,15 @@
     int n = 0;
     for (u_int i = 0; i < reply->changes.changes_len; i++) {
         const caro_store_change *c = &reply->changes.changes_val[i];
-        if ((int64_t)c->revision <= r->watch_revision || c->is_omitted) {
+        if ((int64_t)c->revision <= r->watch_revision) {
             continue;
         }
         CaroStoreItem *item = &items[n++];
         *item = (CaroStoreItem){.key = c->key,
                                 .size = c->value.value_len,
-                                .revision = (int64_t)c->revision};
-        if (c->is_deleted) {
+                                .revision = (int64_t)c->revision,
+                                .is_omitted = c->is_omitted};
+        if (c->is_deleted || c->is_omitted) {
             continue;
         }
         item->value = calloc(1, item->size + 1);
@@ -258,19 +270,17 @@
     return n;
 }
 
-/* Handles the changes without their values.  Returns whether there is one. */
-static bool
+/* Handles the changes without their values. */
+static void
 handle_omitted(CaroRegistry *r, const caro_store_changes *reply,
                bool *needs_list, CaroTime now)
 {
-    bool has_omitted = false;
     const char *rest;
     for (u_int i = 0; i < reply->changes.changes_len; i++) {
         const caro_store_change *c = &reply->changes.changes_val[i];
         if (!c->is_omitted || (int64_t)c->revision <= r->watch_revision) {
             continue;
         }
-        has_omitted = true;
         if (CaroPlatform_KeyKind(c->key, &rest) == CARO_KEY_CONFIG) {
             want_config(r, (int64_t)c->revision, now);
         }
@@ -278,7 +288,6 @@
             *needs_list = true;
         }
     }
-    return has_omitted;
 }
 
 /* Applies the changes that this VM does not know.  Returns whether it has all
@@ -289,7 +298,7 @@
     CaroStoreItem items[CARO_CHANGES_MAX] = {0};
     bool needs_list = false;
     CaroRevision revision = (CaroRevision)reply->revision;
-    bool has_omitted = handle_omitted(r, reply, &needs_list, now);
+    handle_omitted(r, reply, &needs_list, now);
     if (needs_list && r->readers.role != CARO_STORE_FOLLOWER) {
         return false; /* Its own watch returns the values. */
     }
@@ -302,13 +311,7 @@
         CaroRegistry_ApplyItems(r, &response, now);
         r->logged_revision = r->malformed_revision;
         r->watch_revision = revision;
-        if (has_omitted) {
-            /* This VM could not pass them on. */
-            CaroStoreLog_Reset(r->log, revision);
-        }
-        else {
-            CaroStoreLog_Append(r->log, items, response.n_items, revision);
-        }
+        CaroStoreLog_Append(r->log, items, response.n_items, revision);
     }
     for (int i = 0; i < CARO_CHANGES_MAX; i++) {
         free(items[i].value);
--- a/Modules/registry_items.c
+++ b/Modules/registry_items.c
@@ -191,9 +191,15 @@
 apply_item(CaroRegistry *r, const CaroStoreItem *item, CaroTime now)
 {
     const char *rest;
-    switch (CaroPlatform_KeyKind(item->key, &rest)) {
-    case CARO_KEY_CONFIG:
+    CaroKeyKind kind = CaroPlatform_KeyKind(item->key, &rest);
+    if (kind == CARO_KEY_CONFIG) {
         CaroRegistry_RecordLoggedConfig(r, item->revision);
+    }
+    if (item->is_omitted) {
+        return;
+    }
+    switch (kind) {
+    case CARO_KEY_CONFIG:
         CaroRegistry_ApplyConfig(r, item);
         break;
     case CARO_KEY_TARGET:
--- a/Objects/store_log.c
+++ b/Objects/store_log.c
@@ -129,10 +129,11 @@
 static bool
 append_change(CaroStoreLog *l, const CaroStoreItem *item)
 {
-    Change c = {.revision = item->revision, .is_deleted = item->value == NULL};
+    Change c = {.revision = item->revision,
+                .is_deleted = item->value == NULL && !item->is_omitted};
     c.key = strdup(item->key);
     bool is_omitted =
-        c.is_deleted ||
+        c.is_deleted || item->is_omitted ||
         encoded_size(strlen(item->key), item->size) > REPLY_BYTES_MAX;
     if (!is_omitted) {
         c.size = item->size;
--- a/Test/test_large_configuration.c
+++ b/Test/test_large_configuration.c
@@ -80,6 +80,63 @@
     assert_true(f->confirmed_at > written_at);
 }
 
+/* Applies a reader's reply with a configuration that it leaves out. */
+static void
+apply_omitted_config(Fixture *f, CaroRevision revision)
+{
+    caro_store_change change = {.key = "op/config",
+                                .revision = (uint64_t)revision,
+                                .is_omitted = true};
+    caro_store_changes reply = {.revision = (uint64_t)revision,
+                                .reaches_back = true};
+    CaroHandle reader = CARO_NO_HANDLE;
+    reply.changes.changes_val = &change;
+    reply.changes.changes_len = 1;
+    for (int i = 0; i < 30 && reader == CARO_NO_HANDLE; i++) {
+        run_for(f, 20 * MS);
+        reader = CaroRegistry_NextReader(f->registry);
+    }
+    assert_int_equal(
+        CaroRegistry_ApplyChanges(f->registry, reader,
+                                  CaroRegistry_Revision(f->registry),
+                                  CaroClock_BootTime(), &reply),
+        1);
+}
+
+/* Guards against a list of the store at all VMs of a domain whose reader has
+   just become one. */
+static void
+test_new_reader_passes_on_that_a_configuration_was_left_out(void **state)
+{
+    Fixture *f = *state;
+    CaroStoreReadersView view = {
+        .is_ready = true, .n_vms = 100, .readers = {3, 5}};
+    caro_store_change changes[CARO_CHANGES_MAX];
+    caro_store_changes reply;
+    CaroRegistry_RecordPeerConfig(f->registry, 1);
+    CaroRegistry_SetView(f->registry, &view);
+    run_for(f, 50 * MS);
+    apply_omitted_config(f, 12);
+    assert_int_equal(CaroRegistry_Role(f->registry), CARO_STORE_FOLLOWER);
+    view.is_reader = true;
+    CaroRegistry_SetView(f->registry, &view);
+    run_for(f, 50 * MS);
+    assert_true(CaroRegistry_CollectChanges(f->registry, FIRST_REVISION,
+                                            changes, &reply));
+    assert_true(reply.reaches_back);
+    assert_int_equal(reply.changes.changes_len, 1);
+    assert_true(changes[0].is_omitted);
+    assert_false(changes[0].is_deleted);
+    /* It fetched the value from another VM, and does not read it. */
+    int n = f->n_config_reads;
+    CaroRegistry_RecordPeerConfig(f->registry, 12);
+    CaroRegistry_RecordConfigInForce(f->registry, 12, CONFIG_BYTES);
+    run_for(f, 2500 * MS);
+    assert_true(f->n_config_reads <= n + 1);
+    assert_true(f->n_revision_reads >= 1);
+    assert_true(confirmation_age(f) < 2000 * MS);
+}
+
 int
 main(void)
 {
@@ -90,6 +147,9 @@
         cmocka_unit_test_setup_teardown(
             test_large_configuration_is_not_confirmed_before_its_successor_is_known,
             set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_new_reader_passes_on_that_a_configuration_was_left_out,
+            set_up, tear_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
