A VM that knows of a newer configuration and lacks it serves nothing

It went on serving by the old one while the new one did not arrive; only keys and missing routes were refused, and those after 4.5 s.

A VM records when it first lacks a configuration that another VM or a reader of the store has, and after a third of the bound on its delay (bounds.config_delay_ms, config_apply_ms of the platform) answers 503, which says that the request has not run, and is not ready, until it has it. An announcement that no VM repeats for 10 s is forgotten.

test_vm_that_lacks_a_known_configuration_serves_nothing and test_time_without_an_announced_configuration_runs_from_the_first are new; the state did not exist before, so they did not build there.

--- a/Controllers/request_check.c
+++ b/Controllers/request_check.c
@@ -46,6 +46,10 @@
         return refuse(503, UNUSABLE_CONFIG_RETRY_DELAY_S,
                       "a newer configuration cannot be read");
     }
+    if (q->lacks_config) {
+        return refuse(503, OTHER_VM_RETRY_DELAY_S,
+                      "a newer configuration has not arrived");
+    }
     if (q->host.size == 0 || q->path.size == 0 || q->path.at[0] != '/') {
         return refuse(400, 0.0, "the request has no host or no path");
     }
--- a/Include/caro_gateway_settings.h
+++ b/Include/caro_gateway_settings.h
@@ -37,9 +37,11 @@
     int64_t memory_mb;   /* Memory of the VM, MiB. */
     int64_t descriptors; /* File descriptors that the process may open. */
 
-    double config_age_max_ms; /* Longest time since the configuration was
-                                 last confirmed as the newest.  A revoked
-                                 API key is accepted no longer than this. */
+    double config_age_max_ms;   /* Longest time since the configuration was
+                                   last confirmed as the newest.  A revoked
+                                   API key is accepted no longer than this. */
+    double config_delay_max_ms; /* Longest time from the writing of a
+                                   configuration until all VMs serve by it. */
     double stop_grace_s;   /* Time from the signal to stop until the kill. */
     double address_ttl_s;  /* Time for which callers may keep an address. */
     double retry_ratio;    /* Retries allowed per request. */
--- a/Include/internal/caro_active_config.h
+++ b/Include/internal/caro_active_config.h
@@ -49,6 +49,19 @@
    force, was not examined yet. */
 bool CaroActiveConfig_Wants(const CaroActiveConfig *c, CaroRevision revision);
 
+/* Another VM has the configuration with the revision in force. */
+void CaroActiveConfig_RecordAnnounced(CaroActiveConfig *c,
+                                      CaroRevision revision, CaroTime now);
+
+/*
+ * Returns for how long this VM has known of a newer configuration than that in
+ * force, from the first one that it lacked; 0 while it lacks none, or no VM
+ * has announced it for CARO_CONFIG_ANNOUNCEMENT_TTL.
+ */
+CaroTime CaroActiveConfig_LackingTime(const CaroActiveConfig *c, CaroTime now);
+
+#define CARO_CONFIG_ANNOUNCEMENT_TTL (10 * CARO_SECOND)
+
 /* Returns the routes, borrowed until the next Apply; NULL before the first
    configuration. */
 const CaroRoutes *CaroActiveConfig_Routes(const CaroActiveConfig *c);
--- a/Include/internal/caro_request_check.h
+++ b/Include/internal/caro_request_check.h
@@ -18,6 +18,8 @@
 typedef struct {
     const CaroRoutes *routes; /* NULL before the first configuration. */
     bool has_target_list;     /* The registry's targets have been read. */
+    bool lacks_config;        /* A newer one is known and has not arrived in
+                                 time. */
     bool is_config_fresh;     /* Confirmed recently to be the newest. */
     bool has_unusable_config; /* There is a newer one that this VM could not
                                  read.  What it allows is not known. */
--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -18,6 +18,11 @@
     CaroRevision superseded_revision;
     CaroTime superseded_at;
     CaroRevision earlier_revision;
+    /* The newest that another VM has, when it was last announced, and since
+       when this VM has lacked one without a pause. */
+    CaroRevision announced_revision;
+    CaroTime announced_at;
+    CaroTime lacking_since;
 };
 
 CaroActiveConfig *
@@ -203,6 +208,33 @@
            revision > c->superseded_revision;
 }
 
+void
+CaroActiveConfig_RecordAnnounced(CaroActiveConfig *c, CaroRevision revision,
+                                 CaroTime now)
+{
+    if (!CaroActiveConfig_Wants(c, revision)) {
+        return;
+    }
+    if (CaroActiveConfig_LackingTime(c, now) == 0) {
+        c->announced_revision = revision;
+        c->lacking_since = now;
+    }
+    if (revision >= c->announced_revision) {
+        c->announced_revision = revision;
+        c->announced_at = now;
+    }
+}
+
+CaroTime
+CaroActiveConfig_LackingTime(const CaroActiveConfig *c, CaroTime now)
+{
+    return c->announced_revision != 0 &&
+                   CaroActiveConfig_Wants(c, c->announced_revision) &&
+                   now - c->announced_at < CARO_CONFIG_ANNOUNCEMENT_TTL
+               ? now - c->lacking_since
+               : 0;
+}
+
 const CaroRoutes *
 CaroActiveConfig_Routes(const CaroActiveConfig *c)
 {
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -71,6 +71,11 @@
 /* The route's timeout is shorter: a day. */
 #define CALLER_TIMEOUT_MAX_MS ((int64_t)86400000)
 
+/* Part of the bound on the delay of a configuration for which a VM goes on
+   serving by an older one after it has learnt of it.  The rest is for the way
+   of the announcement. */
+#define LACKING_FRACTION (1.0 / 3)
+
 /* Calls that wait for the first reads of the store after the start; calls
    beyond that are refused. */
 enum { PENDING_CALLS_MAX = 64 };
@@ -103,6 +108,7 @@
 
     CaroActiveConfig *config;
     bool was_config_fresh;
+    bool lacked_config;
 
     uint64_t boot_id;
     CaroTime next_readers;
@@ -133,13 +139,23 @@
                                    CaroClock_BootTime());
 }
 
+/* Returns whether a newer configuration than that in force has been known for
+   so long that requests could be served by the older one too late. */
+static bool
+lacks_config(const CaroGateway *g, CaroTime now)
+{
+    double limit_ms = LACKING_FRACTION * g->settings.config_delay_max_ms;
+    return CaroActiveConfig_LackingTime(g->config, now) >
+           (CaroTime)(limit_ms * (double)CARO_MS);
+}
+
 static bool
 is_ready(void *context)
 {
     const CaroGateway *g = context;
     return CaroActiveConfig_Routes(g->config) != NULL &&
            CaroRegistry_IsLoaded(g->registry) && g->stop_requested_at == 0 &&
-           is_config_fresh(g) &&
+           is_config_fresh(g) && !lacks_config(g, CaroClock_Now()) &&
            CaroActiveConfig_RejectedRevision(g->config) == 0;
 }
 
@@ -164,6 +180,7 @@
     return (CaroRequestCheckQuery){
         .routes = CaroActiveConfig_Routes(g->config),
         .has_target_list = CaroRegistry_IsLoaded(g->registry),
+        .lacks_config = lacks_config(g, now),
         .is_config_fresh = is_config_fresh(g),
         .has_unusable_config =
             CaroActiveConfig_RejectedRevision(g->config) != 0,
@@ -475,7 +492,8 @@
 static bool
 wants_config(void *context, CaroRevision revision)
 {
-    const CaroGateway *g = context;
+    CaroGateway *g = context;
+    CaroActiveConfig_RecordAnnounced(g->config, revision, CaroClock_Now());
     return CaroActiveConfig_Wants(g->config, revision);
 }
 
@@ -549,6 +567,8 @@
         return;
     }
     /* After the changes, as a confirmation holds for its revision only. */
+    CaroActiveConfig_RecordAnnounced(
+        g->config, (CaroRevision)reply->config_revision, CaroClock_Now());
     on_peer_freshness(g, (CaroRevision)reply->config_revision,
                       reply->config_age, sent_at);
     if (rc > 0) {
@@ -684,10 +704,11 @@
     int64_t timeline = CaroRegistry_Timeline(g->registry);
     g->counters.values[CARO_COUNT_STORE_TIMELINE] =
         timeline < 0 ? 0 : (uint64_t)timeline;
+    CaroTime now = CaroClock_Now();
+    CaroTime lacking = CaroActiveConfig_LackingTime(g->config, now);
+    CaroTime unread = CaroRegistry_ConfigLackingTime(g->registry, now);
     g->counters.values[CARO_COUNT_CONFIG_LACKING_MS] =
-        (uint64_t)(CaroRegistry_ConfigLackingTime(g->registry,
-                                                  CaroClock_Now()) /
-                   CARO_MS);
+        (uint64_t)((lacking > unread ? lacking : unread) / CARO_MS);
     return &g->counters;
 }
 
@@ -856,6 +877,18 @@
                 CaroActiveConfig_FreshnessConst(g->config)->revision),
             (long long)(config_age(g) / CARO_MS));
     }
+    bool is_lacking = lacks_config(g, now);
+    if (is_lacking != g->lacked_config) {
+        g->lacked_config = is_lacking;
+        CaroLog_Warn("config", "%s revision=%lld lacking_ms=%lld",
+                     is_lacking ? "A newer configuration has not arrived; "
+                                  "requests are refused."
+                                : "The missing configuration has arrived.",
+                     (long long)CaroRevision_Number(
+                         CaroActiveConfig_FreshnessConst(g->config)->revision),
+                     (long long)(CaroActiveConfig_LackingTime(g->config, now) /
+                                 CARO_MS));
+    }
     if (g->stop_requested_at != 0) {
         tick_stop(g, now);
     }
@@ -1077,6 +1110,7 @@
     g->settings.n_seeds = settings->n_seeds;
     memcpy(g->settings.seeds, settings->seeds, sizeof(settings->seeds));
     g->settings.config_age_max_ms = settings->config_age_max_ms;
+    g->settings.config_delay_max_ms = settings->config_delay_max_ms;
     CaroTargets_SetAdaptive(g->targets, settings->is_adaptive);
     g->settings.stop_grace_s = settings->stop_grace_s;
     add_seeds(g);
--- a/Parser/gateway_settings.c
+++ b/Parser/gateway_settings.c
@@ -55,6 +55,7 @@
 
 static const CaroField bound_fields[] = {
     REAL("proof_ms", config_age_max_ms, 100, 600000, 5000),
+    REAL("config_delay_ms", config_delay_max_ms, 100, 600000, 3000),
     REAL("grace_s", stop_grace_s, 1, 3600, 8),
     REAL("address_ttl_s", address_ttl_s, 0, 3600, 2),
     REAL("retry_ratio", retry_ratio, 0, 10, 0),
--- a/Test/test_active_config.c
+++ b/Test/test_active_config.c
@@ -183,6 +183,35 @@
     CaroActiveConfig_Destroy(c);
 }
 
+/* Guards against a VM that serves for seconds by a configuration although it
+   knows that there is a newer one. */
+static void
+test_time_without_an_announced_configuration_runs_from_the_first(void **state)
+{
+    (void)state;
+    CaroTime at = CARO_SECOND;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = CaroActiveConfig_Create(&counters);
+    assert_int_equal(apply(c, VERSION("8"), 20), CARO_CONFIG_APPLIED);
+    CaroActiveConfig_RecordAnnounced(c, 20, at);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 1), 0);
+    CaroActiveConfig_RecordAnnounced(c, 25, at);
+    CaroActiveConfig_RecordAnnounced(c, 27, at + CARO_SECOND);
+    CaroActiveConfig_RecordAnnounced(c, 25, at + 2 * CARO_SECOND);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 2 * CARO_SECOND),
+                     2 * CARO_SECOND);
+    assert_int_equal(apply(c, VERSION("9"), 25), CARO_CONFIG_APPLIED);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 3 * CARO_SECOND),
+                     3 * CARO_SECOND);
+    assert_int_equal(apply(c, VERSION("11"), 27), CARO_CONFIG_APPLIED);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 3 * CARO_SECOND), 0);
+    /* One that no VM has any more is not waited for without end. */
+    CaroActiveConfig_RecordAnnounced(c, 30, at);
+    assert_int_equal(
+        CaroActiveConfig_LackingTime(c, at + CARO_CONFIG_ANNOUNCEMENT_TTL), 0);
+    CaroActiveConfig_Destroy(c);
+}
+
 int
 main(void)
 {
@@ -194,6 +223,8 @@
         cmocka_unit_test(test_copy_that_stays_is_put_in_force),
         cmocka_unit_test(
             test_vm_that_started_beside_the_copy_learns_the_version_of_others),
+        cmocka_unit_test(
+            test_time_without_an_announced_configuration_runs_from_the_first),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/Test/test_gateway_rules.c
+++ b/Test/test_gateway_rules.c
@@ -603,10 +603,31 @@
     assert_true(CaroRolloutSchedule_Share(&s, 0.1, 50.0) == 0.0);
 }
 
+/* Guards against a 404 or 401 by a configuration that is known to be old. */
+static void
+test_vm_that_lacks_a_known_configuration_serves_nothing(void **state)
+{
+    (void)state;
+    CaroRoutes *r = CaroRoutes_Create(1);
+    CaroRequestCheckQuery q = {.routes = r,
+                               .has_target_list = true,
+                               .is_config_fresh = true,
+                               .host = text_of("a.example"),
+                               .path = text_of("/x")};
+    assert_int_equal(CaroRequestCheck_Run(&q).status, 404);
+    q.lacks_config = true;
+    CaroRequestCheckResult result = CaroRequestCheck_Run(&q);
+    assert_int_equal(result.status, 503);
+    assert_true(result.retry_after_s > 0);
+    CaroRoutes_Destroy(r);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(
+            test_vm_that_lacks_a_known_configuration_serves_nothing),
         cmocka_unit_test(test_order_runs_at_most_once),
         cmocka_unit_test(
             test_idempotent_request_is_retried_within_its_attempts),
