A connection that failed does not spend the retry budget

Cause: each further attempt counted as a retry and needed budget, also when no connection of the request had succeeded. The budget limits what arrives at upstreams more than once; such a request has arrived nowhere.

An attempt now needs budget, and counts, once one before it may have reached an upstream. Test/test_relay_links: the first test failed before (503 with eight of nine upstreams refusing connections and no budget), the second, of an attempt that did arrive, passes before and after.

--- a/Include/internal/caro_attempt.h
+++ b/Include/internal/caro_attempt.h
@@ -51,6 +51,7 @@
     CaroRouteKind kind;
     bool is_resumable;
     bool has_response_begun; /* The caller has a part of the response. */
+    bool may_have_arrived;   /* A byte of it may have reached an upstream. */
     bool may_have_run;       /* Some upstream may have run the request. */
     int64_t runs;            /* Attempts in which it may have run. */
     int64_t attempts_max;    /* Limit of "runs". */
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -178,11 +178,16 @@
             CaroEventForwarder_LastId(r->forwarder) >= 0);
 }
 
+/* The budget limits what arrives at upstreams more than once. */
 static bool
 has_retry_budget(const CaroRelay *r, CaroTime now)
 {
     CaroRetryBudget *budget = r->relays->deps.budget;
     int vms = r->relays->vms;
+    bool is_sent = r->channel != NULL && CaroChannel_IsSent(r->channel);
+    if (!r->attempt.may_have_arrived && !is_sent) {
+        return true;
+    }
     return CaroRelay_IsStream(r) && !is_stream_begun(r)
                ? CaroRetryBudget_AllowsUnbegun(budget, r->service, vms, now)
                : CaroRetryBudget_AllowsRetry(budget, r->service, vms, now);
@@ -821,10 +826,20 @@
         kv_copy, r->is_cut_unread, parts, CaroRetryLimit_Name(limit), reason);
 }
 
+/* Returns whether the attempt may have reached its upstream. */
+static bool
+may_have_arrived(const CaroRelay *r, CaroOutcome outcome)
+{
+    bool is_unsent = r->channel != NULL && !CaroChannel_IsSent(r->channel);
+    return r->target != CARO_NO_HANDLE && !is_unsent &&
+           outcome != CARO_OUTCOME_UNSENT && outcome != CARO_OUTCOME_NO_TARGET;
+}
+
 static void
 end_attempt(CaroRelay *r, CaroOutcome outcome, const char *reason,
             CaroTime now)
 {
+    r->attempt.may_have_arrived |= may_have_arrived(r, outcome);
     bool has_budget = has_retry_budget(r, now);
     if (r->target != CARO_NO_HANDLE) {
         record_failure(r, outcome, now);
@@ -1115,7 +1130,7 @@
     r->attempt_started_at = now;
     r->last_event_at = now;
     r->put_offs = 0;
-    if (r->attempt.tries++ > 0) {
+    if (r->attempt.tries++ > 0 && r->attempt.may_have_arrived) {
         CaroRetryBudget_RecordRetry(relays->deps.budget, r->service, now);
     }
     r->channel =
