Channels of a VM that is cut off from the upstreams go through another VM

Cause: a VM had one way to an upstream, and nothing told an upstream that is down from a link that is.

A gate takes tunnels from members only, to registered upstreams only, and tells a response that ended with its connection from one that broke off. Without any gate requests are refused at once and the VM is not ready. States, tunnels and refusals are in the logs, /metrics and /state.

--- a/Controllers/attempt.c
+++ b/Controllers/attempt.c
@@ -14,6 +14,8 @@
     switch (outcome) {
     case CARO_OUTCOME_UNSENT:
         return "unsent";
+    case CARO_OUTCOME_NO_PATH:
+        return "no-path";
     case CARO_OUTCOME_GONE:
         return "gone";
     case CARO_OUTCOME_NOT_RUN:
@@ -147,6 +149,7 @@
         }
         break;
     case CARO_OUTCOME_UNSENT:
+    case CARO_OUTCOME_NO_PATH:
     case CARO_OUTCOME_GONE:
     case CARO_OUTCOME_NOT_RUN:
         if (limit != CARO_RETRY_ALLOWED && can_wait(a, limit)) {
--- a/Include/caro_gateway_settings.h
+++ b/Include/caro_gateway_settings.h
@@ -34,6 +34,9 @@
     char store_address[CARO_ADDRESS_SIZE]; /* The platform's store. */
     bool is_adaptive;    /* The platform's terms say that servers are short of
                             room or uneven (CaroPlatform_IsAdaptiveTerm). */
+    int64_t tunnel_port; /* Of connections to upstreams for other VMs; 0 for
+                            none.  Its distance from peer_port is the same at
+                            all VMs. */
     int64_t memory_mb;   /* Memory of the VM, MiB. */
     int64_t descriptors; /* File descriptors that the process may open. */
 
--- a/Include/internal/caro_attempt.h
+++ b/Include/internal/caro_attempt.h
@@ -14,6 +14,7 @@
 /* How an attempt ended. */
 typedef enum {
     CARO_OUTCOME_UNSENT,    /* No byte can have reached the upstream. */
+    CARO_OUTCOME_NO_PATH,   /* Likewise, for lack of a VM that connects. */
     CARO_OUTCOME_GONE,      /* The upstream no longer exists. */
     CARO_OUTCOME_NOT_RUN,   /* The upstream states that it did not run. */
     CARO_OUTCOME_NO_TARGET, /* No upstream is available. */
--- a/Include/internal/caro_channel.h
+++ b/Include/internal/caro_channel.h
@@ -9,6 +9,7 @@
 #ifndef CARO_CHANNEL_H
 #define CARO_CHANNEL_H
 
+#include "internal/caro_common.h"
 #include "internal/caro_http_reader.h"
 
 #include <event2/event.h>
@@ -26,8 +27,8 @@
     void (*on_body)(void *context, CaroText bytes);
     void (*on_end)(void *context);
     /* "code" is CARO_ERR_NOT_FOUND (connection refused), _TIMEOUT (not
-       connected in time), _INPUT (malformed response) or _IO (connection
-       broke); "reason" is a static text. */
+       connected in time), _STATE (a gate did not connect), _INPUT (malformed
+       response) or _IO (connection broke); "reason" is a static text. */
     void (*on_failure)(void *context, int code, const char *reason);
 } CaroChannelEvents;
 
@@ -38,6 +39,37 @@
 CaroChannel *CaroChannel_Open(struct event_base *base, const char *address,
                               CaroTime connect_timeout);
 
+typedef enum {
+    CARO_CONNECT_DONE,
+    CARO_CONNECT_TIMED_OUT,
+    CARO_CONNECT_REFUSED,
+    CARO_CONNECT_GATE_UNABLE, /* The gate takes no tunnel for this VM. */
+    CARO_CONNECT_GATE_LOST    /* It does not answer as a gate does. */
+} CaroConnectOutcome;
+
+/* How a channel reaches its upstream.  "on_outcome" is called once, unless the
+   channel is destroyed before; it must not destroy the channel.  It returns
+   whether a failed connection of a gate tells of the upstream. */
+typedef struct {
+    const char *gate;  /* "ip:port" of a VM that opens the connection; NULL for
+                          a direct one. */
+    const void *hello; /* First bytes on the connection to the gate. */
+    size_t hello_size;
+    bool (*on_outcome)(void *context, CaroHandle upstream, CaroHandle vm,
+                       CaroConnectOutcome outcome);
+    void *context;
+    CaroHandle upstream;
+    CaroHandle vm; /* The gate. */
+} CaroChannelPath;
+
+/* Likewise by a path, which is copied. */
+CaroChannel *CaroChannel_OpenPath(struct event_base *base, const char *address,
+                                  CaroTime connect_timeout,
+                                  const CaroChannelPath *path);
+
+/* Whether the channel goes through a gate. */
+bool CaroChannel_IsTunneled(const CaroChannel *c);
+
 /* Closes the connection at once, which cancels a request in progress. */
 void CaroChannel_Destroy(CaroChannel *c);
 
--- a/Include/internal/caro_channel_pool.h
+++ b/Include/internal/caro_channel_pool.h
@@ -7,6 +7,7 @@
 
 #include "internal/caro_channel.h"
 #include "internal/caro_targets.h"
+#include "internal/caro_upstream_paths.h"
 
 typedef struct CaroChannelPool CaroChannelPool;
 
@@ -14,6 +15,17 @@
 CaroChannelPool *CaroChannelPool_Create(struct event_base *base, int idle_max);
 void CaroChannelPool_Destroy(CaroChannelPool *p);
 
+/* New channels are opened by these paths, which are borrowed.  Without them,
+   all are direct. */
+void CaroChannelPool_SetPaths(CaroChannelPool *p, CaroUpstreamPaths *paths);
+
+/* Whether new channels are direct. */
+bool CaroChannelPool_IsDirect(const CaroChannelPool *p);
+
+/* Bytes of an upstream arrived on a channel. */
+void CaroChannelPool_RecordHeard(CaroChannelPool *p, const CaroChannel *c,
+                                 CaroTime now);
+
 /*
  * Returns an idle channel to the target, or opens one to the address.  A
  * request that must not run twice ("is_at_most_once") is given only a
@@ -25,9 +37,10 @@
                                      const char *address, bool is_at_most_once,
                                      CaroTime now);
 
-/* Opens a channel to the address, also where an idle one is kept.  Returns
-   NULL when none can be opened. */
-CaroChannel *CaroChannelPool_Open(CaroChannelPool *p, const char *address);
+/* Opens a channel to the target, also where an idle one is kept.  Returns NULL
+   when none can be opened. */
+CaroChannel *CaroChannelPool_Open(CaroChannelPool *p, CaroHandle target,
+                                  const char *address, CaroTime now);
 
 /* Keeps the channel if it is reusable and there is room, else destroys it. */
 void CaroChannelPool_Release(CaroChannelPool *p, CaroHandle target,
@@ -36,6 +49,9 @@
 /* Closes the idle channels to a target that is gone. */
 void CaroChannelPool_Drop(CaroChannelPool *p, CaroHandle target);
 
+/* Closes all idle channels, as the way to the upstreams has changed. */
+void CaroChannelPool_DropAll(CaroChannelPool *p);
+
 /* Channels opened so far, and channels that are idle now. */
 uint64_t CaroChannelPool_CountOpened(const CaroChannelPool *p);
 int CaroChannelPool_CountIdle(const CaroChannelPool *p);
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -89,7 +89,14 @@
     X(RETAINED_PARTS, "retained_parts")                                       \
     X(PEER_RETAINED_PARTS, "retained_parts_of_peers")                         \
     X(PLACED_BY_RETENTION, "placements_by_retention")                         \
-    X(RETAINED_TOKENS, "retained_tokens_expected")
+    X(RETAINED_TOKENS, "retained_tokens_expected")                            \
+    X(LINKS_STATE, "upstream_links_state")                                    \
+    X(LINKS_CHANGES, "upstream_links_changes")                                \
+    X(LINK_PROBES, "upstream_link_probes")                                    \
+    X(TUNNELS_OPENED, "tunnels_opened")                                       \
+    X(TUNNELS_TAKEN, "tunnels_taken")                                         \
+    X(TUNNELS_REFUSED, "tunnels_refused")                                     \
+    X(GATES_FAILED, "gates_failed")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -203,6 +203,10 @@
 void CaroTargets_Avoid(CaroTargets *t, CaroHandle h, CaroTargetFailure failure,
                        CaroTime now);
 
+/* Uses all targets again that are avoided after a failure, as the failures
+   were those of this VM's links. */
+void CaroTargets_ForgetFailures(CaroTargets *t);
+
 /* Returns whether the target is registered and neither drains nor announced
    that it leaves or wants no requests now. */
 bool CaroTarget_IsOpen(const CaroTarget *target, CaroTime now);
--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -2,6 +2,7 @@
 #include "internal/caro_channel.h"
 
 #include "caro_error.h"
+#include "caro_peer.h"
 #include "internal/caro_http.h"
 
 #include <arpa/inet.h>
@@ -31,7 +32,13 @@
     struct bufferevent *bev;
     CaroHttpReader *reader;
     ChannelState state;
-    bool is_connected;   /* As libevent has reported. */
+    bool is_connected; /* As libevent or the gate has reported. */
+    CaroChannelPath path;
+    bool is_tunneled;
+    /* Of a tunnel: the request until the gate has connected, and the bytes of
+       the upstream without frames; NULL otherwise. */
+    struct evbuffer *held;
+    struct evbuffer *unframed;
     size_t request_size; /* Bytes of the request. */
     bool has_request;    /* A request is in progress. */
     bool is_reusable;    /* See CaroChannel_IsReusable. */
@@ -50,9 +57,30 @@
 {
     bufferevent_free(c->bev);
     CaroHttpReader_Destroy(c->reader);
+    if (c->held != NULL) {
+        evbuffer_free(c->held);
+    }
+    if (c->unframed != NULL) {
+        evbuffer_free(c->unframed);
+    }
     free(c);
 }
 
+/* The bytes of the upstream. */
+static struct evbuffer *
+input_of(const CaroChannel *c)
+{
+    return c->is_tunneled ? c->unframed : bufferevent_get_input(c->bev);
+}
+
+static bool
+report_outcome(const CaroChannel *c, CaroConnectOutcome outcome)
+{
+    return c->path.on_outcome == NULL ||
+           c->path.on_outcome(c->path.context, c->path.upstream, c->path.vm,
+                              outcome);
+}
+
 /* Callbacks may destroy the channel; it is freed when the last returns. */
 static void
 begin_callback(CaroChannel *c)
@@ -91,6 +119,7 @@
     struct evbuffer *out = bufferevent_get_output(c->bev);
     const CaroHttpHead *head = CaroHttpReader_Head(c->reader);
     c->is_reusable = head->is_persistent && evbuffer_get_length(in) == 0 &&
+                     evbuffer_get_length(input_of(c)) == 0 &&
                      evbuffer_get_length(out) == 0;
     c->has_request = false;
     c->state = CHANNEL_IDLE;
@@ -118,7 +147,7 @@
 static void
 read_pieces(CaroChannel *c)
 {
-    struct evbuffer *in = bufferevent_get_input(c->bev);
+    struct evbuffer *in = input_of(c);
     while (!c->is_destroyed && c->has_request) {
         CaroHttpPiece piece;
         if (CaroHttpReader_Next(c->reader, in, &piece) < 0) {
@@ -154,24 +183,6 @@
     }
 }
 
-static void
-on_read(struct bufferevent *bev, void *arg)
-{
-    CaroChannel *c = arg;
-    if (c->state == CHANNEL_PARKED) {
-        report_failure(c, CARO_ERR_INPUT,
-                       "unsolicited bytes on an idle connection");
-        return;
-    }
-    begin_callback(c);
-    read_pieces(c);
-    if (!c->is_destroyed && !c->has_request &&
-        evbuffer_get_length(bufferevent_get_input(bev)) > 0) {
-        c->is_reusable = false;
-    }
-    end_callback(c);
-}
-
 static void
 handle_close(CaroChannel *c, short what)
 {
@@ -199,6 +210,96 @@
     end_callback(c);
 }
 
+/* Reads the outcome of the gate's connection. */
+static void
+read_tunnel_status(CaroChannel *c)
+{
+    unsigned char status = 0;
+    (void)bufferevent_read(c->bev, &status, 1);
+    switch (status) {
+    case CARO_TUNNEL_OPEN:
+        c->is_connected = true;
+        bufferevent_set_timeouts(c->bev, NULL, NULL);
+        c->state = c->has_request ? CHANNEL_BUSY : CHANNEL_IDLE;
+        (void)bufferevent_write_buffer(c->bev, c->held);
+        (void)report_outcome(c, CARO_CONNECT_DONE);
+        break;
+    case CARO_TUNNEL_REFUSED:
+        report_failure(c,
+                       report_outcome(c, CARO_CONNECT_REFUSED)
+                           ? CARO_ERR_NOT_FOUND
+                           : CARO_ERR_STATE,
+                       "connection refused, through a gate");
+        break;
+    case CARO_TUNNEL_TIMED_OUT:
+        report_failure(c,
+                       report_outcome(c, CARO_CONNECT_TIMED_OUT)
+                           ? CARO_ERR_TIMEOUT
+                           : CARO_ERR_STATE,
+                       "connect timeout, through a gate");
+        break;
+    case CARO_TUNNEL_UNABLE:
+        (void)report_outcome(c, CARO_CONNECT_GATE_UNABLE);
+        report_failure(c, CARO_ERR_STATE, "the gate is unable");
+        break;
+    default:
+        (void)report_outcome(c, CARO_CONNECT_GATE_LOST);
+        report_failure(c, CARO_ERR_STATE, "the gate sent no status");
+        break;
+    }
+}
+
+/* Moves the bytes of complete frames.  Returns the event that a frame without
+   bytes stands for; 0 for none. */
+static short
+read_frames(CaroChannel *c)
+{
+    struct evbuffer *in = bufferevent_get_input(c->bev);
+    uint16_t size;
+    while (evbuffer_copyout(in, &size, sizeof(size)) == sizeof(size)) {
+        size = ntohs(size);
+        if (size == 0 || size > CARO_TUNNEL_FRAME_MAX) {
+            evbuffer_drain(in, evbuffer_get_length(in));
+            return size == 0 ? BEV_EVENT_EOF : BEV_EVENT_ERROR;
+        }
+        if (evbuffer_get_length(in) < sizeof(size) + size) {
+            return 0;
+        }
+        evbuffer_drain(in, sizeof(size));
+        (void)evbuffer_remove_buffer(in, c->unframed, size);
+    }
+    return 0;
+}
+
+static void
+on_read(struct bufferevent *bev, void *arg)
+{
+    CaroChannel *c = arg;
+    short event = 0;
+    (void)bev;
+    if (c->state == CHANNEL_PARKED) {
+        report_failure(c, CARO_ERR_INPUT,
+                       "unsolicited bytes on an idle connection");
+        return;
+    }
+    begin_callback(c);
+    if (!c->is_connected && c->is_tunneled) {
+        read_tunnel_status(c);
+    }
+    if (c->is_tunneled && !c->is_destroyed && c->is_connected) {
+        event = read_frames(c);
+    }
+    read_pieces(c);
+    if (!c->is_destroyed && !c->has_request &&
+        evbuffer_get_length(input_of(c)) > 0) {
+        c->is_reusable = false;
+    }
+    if (!c->is_destroyed && event != 0) {
+        handle_close(c, event);
+    }
+    end_callback(c);
+}
+
 static void
 set_options(struct bufferevent *bev)
 {
@@ -213,29 +314,61 @@
 {
     CaroChannel *c = arg;
     if ((what & BEV_EVENT_CONNECTED) != 0) {
-        c->is_connected = true;
         set_options(bev);
+        if (c->is_tunneled) {
+            return; /* The gate has yet to connect. */
+        }
+        c->is_connected = true;
         bufferevent_set_timeouts(bev, NULL, NULL);
         c->state = c->has_request ? CHANNEL_BUSY : CHANNEL_IDLE;
+        (void)report_outcome(c, CARO_CONNECT_DONE);
+        return;
+    }
+    if (!c->is_connected && c->is_tunneled) {
+        (void)report_outcome(c, CARO_CONNECT_GATE_LOST);
+        report_failure(c, CARO_ERR_STATE, "no connection to the gate");
         return;
     }
     if (!c->is_connected) {
         bool is_timeout = (what & BEV_EVENT_TIMEOUT) != 0;
+        (void)report_outcome(c, is_timeout ? CARO_CONNECT_TIMED_OUT
+                                           : CARO_CONNECT_REFUSED);
         report_failure(c, is_timeout ? CARO_ERR_TIMEOUT : CARO_ERR_NOT_FOUND,
                        is_timeout ? "connect timeout" : "connection refused");
         return;
     }
-    handle_close(c, what);
+    /* A gate that is killed closes its connections as if all were sent. */
+    handle_close(c, c->is_tunneled ? BEV_EVENT_ERROR : what);
 }
 
 CaroChannel *
 CaroChannel_Open(struct event_base *base, const char *address,
                  CaroTime connect_timeout)
 {
+    const CaroChannelPath direct = {.gate = NULL};
+    return CaroChannel_OpenPath(base, address, connect_timeout, &direct);
+}
+
+/* Prepares a tunnel.  Returns false without memory. */
+static bool
+begin_tunnel(CaroChannel *c)
+{
+    c->is_tunneled = true;
+    c->held = evbuffer_new();
+    c->unframed = evbuffer_new();
+    return c->held != NULL && c->unframed != NULL &&
+           bufferevent_write(c->bev, c->path.hello, c->path.hello_size) == 0;
+}
+
+CaroChannel *
+CaroChannel_OpenPath(struct event_base *base, const char *address,
+                     CaroTime connect_timeout, const CaroChannelPath *path)
+{
+    const char *peer = path->gate == NULL ? address : path->gate;
     char host[CARO_ADDRESS_SIZE];
     struct sockaddr_in to = {.sin_family = AF_INET};
     uint16_t port;
-    if (CaroHttp_SplitAddress(address, host, &port) < 0 ||
+    if (CaroHttp_SplitAddress(peer, host, &port) < 0 ||
         inet_pton(AF_INET, host, &to.sin_addr) != 1) {
         return NULL;
     }
@@ -245,12 +378,16 @@
         return NULL;
     }
     CARO_COPY(c->address, address);
+    c->path = *path;
     c->reader = CaroHttpReader_Create(false);
     c->bev = bufferevent_socket_new(
         base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-    if (c->reader == NULL || c->bev == NULL) {
+    if (c->reader == NULL || c->bev == NULL ||
+        (path->gate != NULL && !begin_tunnel(c))) {
         goto error;
     }
+    c->path.hello = NULL; /* It was borrowed. */
+    c->path.gate = NULL;
     bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
     bufferevent_setwatermark(c->bev, EV_READ, 0, READ_AHEAD_MAX);
     struct timeval timeout = {.tv_sec = connect_timeout / CARO_SECOND,
@@ -267,6 +404,12 @@
         bufferevent_free(c->bev);
     }
     CaroHttpReader_Destroy(c->reader);
+    if (c->held != NULL) {
+        evbuffer_free(c->held);
+    }
+    if (c->unframed != NULL) {
+        evbuffer_free(c->unframed);
+    }
     free(c);
     return NULL;
 }
@@ -296,12 +439,25 @@
     c->request_size = evbuffer_get_length(request);
     c->state = c->is_connected ? CHANNEL_BUSY : CHANNEL_CONNECTING;
     CaroHttpReader_SkipBody(c->reader, is_head);
+    if (c->is_tunneled && !c->is_connected) {
+        (void)evbuffer_add_buffer(c->held, request);
+        return;
+    }
     (void)bufferevent_write_buffer(c->bev, request);
 }
 
+bool
+CaroChannel_IsTunneled(const CaroChannel *c)
+{
+    return c->is_tunneled;
+}
+
 bool
 CaroChannel_IsSent(const CaroChannel *c)
 {
+    if (c->is_tunneled) {
+        return c->is_connected;
+    }
     /* libevent writes as soon as the connection is there, and reports that
        later in the same turn of the loop, behind what other channels read. */
     return c->is_connected ||
@@ -315,7 +471,7 @@
     struct pollfd fd = {.fd = bufferevent_getfd(c->bev), .events = POLLIN};
     return c->is_connected &&
            (evbuffer_get_length(bufferevent_get_input(c->bev)) > 0 ||
-            poll(&fd, 1, 0) > 0);
+            evbuffer_get_length(input_of(c)) > 0 || poll(&fd, 1, 0) > 0);
 }
 
 void
--- a/Modules/channel_pool.c
+++ b/Modules/channel_pool.c
@@ -26,6 +26,7 @@
     int n_idle;
     int idle_max;
     uint64_t n_opened;
+    CaroUpstreamPaths *paths; /* NULL: channels are direct. */
 };
 
 CaroChannelPool *
@@ -57,9 +58,7 @@
     if (p == NULL) {
         return;
     }
-    while (p->idle != NULL) {
-        CaroChannel_Destroy(unlink_idle(p, &p->idle));
-    }
+    CaroChannelPool_DropAll(p);
     free(p);
 }
 
@@ -110,13 +109,18 @@
             at = &(*at)->next;
         }
     }
-    return CaroChannelPool_Open(p, address);
+    return CaroChannelPool_Open(p, target, address, now);
 }
 
 CaroChannel *
-CaroChannelPool_Open(CaroChannelPool *p, const char *address)
+CaroChannelPool_Open(CaroChannelPool *p, CaroHandle target,
+                     const char *address, CaroTime now)
 {
     p->n_opened++;
+    if (p->paths != NULL) {
+        return CaroUpstreamPaths_Open(p->paths, target, address,
+                                      CONNECT_TIMEOUT, now);
+    }
     return CaroChannel_Open(p->base, address, CONNECT_TIMEOUT);
 }
 
@@ -155,6 +159,36 @@
     }
 }
 
+void
+CaroChannelPool_DropAll(CaroChannelPool *p)
+{
+    while (p->idle != NULL) {
+        CaroChannel_Destroy(unlink_idle(p, &p->idle));
+    }
+}
+
+void
+CaroChannelPool_SetPaths(CaroChannelPool *p, CaroUpstreamPaths *paths)
+{
+    p->paths = paths;
+}
+
+bool
+CaroChannelPool_IsDirect(const CaroChannelPool *p)
+{
+    return p->paths == NULL ||
+           CaroUpstreamPaths_State(p->paths) == CARO_LINKS_DIRECT;
+}
+
+void
+CaroChannelPool_RecordHeard(CaroChannelPool *p, const CaroChannel *c,
+                            CaroTime now)
+{
+    if (p->paths != NULL && c != NULL) {
+        CaroUpstreamPaths_RecordHeard(p->paths, c, now);
+    }
+}
+
 uint64_t
 CaroChannelPool_CountOpened(const CaroChannelPool *p)
 {
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -27,6 +27,8 @@
 #include "internal/caro_retry_lending.h"
 #include "internal/caro_service_rollouts.h"
 #include "internal/caro_service_room.h"
+#include "internal/caro_tunnel_gate.h"
+#include "internal/caro_upstream_paths.h"
 
 #include <assert.h>
 #include <stdio.h>
@@ -39,6 +41,7 @@
 #define RESPONSE_MEMORY_FRACTION 0.25
 /* Fractions of the file descriptors for callers and for idle channels to
    upstreams; the rest is for busy channels, peers, the store and files. */
+#define TUNNELS_FRACTION 0.125
 #define CALLER_DESCRIPTORS_FRACTION 0.5
 #define IDLE_CHANNELS_FRACTION 0.2
 /* A caller that accepts no byte for this long is disconnected. */
@@ -102,6 +105,8 @@
     CaroStoreClient *store;
     CaroRegistry *registry;
     CaroFleet *fleet;
+    CaroUpstreamPaths *paths;
+    CaroTunnelGate *tunnel_gate;
     CaroPeerReports *peer_reports;
     CaroGatewayHttp *status_http;
     struct event *tick;
@@ -155,6 +160,7 @@
     const CaroGateway *g = context;
     return CaroActiveConfig_Routes(g->config) != NULL &&
            CaroRegistry_IsLoaded(g->registry) && g->stop_requested_at == 0 &&
+           CaroUpstreamPaths_State(g->paths) != CARO_LINKS_NONE &&
            is_config_fresh(g) && !lacks_config(g, CaroClock_Now()) &&
            CaroActiveConfig_RejectedRevision(g->config) == 0;
 }
@@ -699,6 +705,8 @@
     CaroGateway *g = context;
     g->counters.values[CARO_COUNT_STORE_CALLS] =
         CaroStoreClient_CountCalls(g->store);
+    g->counters.values[CARO_COUNT_LINKS_STATE] =
+        CaroUpstreamPaths_State(g->paths);
     g->counters.values[CARO_COUNT_STORE_READER] =
         CaroRegistry_Role(g->registry) == CARO_STORE_READER;
     int64_t timeline = CaroRegistry_Timeline(g->registry);
@@ -751,10 +759,11 @@
         }
     }
     return json_pack(
-        "{s:s, s:b, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, s:i, s:I, "
-        "s:o, "
-        "s:o, s:o}",
-        "vm", g->settings.vm, "ready", is_ready(g), "store_role",
+        "{s:s, s:b, s:s, s:i, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, "
+        "s:i, s:I, s:o, s:o, s:o}",
+        "vm", g->settings.vm, "ready", is_ready(g), "upstream_links",
+        CaroLinksState_Name(CaroUpstreamPaths_State(g->paths)), "tunnels_for",
+        CaroTunnelGate_Count(g->tunnel_gate), "store_role",
         CaroStoreRole_Name(CaroRegistry_Role(g->registry)), "store_revision",
         (json_int_t)CaroRevision_Number(CaroRegistry_Revision(g->registry)),
         "store_timeline", (json_int_t)CaroRegistry_Timeline(g->registry),
@@ -865,6 +874,10 @@
     CaroServiceRollouts_Tick(g->rollouts, now);
     CaroPeerReports_Tick(g->peer_reports, now);
     CaroRelays_SetVms(g->relays, CaroRetryLending_Tick(g->lending, now));
+    if (CaroUpstreamPaths_Tick(g->paths, CaroRelays_Count(g->relays), now)) {
+        CaroChannelPool_DropAll(g->pool);
+        CaroTargets_ForgetFailures(g->targets);
+    }
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
         g->was_config_fresh = is_fresh;
@@ -995,6 +1008,63 @@
     return g->relays == NULL || g->registry == NULL ? CARO_ERR_NOMEM : 0;
 }
 
+static bool
+is_able_gate(void *context)
+{
+    const CaroGateway *g = context;
+    return g->stop_requested_at == 0 &&
+           CaroUpstreamPaths_State(g->paths) == CARO_LINKS_DIRECT;
+}
+
+static void
+on_gate_connection(void *context, CaroHandle upstream, bool is_connected)
+{
+    const CaroGateway *g = context;
+    CaroUpstreamPaths_RecordDirect(g->paths, upstream, is_connected);
+}
+
+/* Creates the ways to the upstreams, through other VMs and for them. */
+static int
+start_paths(CaroGateway *g, CaroError *err)
+{
+    char address[CARO_ADDRESS_SIZE];
+    int port = (int)g->settings.tunnel_port;
+    const CaroMembership *m = CaroFleet_GetMembershipConst(g->fleet);
+    CaroUpstreamPathsDeps paths = {.base = g->base,
+                                   .membership = m,
+                                   .targets = g->targets,
+                                   .counters = &g->counters,
+                                   .rng = g->rng,
+                                   .vm = g->settings.vm,
+                                   .boot_id = g->boot_id,
+                                   .port_offset =
+                                       port - (int)g->settings.peer_port};
+    CaroTunnelGateDeps gate = {
+        .base = g->base,
+        .membership = m,
+        .targets = g->targets,
+        .counters = &g->counters,
+        .boot_id = g->boot_id,
+        .tunnels_max =
+            (int)(TUNNELS_FRACTION * (double)g->settings.descriptors),
+        .is_able = is_able_gate,
+        .on_connection = on_gate_connection,
+        .context = g};
+    if (port == 0) {
+        return 0;
+    }
+    (void)snprintf(address, sizeof(address), "%.30s:%d", g->settings.host,
+                   port);
+    g->paths = CaroUpstreamPaths_Create(&paths);
+    if (g->paths == NULL) {
+        return CaroError_Set(err, CARO_ERR_NOMEM, "paths", address,
+                             "no memory");
+    }
+    CaroChannelPool_SetPaths(g->pool, g->paths);
+    g->tunnel_gate = CaroTunnelGate_Create(address, &gate, err);
+    return g->tunnel_gate == NULL ? CARO_ERR_IO : 0;
+}
+
 static int
 start_reports(CaroGateway *g)
 {
@@ -1067,7 +1137,7 @@
         g->fleet == NULL
             ? NULL
             : CaroGatewayHttp_Create(base, settings, &http_handlers, g, err);
-    if (g->status_http == NULL) {
+    if (g->status_http == NULL || start_paths(g, err) < 0) {
         goto error;
     }
     if (start_reports(g) < 0 || start_tick(g) < 0) {
@@ -1129,6 +1199,7 @@
         event_free(g->tick);
     }
     CaroRelays_Destroy(g->relays);
+    CaroTunnelGate_Destroy(g->tunnel_gate);
     CaroHttpServer_Destroy(g->http_server);
     CaroGatewayHttp_Destroy(g->status_http);
     CaroFleet_Destroy(g->fleet);
@@ -1136,6 +1207,7 @@
     CaroRegistry_Destroy(g->registry);
     CaroStoreClient_Destroy(g->store);
     CaroChannelPool_Destroy(g->pool);
+    CaroUpstreamPaths_Destroy(g->paths);
     CaroRetryLending_Destroy(g->lending);
     CaroRetryBudget_Destroy(g->budget);
     CaroPeerLoads_Destroy(g->peer_loads);
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -367,6 +367,7 @@
         r->last_event_at = now;
         r->put_offs = 0;
         CaroTargets_RecordHeard(r->relays->deps.targets, r->target, now);
+        CaroChannelPool_RecordHeard(r->relays->deps.pool, r->channel, now);
         CaroRelay_RecordEvents(r, n, now);
         CaroServiceRollouts_OnEvents(r->relays->deps.rollouts,
                                      &r->rollout_attempt, n, now);
@@ -415,6 +416,7 @@
         return;
     }
     CaroTargets_RecordHeard(r->relays->deps.targets, r->target, now);
+    CaroChannelPool_RecordHeard(r->relays->deps.pool, r->channel, now);
     if (id.at == NULL) {
         /* It may be an earlier request's, which a refusal would belie. */
         end_attempt(r, CARO_OUTCOME_LOST, "the response names no request",
@@ -627,8 +629,9 @@
     CaroRelay *r = context;
     bool is_sent = CaroChannel_IsSent(r->channel);
     CaroTime now = CaroClock_Now();
-    CaroOutcome unsent =
-        code == CARO_ERR_NOT_FOUND ? CARO_OUTCOME_GONE : CARO_OUTCOME_UNSENT;
+    CaroOutcome unsent = code == CARO_ERR_NOT_FOUND ? CARO_OUTCOME_GONE
+                         : code == CARO_ERR_STATE   ? CARO_OUTCOME_NO_PATH
+                                                    : CARO_OUTCOME_UNSENT;
     if (is_sent && code == CARO_ERR_IO) {
         r->is_cut_unread = may_be_cut_unread(r, now);
         record_loss_before_events(r, now);
@@ -674,6 +677,15 @@
     }
 }
 
+/* Returns whether the attempt went over links of this VM that are known to
+   fail, so that its end says nothing of the target. */
+static bool
+is_link_failing(const CaroRelay *r)
+{
+    return r->channel != NULL && !CaroChannel_IsTunneled(r->channel) &&
+           !CaroChannelPool_IsDirect(r->relays->deps.pool);
+}
+
 /* Records the failure of the target; the silence of an attempt only once.
    Other streams at a silent target then have a shorter timeout. */
 static void
@@ -681,7 +693,7 @@
 {
     CaroTargets *targets = r->relays->deps.targets;
     CaroTargetFailure failure = failure_of(r, outcome, now);
-    if (failure == CARO_TARGET_NO_FAILURE ||
+    if (failure == CARO_TARGET_NO_FAILURE || is_link_failing(r) ||
         (failure == CARO_TARGET_SILENT && r->is_silence_recorded)) {
         return;
     }
@@ -832,7 +844,8 @@
 {
     bool is_unsent = r->channel != NULL && !CaroChannel_IsSent(r->channel);
     return r->target != CARO_NO_HANDLE && !is_unsent &&
-           outcome != CARO_OUTCOME_UNSENT && outcome != CARO_OUTCOME_NO_TARGET;
+           outcome != CARO_OUTCOME_UNSENT && outcome != CARO_OUTCOME_NO_PATH &&
+           outcome != CARO_OUTCOME_NO_TARGET;
 }
 
 static void
@@ -1133,14 +1146,15 @@
     if (r->attempt.tries++ > 0 && r->attempt.may_have_arrived) {
         CaroRetryBudget_RecordRetry(relays->deps.budget, r->service, now);
     }
-    r->channel =
-        needs_new_channel(r)
-            ? CaroChannelPool_Open(relays->deps.pool, target->entry.address)
-            : CaroChannelPool_Acquire(
-                  relays->deps.pool, r->target, target->entry.address,
-                  !CaroAttempt_IsRetryable(&r->attempt), now);
+    r->channel = needs_new_channel(r)
+                     ? CaroChannelPool_Open(relays->deps.pool, r->target,
+                                            target->entry.address, now)
+                     : CaroChannelPool_Acquire(
+                           relays->deps.pool, r->target, target->entry.address,
+                           !CaroAttempt_IsRetryable(&r->attempt), now);
     if (r->channel == NULL) {
-        end_attempt(r, CARO_OUTCOME_UNSENT, "cannot open a connection", now);
+        end_attempt(r, CARO_OUTCOME_NO_TARGET, "cannot open a connection",
+                    now);
         return;
     }
     choose_kv_copy(r, now);
--- /dev/null
+++ b/Modules/upstream_paths.c
@@ -0,0 +1,285 @@
+/* Opens channels to upstreams, directly or by a gate. */
+#include "internal/caro_upstream_paths.h"
+
+#include "caro_peer.h"
+#include "internal/caro_clock.h"
+#include "internal/caro_http.h"
+#include "internal/caro_log.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A tunnel takes a connection to the gate and one from there. */
+#define GATE_MARGIN (200 * CARO_MS)
+#define PROBE_TIMEOUT (300 * CARO_MS)
+
+enum { PROBES_MAX = 4 };
+
+struct CaroUpstreamPaths {
+    CaroUpstreamPathsDeps deps;
+    CaroUpstreamLinks *links;
+    bool has_changed; /* Since the last Tick. */
+    CaroTime heard_at;
+    /* Connections that only show whether they succeed. */
+    CaroChannel *probes[PROBES_MAX];
+    CaroTime probed_at[PROBES_MAX];
+};
+
+CaroUpstreamPaths *
+CaroUpstreamPaths_Create(const CaroUpstreamPathsDeps *deps)
+{
+    CaroUpstreamPaths *p = calloc(1, sizeof(*p));
+    if (p == NULL) {
+        return NULL;
+    }
+    p->deps = *deps;
+    p->links = CaroUpstreamLinks_Create(deps->rng);
+    if (p->links == NULL) {
+        free(p);
+        return NULL;
+    }
+    return p;
+}
+
+void
+CaroUpstreamPaths_Destroy(CaroUpstreamPaths *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    for (int i = 0; i < PROBES_MAX; i++) {
+        CaroChannel_Destroy(p->probes[i]);
+    }
+    CaroUpstreamLinks_Destroy(p->links);
+    free(p);
+}
+
+static void
+log_state(CaroUpstreamPaths *p)
+{
+    CaroLinksState state = CaroUpstreamLinks_State(p->links);
+    p->has_changed = true;
+    CaroCounters_Add(p->deps.counters, CARO_COUNT_LINKS_CHANGES, 1);
+    CaroLog_Warn("links", "%s state=%s",
+                 state == CARO_LINKS_DIRECT
+                     ? "The upstreams are reached directly again."
+                 : state == CARO_LINKS_TUNNELED
+                     ? "The upstreams are not reached directly; channels go "
+                       "through other VMs."
+                     : "No VM reaches the upstreams for this one.",
+                 CaroLinksState_Name(state));
+}
+
+static bool
+on_direct_outcome(void *context, CaroHandle upstream, CaroHandle vm,
+                  CaroConnectOutcome outcome)
+{
+    CaroUpstreamPaths *p = context;
+    CaroTime now = CaroClock_Now();
+    bool is_connected = outcome == CARO_CONNECT_DONE;
+    (void)vm;
+    p->heard_at = is_connected ? now : p->heard_at;
+    if (CaroUpstreamLinks_RecordDirect(p->links, upstream, is_connected,
+                                       now)) {
+        log_state(p);
+    }
+    return true;
+}
+
+static CaroGateOutcome
+gate_outcome(CaroConnectOutcome outcome)
+{
+    switch (outcome) {
+    case CARO_CONNECT_DONE:
+        return CARO_GATE_CONNECTED;
+    case CARO_CONNECT_TIMED_OUT:
+    case CARO_CONNECT_REFUSED:
+        return CARO_GATE_FAILED;
+    case CARO_CONNECT_GATE_UNABLE:
+        return CARO_GATE_UNABLE;
+    case CARO_CONNECT_GATE_LOST:
+        break;
+    }
+    return CARO_GATE_LOST;
+}
+
+static bool
+on_tunnel_outcome(void *context, CaroHandle upstream, CaroHandle vm,
+                  CaroConnectOutcome outcome)
+{
+    CaroUpstreamPaths *p = context;
+    (void)upstream;
+    bool is_credible = CaroUpstreamLinks_IsCredible(p->links, vm);
+    CaroGateOutcome gate = gate_outcome(outcome);
+    if (gate != CARO_GATE_CONNECTED && !is_credible) {
+        CaroCounters_Add(p->deps.counters, CARO_COUNT_GATES_FAILED, 1);
+    }
+    if (CaroUpstreamLinks_RecordGate(p->links, vm, gate, CaroClock_Now())) {
+        log_state(p);
+    }
+    return is_credible;
+}
+
+static CaroChannel *
+open_direct(CaroUpstreamPaths *p, CaroHandle upstream, const char *address,
+            CaroTime connect_timeout)
+{
+    CaroChannelPath path = {.on_outcome = on_direct_outcome,
+                            .context = p,
+                            .upstream = upstream,
+                            .vm = CARO_NO_HANDLE};
+    return CaroChannel_OpenPath(p->deps.base, address, connect_timeout, &path);
+}
+
+/* Writes the first record of a tunnel.  Returns its bytes, 0 on failure. */
+static size_t
+write_hello(const CaroUpstreamPaths *p, const CaroVm *gate,
+            CaroHandle upstream, const char *address,
+            char out[CARO_TUNNEL_HELLO_MAX])
+{
+    XDR xdr;
+    caro_tunnel_hello hello = {
+        .sender = (char *)p->deps.vm,
+        .sender_boot_id = p->deps.boot_id,
+        .gate_boot_id = gate->boot_id,
+        .upstream =
+            CaroTargets_GetConst(p->deps.targets, upstream)->start_hash,
+        .address = (char *)address};
+    uint32_t size;
+    xdrmem_create(&xdr, out + sizeof(size),
+                  CARO_TUNNEL_HELLO_MAX - sizeof(size), XDR_ENCODE);
+    if (!xdr_caro_tunnel_hello(&xdr, &hello)) {
+        return 0;
+    }
+    size = htonl(xdr_getpos(&xdr));
+    memcpy(out, &size, sizeof(size));
+    return sizeof(size) + xdr_getpos(&xdr);
+}
+
+static CaroChannel *
+open_tunnel(CaroUpstreamPaths *p, CaroHandle upstream, const char *address,
+            CaroTime connect_timeout, CaroTime now)
+{
+    char hello[CARO_TUNNEL_HELLO_MAX];
+    char host[CARO_ADDRESS_SIZE];
+    char at[CARO_ADDRESS_SIZE];
+    uint16_t port;
+    CaroLinksState before = CaroUpstreamLinks_State(p->links);
+    CaroHandle vm =
+        CaroUpstreamLinks_ChooseGate(p->links, p->deps.membership, now);
+    if (CaroUpstreamLinks_State(p->links) != before) {
+        log_state(p);
+    }
+    if (vm == CARO_NO_HANDLE) {
+        return NULL;
+    }
+    const CaroVm *gate = CaroMembership_Get(p->deps.membership, vm);
+    size_t size = write_hello(p, gate, upstream, address, hello);
+    if (size == 0 || CaroHttp_SplitAddress(gate->peer, host, &port) < 0) {
+        return NULL;
+    }
+    (void)snprintf(at, sizeof(at), "%.30s:%d", host,
+                   (int)port + p->deps.port_offset);
+    CaroChannelPath path = {.gate = at,
+                            .hello = hello,
+                            .hello_size = size,
+                            .on_outcome = on_tunnel_outcome,
+                            .context = p,
+                            .upstream = upstream,
+                            .vm = vm};
+    CaroCounters_Add(p->deps.counters, CARO_COUNT_TUNNELS_OPENED, 1);
+    return CaroChannel_OpenPath(p->deps.base, address,
+                                connect_timeout + GATE_MARGIN, &path);
+}
+
+void
+CaroUpstreamPaths_RecordDirect(CaroUpstreamPaths *p, CaroHandle upstream,
+                               bool is_connected)
+{
+    (void)on_direct_outcome(p, upstream, CARO_NO_HANDLE,
+                            is_connected ? CARO_CONNECT_DONE
+                                         : CARO_CONNECT_TIMED_OUT);
+}
+
+CaroChannel *
+CaroUpstreamPaths_Open(CaroUpstreamPaths *p, CaroHandle upstream,
+                       const char *address, CaroTime connect_timeout,
+                       CaroTime now)
+{
+    return CaroUpstreamLinks_State(p->links) == CARO_LINKS_DIRECT
+               ? open_direct(p, upstream, address, connect_timeout)
+               : open_tunnel(p, upstream, address, connect_timeout, now);
+}
+
+void
+CaroUpstreamPaths_RecordHeard(CaroUpstreamPaths *p, const CaroChannel *channel,
+                              CaroTime now)
+{
+    if (!CaroChannel_IsTunneled(channel)) {
+        p->heard_at = now;
+    }
+}
+
+/* Tries to connect to an upstream chosen at random. */
+static void
+probe(CaroUpstreamPaths *p, CaroTime now)
+{
+    const CaroTargets *targets = p->deps.targets;
+    CaroHandle chosen = CARO_NO_HANDLE;
+    unsigned long n = 0;
+    int place = 0;
+    for (CaroHandle h = 0; h < CaroTargets_Count(targets); h++) {
+        const CaroTarget *t = CaroTargets_GetConst(targets, h);
+        if (t->is_used && CaroTarget_IsOpen(t, now) &&
+            gsl_rng_uniform_int(p->deps.rng, ++n) == 0) {
+            chosen = h;
+        }
+    }
+    while (place < PROBES_MAX && p->probes[place] != NULL) {
+        place++;
+    }
+    if (chosen != CARO_NO_HANDLE && place < PROBES_MAX) {
+        CaroCounters_Add(p->deps.counters, CARO_COUNT_LINK_PROBES, 1);
+        p->probed_at[place] = now;
+        p->probes[place] = open_direct(
+            p, chosen, CaroTargets_GetConst(targets, chosen)->entry.address,
+            PROBE_TIMEOUT);
+    }
+}
+
+static void
+end_probes(CaroUpstreamPaths *p, CaroTime now)
+{
+    for (int i = 0; i < PROBES_MAX; i++) {
+        if (p->probes[i] != NULL &&
+            (CaroChannel_IsSent(p->probes[i]) ||
+             now - p->probed_at[i] > PROBE_TIMEOUT + GATE_MARGIN)) {
+            CaroChannel_Destroy(p->probes[i]);
+            p->probes[i] = NULL;
+        }
+    }
+}
+
+bool
+CaroUpstreamPaths_Tick(CaroUpstreamPaths *p, int n_waiting, CaroTime now)
+{
+    if (p == NULL) {
+        return false;
+    }
+    end_probes(p, now);
+    if (CaroUpstreamLinks_IsProbeDue(p->links, n_waiting > 0, p->heard_at,
+                                     now)) {
+        probe(p, now);
+    }
+    bool has_changed = p->has_changed;
+    p->has_changed = false;
+    return has_changed;
+}
+
+CaroLinksState
+CaroUpstreamPaths_State(const CaroUpstreamPaths *p)
+{
+    return p == NULL ? CARO_LINKS_DIRECT : CaroUpstreamLinks_State(p->links);
+}
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -555,6 +555,16 @@
            now >= target->notice.unavailable_until;
 }
 
+void
+CaroTargets_ForgetFailures(CaroTargets *t)
+{
+    for (CaroHandle h = 0; h < CaroTargets_Count(t); h++) {
+        if (t->all[h].is_used && t->all[h].avoided_until != 0) {
+            CaroTargets_RecordSuccess(t, h);
+        }
+    }
+}
+
 bool
 CaroTarget_IsOpen(const CaroTarget *target, CaroTime now)
 {
--- a/Parser/gateway_settings.c
+++ b/Parser/gateway_settings.c
@@ -31,6 +31,7 @@
     REQUIRED_TEXT("directory", CARO_FIELD_ADDRESS, directory_address),
     REQUIRED_TEXT("host", CARO_FIELD_TEXT, host),
     INTEGER("peer_port", peer_port, 1, 65535, 7340),
+    INTEGER("tunnel_port", tunnel_port, 0, 65535, 0),
     INTEGER("metrics_port", metrics_port, 0, 65535, 0),
     REQUIRED_TEXT("domain", CARO_FIELD_IDENTITY, domain),
     REQUIRED_TEXT("region", CARO_FIELD_IDENTITY, region),
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -224,6 +224,26 @@
 	} frame;
 };
 typedef struct caro_packed_config caro_packed_config;
+
+struct caro_tunnel_hello {
+	char *sender;
+	u_quad_t sender_boot_id;
+	u_quad_t gate_boot_id;
+	u_int upstream;
+	char *address;
+};
+typedef struct caro_tunnel_hello caro_tunnel_hello;
+
+enum caro_tunnel_status {
+	CARO_TUNNEL_OPEN = 1,
+	CARO_TUNNEL_REFUSED = 2,
+	CARO_TUNNEL_TIMED_OUT = 3,
+	CARO_TUNNEL_UNABLE = 4,
+};
+typedef enum caro_tunnel_status caro_tunnel_status;
+#define CARO_TUNNEL_HELLO_MAX 256
+#define CARO_TUNNEL_FRAME_MAX 16384
+#define CARO_TUNNEL_BROKEN 65535
 #define CARO_WHY_MAX 8
 
 struct caro_why_args {
@@ -657,6 +677,8 @@
 extern  bool_t xdr_caro_config (XDR *, caro_config*);
 extern  bool_t xdr_caro_config_args (XDR *, caro_config_args*);
 extern  bool_t xdr_caro_packed_config (XDR *, caro_packed_config*);
+extern  bool_t xdr_caro_tunnel_hello (XDR *, caro_tunnel_hello*);
+extern  bool_t xdr_caro_tunnel_status (XDR *, caro_tunnel_status*);
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
 extern  bool_t xdr_caro_decision (XDR *, caro_decision*);
 extern  bool_t xdr_caro_why_reply (XDR *, caro_why_reply*);
@@ -705,6 +727,8 @@
 extern bool_t xdr_caro_config ();
 extern bool_t xdr_caro_config_args ();
 extern bool_t xdr_caro_packed_config ();
+extern bool_t xdr_caro_tunnel_hello ();
+extern bool_t xdr_caro_tunnel_status ();
 extern bool_t xdr_caro_why_args ();
 extern bool_t xdr_caro_decision ();
 extern bool_t xdr_caro_why_reply ();
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -170,6 +170,30 @@
     opaque frame<CARO_CONFIG_FRAME_MAX>; /* Empty if the VM has none. */
 };
 
+/* The first record on a tunnel, with its size in four bytes before it.  The
+   boot ids are known to the members alone. */
+struct caro_tunnel_hello {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper sender_boot_id;
+    unsigned hyper gate_boot_id;
+    unsigned int upstream; /* Hash of the start of the upstream. */
+    string address<CARO_ADDRESS_MAX>; /* Of the upstream. */
+};
+
+/* The first byte that the gate sends.  After CARO_TUNNEL_OPEN come frames:
+   two bytes with a size, and so many bytes of the upstream.  A size of 0 tells
+   that the upstream closed the connection, one of 65535 that it broke. */
+enum caro_tunnel_status {
+    CARO_TUNNEL_OPEN = 1,
+    CARO_TUNNEL_REFUSED = 2,   /* The upstream refused the connection. */
+    CARO_TUNNEL_TIMED_OUT = 3, /* It did not accept it in time. */
+    CARO_TUNNEL_UNABLE = 4     /* The gate does not take this tunnel. */
+};
+
+const CARO_TUNNEL_HELLO_MAX = 256;
+const CARO_TUNNEL_FRAME_MAX = 16384;
+const CARO_TUNNEL_BROKEN = 65535;
+
 const CARO_WHY_MAX = 8;
 
 struct caro_why_args {
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -369,6 +369,34 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_tunnel_hello (XDR *xdrs, caro_tunnel_hello *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sender_boot_id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->gate_boot_id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->address, CARO_ADDRESS_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_tunnel_status (XDR *xdrs, caro_tunnel_status *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_why_args (XDR *xdrs, caro_why_args *objp)
 {
--- a/Tools/gateway_fleet.sh
+++ b/Tools/gateway_fleet.sh
@@ -48,6 +48,7 @@
 {"vm":"g$1","front":"$(gateway_front "$1")","ready":"$(gateway_ready "$1")",
  "directory":"$(gateway_directory "$1")","host":"127.0.0.1",
  "peer_port":$((fleet_base + 150 + $1)),
+ "tunnel_port":$((fleet_base + 350 + $1)),
  "metrics_port":$((fleet_base + 200 + $1)),
  "domain":"$(fleet_domain "$1")","region":"r1","seeds":[],
  "store":{"address":"$(gateway_registry)"},
