Requests to brittle upstreams need a permit from one VM

Upstreams that say how many rejections a second they bear fell over again and again under load: with a stand-in of three (two slots, 60 ms, five rejections, one place to wait) behind six gateways 11 falls in 16 s, and 14 requests a second served of 100. Cause: nothing read the announcement, and VMs that each see a few requests a second learn by rejections how much the upstreams take.

One VM, chosen by rendezvous hashing, gives out a permit for each request to such a service: a semaphore with the slots of each upstream, in the order of arrival.

--- a/Controllers/member_choice.c
+++ b/Controllers/member_choice.c
@@ -89,19 +89,20 @@
     return n;
 }
 
-int
-CaroMembership_ChooseInDomain(const CaroMembership *m, const char *role,
-                              CaroHandle *chosen, int chosen_max)
+/* Fills the first usable VMs for the role, of the domain or of all. */
+static int
+choose_ranked(const CaroMembership *m, const char *role, const char *domain,
+              CaroHandle *chosen, int chosen_max)
 {
     enum { CHOSEN_MAX = 8 };
     uint64_t ranks[CHOSEN_MAX];
-    const char *domain = CaroMembership_Get(m, CARO_SELF)->domain;
     uint64_t seed = XXH64(role, strlen(role), 0);
     int n = 0;
     assert(chosen_max <= CHOSEN_MAX);
     for (CaroHandle h = 0; h < CaroMembership_Count(m); h++) {
         const CaroVm *vm = CaroMembership_Get(m, h);
-        if (CaroMembership_IsUsable(m, h) && strcmp(vm->domain, domain) == 0) {
+        if (CaroMembership_IsUsable(m, h) &&
+            (domain == NULL || strcmp(vm->domain, domain) == 0)) {
             uint64_t rank = XXH64(vm->name, strlen(vm->name), seed);
             n = insert_ranked(chosen, ranks, n, chosen_max, h, rank);
         }
@@ -109,6 +110,21 @@
     return n;
 }
 
+int
+CaroMembership_ChooseInDomain(const CaroMembership *m, const char *role,
+                              CaroHandle *chosen, int chosen_max)
+{
+    return choose_ranked(m, role, CaroMembership_Get(m, CARO_SELF)->domain,
+                         chosen, chosen_max);
+}
+
+int
+CaroMembership_ChooseOfAll(const CaroMembership *m, const char *role,
+                           CaroHandle *chosen, int chosen_max)
+{
+    return choose_ranked(m, role, NULL, chosen, chosen_max);
+}
+
 int
 CaroMembership_CountUsable(const CaroMembership *m)
 {
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -96,7 +96,10 @@
     X(TUNNELS_OPENED, "tunnels_opened")                                       \
     X(TUNNELS_TAKEN, "tunnels_taken")                                         \
     X(TUNNELS_REFUSED, "tunnels_refused")                                     \
-    X(GATES_FAILED, "gates_failed")
+    X(GATES_FAILED, "gates_failed")                                           \
+    X(PERMITS_GRANTED, "permits_granted")                                     \
+    X(PERMITS_DENIED, "permits_denied")                                       \
+    X(PERMIT_KEEPERS_LOST, "permit_keepers_lost")
 
 typedef enum {
 #define X(id, name) CARO_COUNT_##id,
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -80,6 +80,12 @@
     void (*on_pace_report)(void *context, const caro_pace_report *report);
     /* What another VM knows of services short of room. */
     void (*on_room_report)(void *context, const caro_room_report *report);
+    /* A peer asked for a permit, or returned one; the handler has to reply. */
+    void (*on_permit_call)(void *context, CaroRpcRequest *request,
+                           const caro_permit_args *args);
+    /* A peer's notice of brittle services; borrowed. */
+    void (*on_brittle_notice)(void *context,
+                              const caro_brittle_notice *notice);
     /* A peer's parts of prompts that engines hold; borrowed. */
     void (*on_retention_report)(void *context,
                                 const caro_retention_report *report);
@@ -144,6 +150,10 @@
 /* Sends what this VM knows of services short of room to all usable VMs. */
 void CaroFleet_SendRoomReport(CaroFleet *f, const caro_room_report *report);
 
+/* Sends which services are brittle to all usable VMs. */
+void CaroFleet_SendBrittleNotice(CaroFleet *f,
+                                 const caro_brittle_notice *notice);
+
 /* Sends what this VM knows of parts of prompts that crash upstreams to
    "fanout" usable VMs chosen at random, or fewer when there are not as
    many. */
--- a/Include/internal/caro_membership.h
+++ b/Include/internal/caro_membership.h
@@ -142,6 +142,10 @@
 int CaroMembership_ChooseInDomain(const CaroMembership *m, const char *role,
                                   CaroHandle *chosen, int chosen_max);
 
+/* Likewise of all usable VMs. */
+int CaroMembership_ChooseOfAll(const CaroMembership *m, const char *role,
+                               CaroHandle *chosen, int chosen_max);
+
 /* Returns a word for logs and reports. */
 const char *CaroMembership_StateName(caro_member_state state);
 
--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -32,6 +32,8 @@
     CARO_HEADER_TARGET_LIMIT,    /* Requests a second that the target takes
                                     from all VMs together; absent while it
                                     has no limit. */
+    CARO_HEADER_TARGET_BRITTLE,  /* Rejections a second that the target bears;
+                                    none if it is not brittle. */
     CARO_HEADER_TARGET_LEAVING,  /* The target leaves: no new requests. */
     CARO_HEADER_NOT_RUN,         /* The target did not execute the request. */
     CARO_HEADER_PRIORITY,        /* 0 (served first) to 9; 5 if absent. */
@@ -71,6 +73,10 @@
    or CARO_ERR_INPUT. */
 int CaroPlatform_ReadLimit(CaroText value, double *per_s);
 
+/* Parses CARO_HEADER_TARGET_BRITTLE, a whole number of at least 0.  Returns 0
+   or CARO_ERR_INPUT. */
+int CaroPlatform_ReadBrittle(CaroText value, int *rejections_max);
+
 /* Parses CARO_HEADER_TARGET_LEAVING.  Returns whether the target leaves. */
 bool CaroPlatform_ReadLeaving(CaroText value);
 
--- a/Include/internal/caro_relay.h
+++ b/Include/internal/caro_relay.h
@@ -21,6 +21,7 @@
 #include "internal/caro_routes.h"
 #include "internal/caro_service_rollouts.h"
 #include "internal/caro_service_room.h"
+#include "internal/caro_slot_permits.h"
 
 typedef struct CaroRelays CaroRelays;
 
@@ -39,6 +40,7 @@
     CaroEnginePace *pace;
     CaroServiceRoom *room; /* NULL: all plain requests are sent at once. */
     CaroRetainedPrompts *retained;
+    CaroSlotPermits *permits; /* NULL: none are needed. */
     gsl_rng *rng;
     const char *domain;        /* Failure domain of this VM. */
     size_t response_bytes_max; /* Of responses that callers have not taken, of
@@ -52,6 +54,10 @@
 CaroRelays *CaroRelays_Create(const CaroRelayDeps *deps);
 void CaroRelays_Destroy(CaroRelays *relays);
 
+/* The outcome of a wait for a permit; a CaroSlotPermitsDone. */
+void CaroRelays_OnPermit(void *owner, uint64_t id, CaroHandle target,
+                         CaroTime retry_after);
+
 /* Number of VMs in the deployment; they share the retry budget. */
 void CaroRelays_SetVms(CaroRelays *relays, int vms);
 
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -62,19 +62,24 @@
     bool is_event_stream;      /* Events of the response are forwarded. */
     bool is_forwarding;        /* A long plain response is being forwarded. */
     bool is_close_delimited;   /* The response ends with the connection. */
-    bool is_canary;           /* Restricted to the new version of a rollout. */
-    bool is_over_limit;       /* Only full targets are left. */
-    bool is_held;             /* It waits for room, without a target. */
-    bool is_out_of_room;      /* All servers rejected it, or it was refused
-                                 for lack of room. */
-    bool is_rejected;         /* The current attempt was, for lack of room. */
-    size_t held_bytes;        /* Of a held request. */
-    CaroTime room_wait;       /* Retry-After of a refusal for lack of room. */
-    bool is_target_suspected; /* Another stream found the target silent. */
-    bool is_silence_recorded; /* The target was recorded as silent. */
-    CaroTime suspected_at;    /* Time of the last report of that. */
-    bool has_prefill_ahead;   /* Other prompts were queued at the target. */
-    int tokens_ahead;         /* Their tokens. */
+    bool is_canary;      /* Restricted to the new version of a rollout. */
+    bool is_over_limit;  /* Only full targets are left. */
+    bool is_held;        /* It waits for room, without a target. */
+    bool is_out_of_room; /* All servers rejected it, or it was refused
+                            for lack of room. */
+    bool is_rejected;    /* The current attempt was, for lack of room. */
+    size_t held_bytes;   /* Of a held request. */
+    uint64_t permit_id;  /* Of the current attempt; 0 for none. */
+    bool is_awaiting_permit;
+    CaroHandle permit_target;  /* Upstream that it is for. */
+    bool is_out_of_permits;    /* It was denied. */
+    CaroTime permit_wait;      /* Retry-After of a denial. */
+    CaroTime room_wait;        /* Retry-After of a refusal for lack of room. */
+    bool is_target_suspected;  /* Another stream found the target silent. */
+    bool is_silence_recorded;  /* The target was recorded as silent. */
+    CaroTime suspected_at;     /* Time of the last report of that. */
+    bool has_prefill_ahead;    /* Other prompts were queued at the target. */
+    int tokens_ahead;          /* Their tokens. */
     uint32_t events_at_target; /* CaroEventPace_Count at the last event. */
     int prefill_tokens; /* Pending prefill at the target; 0 after an event. */
     int prompt_tokens;  /* Prompt of the request; 0 for plain requests. */
@@ -120,6 +125,19 @@
 void CaroRelay_ReleaseTarget(CaroRelay *r);
 void CaroRelay_ReleaseKvCopy(CaroRelay *r, CaroHandle *kv_copy);
 
+/* Returns the permit of the attempt, or stops waiting for it. */
+void CaroRelay_ReturnPermit(CaroRelay *r, CaroTime now);
+
+/* relay_permits.c: requests to brittle upstreams. */
+
+/* Asks for the permit that the next attempt needs; GRANTED when it has one or
+   needs none.  When it is QUEUED, CaroRelays_OnPermit goes on. */
+CaroPermitOutcome CaroRelay_TakePermit(CaroRelay *r, CaroTime now);
+
+/* Records what the head of a response says of its upstream. */
+void CaroRelay_RecordBrittle(const CaroRelay *r, const CaroHttpHead *head,
+                             CaroTime now);
+
 /* What admission has to know of the request. */
 CaroRoomRequest CaroRelay_RoomRequest(const CaroRelay *r);
 
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -487,6 +487,20 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_SLOT_PERMIT:
+        if (f->handlers->on_permit_call != NULL) {
+            f->handlers->on_permit_call(f->context, request, args);
+        }
+        else {
+            CaroRpc_Ignore(request);
+        }
+        break;
+    case CARO_BRITTLE_NOTICE:
+        if (f->handlers->on_brittle_notice != NULL) {
+            f->handlers->on_brittle_notice(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
     default:
         if (f->handlers->on_call != NULL) {
             f->handlers->on_call(f->context, request, procedure, args);
@@ -667,6 +681,12 @@
     send_to_all(f, CARO_ROOM_REPORT, report);
 }
 
+void
+CaroFleet_SendBrittleNotice(CaroFleet *f, const caro_brittle_notice *notice)
+{
+    send_to_all(f, CARO_BRITTLE_NOTICE, notice);
+}
+
 void
 CaroFleet_SendPromptReport(CaroFleet *f, const caro_prompt_report *report,
                            int fanout)
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -27,6 +27,7 @@
 #include "internal/caro_retry_lending.h"
 #include "internal/caro_service_rollouts.h"
 #include "internal/caro_service_room.h"
+#include "internal/caro_slot_permits.h"
 #include "internal/caro_tunnel_gate.h"
 #include "internal/caro_upstream_paths.h"
 
@@ -100,6 +101,7 @@
     CaroPromptGuard *guard;
     CaroRequestLimits *limits;
     CaroServiceRoom *room;
+    CaroSlotPermits *permits;
     CaroRelays *relays;
     CaroHttpServer *http_server;
     CaroStoreClient *store;
@@ -665,7 +667,24 @@
     CaroServiceRoom_Apply(g->room, report, CaroClock_Now());
 }
 
+static void
+on_permit_call(void *context, CaroRpcRequest *request,
+               const caro_permit_args *args)
+{
+    CaroGateway *g = context;
+    CaroSlotPermits_OnCall(g->permits, request, args, CaroClock_Now());
+}
+
+static void
+on_brittle_notice(void *context, const caro_brittle_notice *notice)
+{
+    CaroGateway *g = context;
+    CaroSlotPermits_ApplyNotice(g->permits, notice, CaroClock_Now());
+}
+
 static const CaroFleetHandlers fleet_handlers = {
+    .on_permit_call = on_permit_call,
+    .on_brittle_notice = on_brittle_notice,
     .on_retry_loan = on_retry_loan,
     .on_room_report = on_room_report,
     .on_limit_report = on_limit_report,
@@ -871,6 +890,7 @@
         CaroMembership_Rank(CaroFleet_GetMembershipConst(g->fleet)),
         CaroMembership_CountUsable(CaroFleet_GetMembershipConst(g->fleet)));
     CaroRelays_CheckOverdue(g->relays, now);
+    CaroSlotPermits_Tick(g->permits, now);
     CaroServiceRollouts_Tick(g->rollouts, now);
     CaroPeerReports_Tick(g->peer_reports, now);
     CaroRelays_SetVms(g->relays, CaroRetryLending_Tick(g->lending, now));
@@ -975,10 +995,14 @@
                     : CaroRequestLimits_Create(g->targets, g->rng);
     g->room =
         g->limits == NULL ? NULL : CaroServiceRoom_Create(g->targets, g->rng);
-    if (g->config == NULL || g->guard == NULL || g->room == NULL ||
-        g->rng == NULL || g->latency == NULL || g->peer_loads == NULL ||
-        g->pace == NULL || g->retained == NULL || g->pool == NULL ||
-        g->lending == NULL || g->rollouts == NULL) {
+    g->permits = g->targets == NULL
+                     ? NULL
+                     : CaroSlotPermits_Create(g->targets, &g->counters,
+                                              CaroRelays_OnPermit);
+    if (g->permits == NULL || g->config == NULL || g->guard == NULL ||
+        g->room == NULL || g->rng == NULL || g->latency == NULL ||
+        g->peer_loads == NULL || g->pace == NULL || g->retained == NULL ||
+        g->pool == NULL || g->lending == NULL || g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
     CaroRetryBudget_Start(g->budget, now);
@@ -998,6 +1022,7 @@
         .pace = g->pace,
         .room = g->room,
         .retained = g->retained,
+        .permits = g->permits,
         .rng = g->rng,
         .domain = g->settings.domain,
         .response_bytes_max =
@@ -1133,6 +1158,7 @@
                    : CaroFleet_Create(base, &self, &fleet_options, g->rng,
                                       &fleet_handlers, g, now, err);
     CaroRetryLending_SetFleet(g->lending, g->fleet);
+    CaroSlotPermits_SetFleet(g->permits, g->fleet, settings->vm);
     g->status_http =
         g->fleet == NULL
             ? NULL
@@ -1217,6 +1243,7 @@
     CaroPromptGuard_Destroy(g->guard);
     CaroRequestLimits_Destroy(g->limits);
     CaroServiceRoom_Destroy(g->room);
+    CaroSlotPermits_Destroy(g->permits);
     CaroLatency_Destroy(g->latency);
     CaroTargets_Destroy(g->targets);
     CaroActiveConfig_Destroy(g->config);
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -225,7 +225,10 @@
     CaroTime now = CaroClock_Now();
     bool is_expired = now >= r->attempt.deadline;
     bool is_waiting = r->target == CARO_NO_HANDLE;
-    if (r->is_held) {
+    if (r->is_awaiting_permit && !is_expired) {
+        CaroRelay_SetTimer(r, r->attempt.deadline, now);
+    }
+    else if (r->is_held) {
         if (CaroRelay_EndHold(r, now)) {
             CaroRelay_BeginAttempt(r, now);
         }
@@ -424,6 +427,7 @@
         return;
     }
     CaroRelay_RecordLoad(r, head, now);
+    CaroRelay_RecordBrittle(r, head, now);
     r->status = head->status;
     r->is_close_delimited = head->is_close_delimited;
     r->is_not_run =
@@ -977,13 +981,39 @@
         r, next < r->attempt.deadline ? next : r->attempt.deadline, now);
 }
 
-/* Chooses the target with the KV copy if it is usable, else any. */
+/* Returns whether the permit's upstream suits the request, which may be for
+   another version, or have failed there. */
+static bool
+is_permit_target_usable(const CaroRelay *r, CaroTime now)
+{
+    if (r->permit_id == 0 || r->permit_target == CARO_NO_HANDLE ||
+        r->query.version != NULL ||
+        !CaroTarget_IsUsable(
+            CaroTargets_GetConst(r->relays->deps.targets, r->permit_target),
+            now)) {
+        return false;
+    }
+    for (int i = 0; i < r->query.n_tried; i++) {
+        if (r->query.tried[i] == r->permit_target) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Chooses the target of the permit or of the KV copy, if it is usable, else
+   any. */
 static CaroHandle
 choose_target(CaroRelay *r, CaroTime now)
 {
     CaroTargets *targets = r->relays->deps.targets;
     CaroRequestLimits *limits = r->relays->deps.limits;
     r->is_from_kv_copy = false;
+    if (is_permit_target_usable(r, now) &&
+        CaroRequestLimits_Take(limits, r->permit_target, r->attempt.tries > 0,
+                               now)) {
+        return r->permit_target;
+    }
     if (r->resume_at != CARO_NO_HANDLE) {
         const CaroTarget *kv_holder =
             CaroTargets_GetConst(targets, r->resume_at);
@@ -1091,6 +1121,32 @@
         .started_at = now};
 }
 
+static void
+end_without_permit(CaroRelay *r, CaroTime now)
+{
+    r->is_out_of_permits = true;
+    end_attempt(r, CARO_OUTCOME_NO_TARGET,
+                "the upstreams are brittle and have no room", now);
+}
+
+void
+CaroRelays_OnPermit(void *owner, uint64_t id, CaroHandle target,
+                    CaroTime retry_after)
+{
+    CaroRelay *r = owner;
+    CaroTime now = CaroClock_Now();
+    (void)id;
+    r->is_awaiting_permit = false;
+    r->permit_target = target;
+    r->permit_wait = retry_after;
+    if (target == CARO_NO_HANDLE) {
+        end_without_permit(r, now);
+    }
+    else {
+        CaroRelay_BeginAttempt(r, now);
+    }
+}
+
 void
 CaroRelay_BeginAttempt(CaroRelay *r, CaroTime now)
 {
@@ -1102,6 +1158,15 @@
                     "a part of the prompt is in quarantine", now);
         return;
     }
+    switch (CaroRelay_TakePermit(r, now)) {
+    case CARO_PERMIT_GRANTED:
+        break;
+    case CARO_PERMIT_QUEUED:
+        return;
+    case CARO_PERMIT_DENIED:
+        end_without_permit(r, now);
+        return;
+    }
     r->is_event_stream = false;
     r->is_not_run = false;
     r->is_rejected = false;
--- a/Modules/relay_state.c
+++ b/Modules/relay_state.c
@@ -1,6 +1,7 @@
 /* What a request holds while it is forwarded, and how it ends. */
 #include "internal/caro_relay_private.h"
 
+#include "internal/caro_clock.h"
 #include "internal/caro_log.h"
 #include "internal/caro_platform.h"
 
@@ -26,10 +27,23 @@
     r->prefill_tokens = tokens;
 }
 
+void
+CaroRelay_ReturnPermit(CaroRelay *r, CaroTime now)
+{
+    if (r->permit_id != 0) {
+        uint64_t id = r->permit_id;
+        r->permit_id = 0;
+        r->is_awaiting_permit = false;
+        CaroSlotPermits_Release(r->relays->deps.permits, id, r->is_rejected,
+                                now);
+    }
+}
+
 void
 CaroRelay_ReleaseTarget(CaroRelay *r)
 {
     CaroTargets *targets = r->relays->deps.targets;
+    CaroRelay_ReturnPermit(r, CaroClock_Now());
     CaroChannel_Destroy(r->channel);
     r->channel = NULL;
     if (r->target != CARO_NO_HANDLE) {
@@ -206,6 +220,9 @@
     if (r->is_out_of_room && status == 503) {
         wait_s = (double)CaroRelay_RefuseForRoom(r, now) / (double)CARO_SECOND;
     }
+    else if (r->is_out_of_permits && status == 503) {
+        wait_s = (double)r->permit_wait / (double)CARO_SECOND;
+    }
     else if (r->is_over_limit && status == 503) {
         CaroTime delay = CaroRequestLimits_Refuse(r->relays->deps.limits,
                                                   r->service, r->id, now);
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -38,6 +38,9 @@
     [CARO_PROMPT_RETENTION] =
         PROCEDURE(caro_retention_report, caro_retention_report),
     [CARO_PACKED_CONFIG] = PROCEDURE(caro_config_args, caro_packed_config),
+    [CARO_SLOT_PERMIT] = PROCEDURE(caro_permit_args, caro_permit),
+    [CARO_BRITTLE_NOTICE] =
+        PROCEDURE(caro_brittle_notice, caro_brittle_notice),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -225,6 +225,43 @@
 };
 typedef struct caro_packed_config caro_packed_config;
 
+struct caro_permit_args {
+	char *sender;
+	u_quad_t id;
+	u_int service;
+	u_int rejections_max;
+	u_int said_age_ms;
+	u_int wait_ms;
+	u_int ttl_ms;
+	bool_t is_return;
+	bool_t was_rejected;
+};
+typedef struct caro_permit_args caro_permit_args;
+
+struct caro_permit {
+	bool_t is_granted;
+	u_int upstream;
+	u_int retry_after_ms;
+};
+typedef struct caro_permit caro_permit;
+#define CARO_BRITTLE_MAX 8
+
+struct caro_brittle_service {
+	u_int service;
+	u_int rejections_max;
+	u_int age_ms;
+};
+typedef struct caro_brittle_service caro_brittle_service;
+
+struct caro_brittle_notice {
+	char *sender;
+	struct {
+		u_int services_len;
+		caro_brittle_service *services_val;
+	} services;
+};
+typedef struct caro_brittle_notice caro_brittle_notice;
+
 struct caro_tunnel_hello {
 	char *sender;
 	u_quad_t sender_boot_id;
@@ -585,6 +622,12 @@
 #define CARO_PACKED_CONFIG 21
 extern  caro_packed_config * caro_packed_config_1(caro_config_args *, CLIENT *);
 extern  caro_packed_config * caro_packed_config_1_svc(caro_config_args *, struct svc_req *);
+#define CARO_SLOT_PERMIT 22
+extern  caro_permit * caro_slot_permit_1(caro_permit_args *, CLIENT *);
+extern  caro_permit * caro_slot_permit_1_svc(caro_permit_args *, struct svc_req *);
+#define CARO_BRITTLE_NOTICE 23
+extern  caro_brittle_notice * caro_brittle_notice_1(caro_brittle_notice *, CLIENT *);
+extern  caro_brittle_notice * caro_brittle_notice_1_svc(caro_brittle_notice *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -651,6 +694,12 @@
 #define CARO_PACKED_CONFIG 21
 extern  caro_packed_config * caro_packed_config_1();
 extern  caro_packed_config * caro_packed_config_1_svc();
+#define CARO_SLOT_PERMIT 22
+extern  caro_permit * caro_slot_permit_1();
+extern  caro_permit * caro_slot_permit_1_svc();
+#define CARO_BRITTLE_NOTICE 23
+extern  caro_brittle_notice * caro_brittle_notice_1();
+extern  caro_brittle_notice * caro_brittle_notice_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -677,6 +726,10 @@
 extern  bool_t xdr_caro_config (XDR *, caro_config*);
 extern  bool_t xdr_caro_config_args (XDR *, caro_config_args*);
 extern  bool_t xdr_caro_packed_config (XDR *, caro_packed_config*);
+extern  bool_t xdr_caro_permit_args (XDR *, caro_permit_args*);
+extern  bool_t xdr_caro_permit (XDR *, caro_permit*);
+extern  bool_t xdr_caro_brittle_service (XDR *, caro_brittle_service*);
+extern  bool_t xdr_caro_brittle_notice (XDR *, caro_brittle_notice*);
 extern  bool_t xdr_caro_tunnel_hello (XDR *, caro_tunnel_hello*);
 extern  bool_t xdr_caro_tunnel_status (XDR *, caro_tunnel_status*);
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
@@ -727,6 +780,10 @@
 extern bool_t xdr_caro_config ();
 extern bool_t xdr_caro_config_args ();
 extern bool_t xdr_caro_packed_config ();
+extern bool_t xdr_caro_permit_args ();
+extern bool_t xdr_caro_permit ();
+extern bool_t xdr_caro_brittle_service ();
+extern bool_t xdr_caro_brittle_notice ();
 extern bool_t xdr_caro_tunnel_hello ();
 extern bool_t xdr_caro_tunnel_status ();
 extern bool_t xdr_caro_why_args ();
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -170,6 +170,40 @@
     opaque frame<CARO_CONFIG_FRAME_MAX>; /* Empty if the VM has none. */
 };
 
+/* Asks the keeper of a service for a permit, or returns one.  Older versions
+   ignore the procedure. */
+struct caro_permit_args {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper id; /* Of the permit; the same when the call is repeated. */
+    unsigned int service; /* Hash of the service's name. */
+    unsigned int rejections_max; /* That its upstreams bear a second. */
+    unsigned int said_age_ms; /* Since an upstream said so. */
+    unsigned int wait_ms; /* For which the sender waits. */
+    unsigned int ttl_ms; /* The permit counts as returned after this. */
+    bool is_return;
+    bool was_rejected; /* The upstream rejected the request. */
+};
+
+struct caro_permit {
+    bool is_granted;
+    unsigned int upstream; /* Hash of its start. */
+    unsigned int retry_after_ms; /* If it is not granted. */
+};
+
+const CARO_BRITTLE_MAX = 8;
+struct caro_brittle_service {
+    unsigned int service; /* Hash of the service's name. */
+    unsigned int rejections_max;
+    unsigned int age_ms; /* Since an upstream said so. */
+};
+
+/* The services that the sender keeps permits of.  Older versions ignore the
+   procedure. */
+struct caro_brittle_notice {
+    string sender<CARO_NAME_MAX>;
+    caro_brittle_service services<CARO_BRITTLE_MAX>;
+};
+
 /* The first record on a tunnel, with its size in four bytes before it.  The
    boot ids are known to the members alone. */
 struct caro_tunnel_hello {
@@ -461,5 +495,7 @@
         caro_retention_report
             CARO_PROMPT_RETENTION(caro_retention_report) = 20;
         caro_packed_config CARO_PACKED_CONFIG(caro_config_args) = 21;
+        caro_permit CARO_SLOT_PERMIT(caro_permit_args) = 22;
+        caro_brittle_notice CARO_BRITTLE_NOTICE(caro_brittle_notice) = 23;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -369,6 +369,138 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_permit_args (XDR *xdrs, caro_permit_args *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->service))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rejections_max))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->said_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_return))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->was_rejected))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->service);
+			IXDR_PUT_U_LONG(buf, objp->rejections_max);
+			IXDR_PUT_U_LONG(buf, objp->said_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->wait_ms);
+			IXDR_PUT_U_LONG(buf, objp->ttl_ms);
+			IXDR_PUT_BOOL(buf, objp->is_return);
+			IXDR_PUT_BOOL(buf, objp->was_rejected);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->service))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->rejections_max))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->said_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_return))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->was_rejected))
+				 return FALSE;
+		} else {
+			objp->service = IXDR_GET_U_LONG(buf);
+			objp->rejections_max = IXDR_GET_U_LONG(buf);
+			objp->said_age_ms = IXDR_GET_U_LONG(buf);
+			objp->wait_ms = IXDR_GET_U_LONG(buf);
+			objp->ttl_ms = IXDR_GET_U_LONG(buf);
+			objp->is_return = IXDR_GET_BOOL(buf);
+			objp->was_rejected = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rejections_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->said_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ttl_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_return))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->was_rejected))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_permit (XDR *xdrs, caro_permit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bool (xdrs, &objp->is_granted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_after_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_brittle_service (XDR *xdrs, caro_brittle_service *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->rejections_max))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_brittle_notice (XDR *xdrs, caro_brittle_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->services.services_val, (u_int *) &objp->services.services_len, CARO_BRITTLE_MAX,
+		sizeof (caro_brittle_service), (xdrproc_t) xdr_caro_brittle_service))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_tunnel_hello (XDR *xdrs, caro_tunnel_hello *objp)
 {
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -25,6 +25,12 @@
  * ends that.  /fault then tells how many requests arrived since LIMIT_SETTLE
  * after it was first named, in what time, and the most of them in
  * LIMIT_WINDOW.
+ *
+ * With slots=S it runs S plain requests at once, lets queue=Q wait, and
+ * rejects others.  With brittle=N its responses say so, and it falls over for
+ * FALL_DURATION when it rejects more than N requests in a second: requests are
+ * dropped and its registration is not renewed.  /fault tells how often it fell
+ * and how many requests it rejected.
  */
 #include "fake.h"
 
@@ -50,7 +56,10 @@
 #define UNAVAILABLE_SETTLE (500 * CARO_MS)
 #define ANNOUNCE_SETTLE (500 * CARO_MS)
 
-enum { ARRIVALS_MAX = 8192 };
+#define FALL_DURATION (3 * CARO_SECOND)
+#define REJECTION_WINDOW (1 * CARO_SECOND)
+
+enum { ARRIVALS_MAX = 8192, REJECTIONS_MAX = 1024 };
 
 /* The last refusal on the connection from a port. */
 typedef struct Refusal {
@@ -94,11 +103,24 @@
     CaroTime unavailable_until;
     CaroTime unavailable_since; /* First refusal that said so; 0 before. */
     long n_late;                /* Requests against what was announced. */
+    int slots;                  /* 0: all requests run at once. */
+    int queue;                  /* Plain requests that may wait. */
+    int n_busy;                 /* Slots in use. */
+    int n_waiting;
+    struct PendingRequest *first_waiting;
+    int brittle; /* Rejections a second that it bears; 0 for not brittle. */
+    CaroTime rejected_at[REJECTIONS_MAX]; /* The last ones; a ring. */
+    long n_rejected;
+    long n_falls;
+    CaroTime down_until;
 } Target;
 
 /* A request in progress. */
-typedef struct {
+typedef struct PendingRequest {
     Target *target;
+    struct PendingRequest *next_waiting;
+    bool is_waiting;
+    bool has_slot;
     struct evhttp_request *req; /* NULL after the caller disconnected. */
     struct event *timer;
     bool is_stream;
@@ -124,9 +146,43 @@
     (void)event_add(r->timer, &t);
 }
 
+/* Starts the first request that waits. */
+static void
+start_waiting(Target *t)
+{
+    PendingRequest *r = t->first_waiting;
+    if (r != NULL && t->n_busy < t->slots) {
+        t->first_waiting = r->next_waiting;
+        t->n_waiting--;
+        t->n_busy++;
+        r->is_waiting = false;
+        r->has_slot = true;
+        set_timer(r, t->options->work_ms * CARO_MS);
+    }
+}
+
+static void
+leave_queue(PendingRequest *r)
+{
+    Target *t = r->target;
+    if (r->has_slot) {
+        t->n_busy--;
+        start_waiting(t);
+    }
+    for (PendingRequest **at = &t->first_waiting; r->is_waiting && *at != NULL;
+         at = &(*at)->next_waiting) {
+        if (*at == r) {
+            *at = r->next_waiting;
+            t->n_waiting--;
+            return;
+        }
+    }
+}
+
 static void
 free_request(PendingRequest *r)
 {
+    leave_queue(r);
     r->target->running--;
     if (r->req != NULL) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(r->req),
@@ -155,6 +211,16 @@
     }
 }
 
+static void
+add_brittle(const Target *t, struct evkeyvalq *out)
+{
+    char text[16];
+    if (t->brittle > 0) {
+        (void)snprintf(text, sizeof(text), "%d", t->brittle);
+        evhttp_add_header(out, "Server-Brittle", text);
+    }
+}
+
 static void
 add_headers(const PendingRequest *r)
 {
@@ -170,6 +236,7 @@
         evhttp_add_header(out, "Server-Limit", load);
     }
     add_announcement(r->target, out);
+    add_brittle(r->target, out);
 }
 
 static void
@@ -285,9 +352,31 @@
     evhttp_add_header(out, "X-Not-Executed", "1");
     evhttp_add_header(out, "X-Instance-Id", t->options->name);
     add_announcement(t, out);
+    add_brittle(t, out);
     CaroHttp_SendText(req, status, "");
 }
 
+/* Rejects a request for lack of room, which may make the instance fall. */
+static void
+reject_for_room(Target *t, struct evhttp_request *req, CaroTime now)
+{
+    reject(t, req, HTTP_SERVUNAVAIL);
+    t->rejected_at[t->n_rejected++ % REJECTIONS_MAX] = now;
+    long first = t->n_rejected - 1 - t->brittle;
+    if (t->brittle > 0 && first >= 0 && t->brittle < REJECTIONS_MAX &&
+        now - t->rejected_at[first % REJECTIONS_MAX] < REJECTION_WINDOW) {
+        t->n_falls++;
+        t->n_rejected = 0;
+        t->down_until = now + FALL_DURATION;
+    }
+}
+
+static bool
+has_room(const Target *t)
+{
+    return t->slots == 0 || t->n_busy < t->slots || t->n_waiting < t->queue;
+}
+
 static int
 port_of(struct evhttp_request *req)
 {
@@ -434,6 +523,14 @@
         return;
     }
     CaroTime now = CaroClock_Now();
+    if (now < t->down_until) {
+        evhttp_connection_free(evhttp_request_get_connection(req));
+        return;
+    }
+    if (tokens == NULL && !has_room(t)) {
+        reject_for_room(t, req, now);
+        return;
+    }
     record_arrival(t, now);
     if (refuse_while_unavailable(t, req, now)) {
         return;
@@ -465,9 +562,20 @@
     if (tokens != NULL) {
         start_stream(r, tokens);
     }
-    else {
+    else if (t->slots == 0 || t->n_busy < t->slots) {
+        r->has_slot = t->slots > 0;
+        t->n_busy += r->has_slot;
         set_timer(r, t->options->work_ms * CARO_MS);
     }
+    else {
+        PendingRequest **at = &t->first_waiting;
+        while (*at != NULL) {
+            at = &(*at)->next_waiting;
+        }
+        *at = r;
+        r->is_waiting = true;
+        t->n_waiting++;
+    }
 }
 
 static void
@@ -494,7 +602,7 @@
 on_fault(struct evhttp_request *req, void *arg)
 {
     Target *t = arg;
-    char text[224];
+    char text[288];
     double limit = Fake_GetNumber(req, "limit", t->limit);
     CaroTime now = CaroClock_Now();
     if (limit != t->limit) {
@@ -510,6 +618,9 @@
     t->refuse_rate = Fake_GetNumber(req, "refuse", t->refuse_rate);
     t->repeat_rate = Fake_GetNumber(req, "repeat", t->repeat_rate);
     t->resume_status = (int)Fake_GetNumber(req, "resume", t->resume_status);
+    t->slots = (int)Fake_GetNumber(req, "slots", t->slots);
+    t->queue = (int)Fake_GetNumber(req, "queue", t->queue);
+    t->brittle = (int)Fake_GetNumber(req, "brittle", t->brittle);
     t->is_announcing = Fake_GetNumber(req, "announce", t->is_announcing) > 0.0;
     double unavailable_s = Fake_GetNumber(req, "unavailable", 0.0);
     if (unavailable_s > 0.0) {
@@ -519,10 +630,12 @@
     }
     (void)snprintf(text, sizeof(text),
                    "running %d\ntotal %ld\narrived %ld\nin_ms %lld\n"
-                   "window_max %ld\nlate %ld\nrepeats %ld\n",
+                   "window_max %ld\nlate %ld\nrepeats %ld\n"
+                   "falls %ld\nrejected %ld\n",
                    t->running, t->requests_run, t->n_arrivals,
                    (long long)((now - t->limited_at - LIMIT_SETTLE) / CARO_MS),
-                   t->window_max, t->n_late, t->n_repeats);
+                   t->window_max, t->n_late, t->n_repeats, t->n_falls,
+                   t->n_rejected);
     CaroHttp_SendText(req, HTTP_OK, text);
 }
 
@@ -549,13 +662,16 @@
     char registration[2048];
     (void)snprintf(path, sizeof(path), "/write?key=servers/%s&ttl_ms=%d",
                    t->options->name, REGISTRATION_TTL_MS);
+    if (CaroClock_Now() < t->down_until) {
+        return;
+    }
     int n = snprintf(
         registration, sizeof(registration),
         "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-        "\"version\":\"%s\",\"slots\":64,\"state\":\"%s\",\"born\":%lld}",
+        "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\",\"born\":%lld}",
         t->options->service, t->options->listen, t->options->domain,
-        t->options->version, t->is_draining ? "draining" : "ready",
-        (long long)t->started_at_ms);
+        t->options->version, t->slots > 0 ? t->slots : 64,
+        t->is_draining ? "draining" : "ready", (long long)t->started_at_ms);
     CaroHttpCall call = {.address = t->options->registry,
                          .path = path,
                          .method = EVHTTP_REQ_POST,
--- a/Tools/gateway_fleet.sh
+++ b/Tools/gateway_fleet.sh
@@ -72,7 +72,8 @@
 gateway_start_desk() { # I [VERSION]
     fleet_run "o$1" "$bin/carofake" target --listen "$(gateway_desk "$1")" \
         --name "o$1-$RANDOM" --registry "$(gateway_registry)" \
-        --domain "$(fleet_domain "$1")" --service desk --work-ms 10 \
+        --domain "$(fleet_domain "$1")" --service desk \
+        --work-ms "${DESK_WORK_MS:-10}" \
         --version "${2:-v1}"
     gateway_wait_up "$(gateway_desk "$1")"
 }
