--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -139,6 +139,12 @@
 int CaroPlatform_ReadConfig(const char *bytes, size_t size,
                             CaroRoutes **routes, CaroError *err);
 
+/* Likewise after a previous configuration, NULL for none: of the routes, only
+   those whose text has changed are parsed. */
+int CaroPlatform_ReadConfigAfter(const char *bytes, size_t size,
+                                 const CaroRoutes *previous,
+                                 CaroRoutes **routes, CaroError *err);
+
 /* Parses the registration of a target.  Numbers are cut to their range.
    Returns 0, or CARO_ERR_INPUT with the reason in *err. */
 int CaroPlatform_ReadTarget(const char *id, const char *bytes, size_t size,
--- a/Include/internal/caro_routes.h
+++ b/Include/internal/caro_routes.h
@@ -71,6 +71,14 @@
    number.  Returns 0 or CARO_ERR_NOMEM. */
 int CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route);
 
+/* Likewise of a route that was read from a text with the hash, of which
+   FindBySource finds it. */
+int CaroRoutes_AddFrom(CaroRoutes *r, const CaroRoute *route, uint64_t source);
+
+/* Returns the route that was read from a text with the hash, or NULL. Borrowed
+   from r. */
+const CaroRoute *CaroRoutes_FindBySource(const CaroRoutes *r, uint64_t source);
+
 /* Makes all routes that are not public ask for an API key, also when no
    account has one. */
 void CaroRoutes_RequireAccounts(CaroRoutes *r);
--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -179,7 +179,8 @@
     if (!is_other && revision <= c->freshness.revision) {
         return CARO_CONFIG_KNOWN;
     }
-    int rc = CaroPlatform_ReadConfig(bytes, size, &routes, &err);
+    int rc =
+        CaroPlatform_ReadConfigAfter(bytes, size, c->routes, &routes, &err);
     if (rc >= 0 && is_other) {
         rc = compare_versions(c, routes, revision, now);
         if (rc != CARO_CONFIG_APPLIED) {
--- a/Objects/routes.c
+++ b/Objects/routes.c
@@ -21,7 +21,9 @@
 typedef struct RouteNode {
     CaroRoute route; /* Owns its texts and shares. */
     size_t prefix_size;
-    UT_hash_handle hh; /* By the prefix. */
+    uint64_t source; /* Hash of the text that it was read from; 0 for none. */
+    UT_hash_handle hh;        /* By the prefix. */
+    UT_hash_handle hh_source; /* By the source, if there is one. */
 } RouteNode;
 
 typedef struct Host {
@@ -41,7 +43,8 @@
 struct CaroRoutes {
     int64_t version;
     Host *hosts;
-    char *name_buffer; /* Holds the longest name of a host. */
+    RouteNode *sources; /* Routes with a source. */
+    char *name_buffer;  /* Holds the longest name of a host. */
     size_t name_size_max;
     Key *keys;
     CaroClientAccount *accounts;
@@ -51,6 +54,16 @@
     CaroCallerLimits limits;
 };
 
+/* Removes a route from the table of sources. */
+static void
+forget_source(CaroRoutes *r, RouteNode *node)
+{
+    if (node->source != 0) {
+        HASH_DELETE(hh_source, r->sources, node);
+        node->source = 0;
+    }
+}
+
 CaroRoutes *
 CaroRoutes_Create(int64_t version)
 {
@@ -92,6 +105,7 @@
         HASH_ITER(hh, host->routes, node, next_node)
         {
             HASH_DEL(host->routes, node);
+            forget_source(r, node);
             destroy_node(node);
         }
         free(host->prefix_sizes);
@@ -221,6 +235,20 @@
 
 int
 CaroRoutes_Add(CaroRoutes *r, const CaroRoute *route)
+{
+    return CaroRoutes_AddFrom(r, route, 0);
+}
+
+const CaroRoute *
+CaroRoutes_FindBySource(const CaroRoutes *r, uint64_t source)
+{
+    const RouteNode *node;
+    HASH_FIND(hh_source, r->sources, &source, sizeof(source), node);
+    return node == NULL ? NULL : &node->route;
+}
+
+int
+CaroRoutes_AddFrom(CaroRoutes *r, const CaroRoute *route, uint64_t source)
 {
     Host *host = find_host(r, route->host, strlen(route->host));
     if (host == NULL) {
@@ -234,10 +262,15 @@
     RouteNode *same = find_prefix(host, node->route.prefix, node->prefix_size);
     if (same != NULL) {
         HASH_DEL(host->routes, same);
+        forget_source(r, same);
         destroy_node(same);
     }
     HASH_ADD_KEYPTR(hh, host->routes, node->route.prefix, node->prefix_size,
                     node);
+    if (source != 0 && CaroRoutes_FindBySource(r, source) == NULL) {
+        node->source = source;
+        HASH_ADD(hh_source, r->sources, source, sizeof(node->source), node);
+    }
     r->n_routes++;
     return 0;
 }
