Soak: brittle order services and large configurations

The soak draws order services that run three requests, let one wait and say that they are brittle, and configurations of 300 routes, above the size from which they are confirmed by the revision of the store. Cuts of the links of one VM are not in it: all processes share one address.

--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -9,8 +9,8 @@
 # SIGHUP, changes of the configuration.  The others add kills and freezes of
 # gateways and engines, freezes of order services, lost and failed responses,
 # torn streams, a store that does not answer, order services that refuse requests
-# and write refusals once more, that want no requests for some time, and order
-# services and engines that announce in their responses alone that they leave.
+# and write refusals once more, that want no requests for some time, or are
+# brittle, and order services and engines that announce in their responses alone that they leave.
 # In one seed in four the order services limit their requests, in one in five the
 # store has entries that cannot be read.
 #
@@ -185,6 +185,8 @@
         idle=$((100 * drawn))
         draw 0 20
         local extra=$drawn
+        # Above the size from which a configuration is confirmed by revision.
+        [ "$extra" -lt 17 ] || extra=300
         draw 0 4
         write_config "$idle" "$extra" "$drawn"
         draw 20 300
@@ -212,7 +214,7 @@
 # Draws one event.  Everything is drawn before a subshell begins.
 step() { # PLANNED_ONLY
     local i ms what
-    draw 0 $(($1 ? 10 : 25))
+    draw 0 $(($1 ? 10 : 28))
     what=$drawn
     draw 1 $((gateways + 1))
     i=$drawn
@@ -303,6 +305,14 @@
         take "t$i" || return 0
         replace_engine "$i" "$ms" &
         ;;
+    25 | 26 | 27)
+        draw 1 $((fleet_domains + 1))
+        i=$drawn
+        take "o$i" || return 0
+        upstream_fault "o$i" "$(gateway_desk "$i")" desk \
+            "slots=3&queue=1&brittle=5" "slots=0&queue=0&brittle=0" \
+            $((ms + 1000)) &
+        ;;
     esac
 }
 
