A VM that has sent a packed configuration is not asked for the plain one

After one time-out, as of a VM that is cut off for a second, the next fetch from the VM asked for the plain form, 849 KB instead of 18 KB. That is now done only with VMs that never sent the packed form, as those of earlier versions.

--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -34,6 +34,10 @@
 /* Load reports are not replied to; the call's state is freed after this. */
 #define LOAD_REPORT_TIMEOUT (20 * CARO_MS)
 
+/* How a VM sends its configuration; those of earlier versions send it plain
+   and do not reply to a call for the packed form. */
+typedef enum { CONFIG_UNKNOWN, CONFIG_PACKED, CONFIG_PLAIN } ConfigForm;
+
 struct CaroFleet {
     CaroRpc *rpc;
     CaroMembership *membership;
@@ -52,8 +56,9 @@
     bool is_fetching_config; /* A call for a peer's configuration is open. */
     CaroHandle config_vm;    /* The VM called, and when. */
     CaroTime config_called_at;
-    /* VMs that did not reply to a call for the packed form. */
-    bool sends_plain_config[CARO_VMS_MAX];
+    /* By VM: the form of its last reply, or PLAIN after a call for the packed
+       form to a VM that never sent it had no reply. */
+    ConfigForm config_forms[CARO_VMS_MAX];
     bool wants_whole_config; /* The last one could not be unpacked. */
 };
 
@@ -115,8 +120,10 @@
 {
     CaroFleet *f = context;
     const caro_config *config = result;
-    /* A VM that was upgraded meanwhile is asked for the packed form again. */
-    f->sends_plain_config[f->config_vm] &= code == 0;
+    if (code < 0) {
+        /* It may have been upgraded meanwhile. */
+        f->config_forms[f->config_vm] = CONFIG_UNKNOWN;
+    }
     finish_fetch(f, code);
     if (code == 0 && config->text.text_len > 0) {
         f->handlers->on_config(f->context, config->text.text_val,
@@ -130,9 +137,12 @@
 {
     CaroFleet *f = context;
     const caro_packed_config *packed = result;
-    if (code == CARO_ERR_TIMEOUT) {
-        /* Earlier versions do not reply to the procedure. */
-        f->sends_plain_config[f->config_vm] = true;
+    ConfigForm *form = &f->config_forms[f->config_vm];
+    if (code == 0) {
+        *form = CONFIG_PACKED;
+    }
+    else if (code == CARO_ERR_TIMEOUT && *form == CONFIG_UNKNOWN) {
+        *form = CONFIG_PLAIN;
     }
     if (code == 0 && packed->frame.frame_len > 0) {
         code = f->handlers->on_packed_config(f->context, packed);
@@ -151,7 +161,8 @@
     f->is_fetching_config = true;
     f->config_vm = vm;
     f->config_called_at = CaroClock_Now();
-    if (f->handlers->on_packed_config == NULL || f->sends_plain_config[vm]) {
+    if (f->handlers->on_packed_config == NULL ||
+        f->config_forms[vm] == CONFIG_PLAIN) {
         caro_member_update updates[CARO_UPDATES_MAX];
         caro_heartbeat h;
         fill_heartbeat(f, vm, &h, updates);
