A service that is down does not make a VM doubt its links

Found by thinking the state through: when all servers of one service were down, three failed connections in a row sent the channels of all services through gates, whose own connections failed likewise, and then nowhere, so that callers of sound services would have got 503.

After a failed connection one to an upstream of each service is tried; only when all fail, and three upstreams in a row, do channels go through gates. Without any gate a direct connection is made if one succeeded in the last 2 s.

--- a/Controllers/upstream_links.c
+++ b/Controllers/upstream_links.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 enum {
-    /* Consecutive failed connections, to different upstreams. */
+    /* Consecutive failed connections, to different upstreams, with those of a
+       round of probes. */
     FAILURES_MAX = 3,
     /* Consecutive direct connections after which the links count as sound. */
     SUCCESSES_MIN = 2,
@@ -19,6 +20,7 @@
 #define PROBE_INTERVAL (250 * CARO_MS)
 /* Without a byte from any upstream for this long, the links are tried. */
 #define SILENCE_MAX (800 * CARO_MS)
+#define CONNECTED_TTL (2 * CARO_SECOND)
 #define GATE_RETRY_INTERVAL (250 * CARO_MS)
 #define UNABLE_GATE_REST_TIME (2 * CARO_SECOND)
 #define LOST_GATE_REST_TIME (10 * CARO_SECOND)
@@ -28,7 +30,10 @@
     CaroLinksState state;
     CaroHandle failed[FAILURES_MAX]; /* Since the last success. */
     int n_failed;
-    int n_succeeded; /* Since the last failure. */
+    int n_succeeded;       /* Since the last failure. */
+    CaroTime connected_at; /* Last direct connection; 0 for none. */
+    int n_probes;          /* Of the present round; 0 for none. */
+    int n_probes_failed;
     CaroTime next_probe;
     CaroHandle gates[GATES]; /* CARO_NO_HANDLE for none. */
     int n_gate_failures;     /* Since the last success. */
@@ -97,26 +102,65 @@
     }
 }
 
+static bool
+record_success(CaroUpstreamLinks *l, CaroTime now)
+{
+    l->n_failed = 0;
+    l->n_probes = 0;
+    l->n_succeeded++;
+    l->connected_at = now;
+    return l->n_succeeded >= SUCCESSES_MIN && set_state(l, CARO_LINKS_DIRECT);
+}
+
 bool
 CaroUpstreamLinks_RecordDirect(CaroUpstreamLinks *l, CaroHandle upstream,
                                bool is_connected, CaroTime now)
 {
     if (is_connected) {
-        l->n_failed = 0;
-        l->n_succeeded++;
-        return l->n_succeeded >= SUCCESSES_MIN &&
-               set_state(l, CARO_LINKS_DIRECT);
+        return record_success(l, now);
+    }
+    bool is_first = l->n_failed == 0;
+    l->n_succeeded = 0;
+    add_failed(l, upstream);
+    if (is_first && l->state == CARO_LINKS_DIRECT) {
+        l->next_probe = now;
+    }
+    return false;
+}
+
+void
+CaroUpstreamLinks_BeginProbes(CaroUpstreamLinks *l, int n)
+{
+    l->n_probes = n;
+    l->n_probes_failed = 0;
+}
+
+bool
+CaroUpstreamLinks_RecordProbe(CaroUpstreamLinks *l, CaroHandle upstream,
+                              bool is_connected, CaroTime now)
+{
+    if (is_connected) {
+        return record_success(l, now);
     }
     l->n_succeeded = 0;
+    l->n_probes_failed++;
     add_failed(l, upstream);
-    if (l->state != CARO_LINKS_DIRECT || l->n_failed < FAILURES_MAX) {
+    if (l->state != CARO_LINKS_DIRECT || l->n_failed < FAILURES_MAX ||
+        l->n_probes == 0 || l->n_probes_failed < l->n_probes) {
         return false;
     }
+    l->n_probes = 0;
     l->n_gate_failures = 0;
     l->next_probe = now + PROBE_INTERVAL;
     return set_state(l, CARO_LINKS_TUNNELED);
 }
 
+bool
+CaroUpstreamLinks_IsDirectPossible(const CaroUpstreamLinks *l, CaroTime now)
+{
+    return l->connected_at != 0 && now - l->connected_at < CONNECTED_TTL;
+}
+
 static bool
 is_kept(const CaroUpstreamLinks *l, CaroHandle vm)
 {
@@ -228,8 +272,10 @@
 CaroUpstreamLinks_IsProbeDue(CaroUpstreamLinks *l, bool is_waiting,
                              CaroTime heard_at, CaroTime now)
 {
-    bool is_silent = is_waiting && now - heard_at >= SILENCE_MAX;
-    if ((l->state == CARO_LINKS_DIRECT && !is_silent) || now < l->next_probe) {
+    bool is_doubtful =
+        l->n_failed > 0 || (is_waiting && now - heard_at >= SILENCE_MAX);
+    if ((l->state == CARO_LINKS_DIRECT && !is_doubtful) ||
+        now < l->next_probe) {
         return false;
     }
     l->next_probe = now + PROBE_INTERVAL;
--- a/Include/internal/caro_upstream_links.h
+++ b/Include/internal/caro_upstream_links.h
@@ -3,9 +3,11 @@
  *     caro_upstream_links - whether this VM reaches the upstreams itself
  *
  * Decides from the outcomes of connections whether new channels go to the
- * upstreams directly, through another VM (the gate), or nowhere.  Upstreams
- * that are down look the same from all VMs; links that are cut do not, as a
- * gate then reaches the upstreams.  Times are by CaroClock_Now.
+ * upstreams directly, through another VM (the gate), or nowhere.  When
+ * a connection has failed, one is tried to an upstream of each service; the
+ * links are cut when all of these fail too, and three upstreams in a row were
+ * not reached.  So upstreams of one service that are all down change nothing.
+ * Times are by CaroClock_Now.
  */
 #ifndef CARO_UPSTREAM_LINKS_H
 #define CARO_UPSTREAM_LINKS_H
@@ -44,6 +46,19 @@
 bool CaroUpstreamLinks_RecordDirect(CaroUpstreamLinks *l, CaroHandle upstream,
                                     bool is_connected, CaroTime now);
 
+/* Connections to "n" upstreams are tried, one of each service; their outcomes
+   follow by RecordProbe. */
+void CaroUpstreamLinks_BeginProbes(CaroUpstreamLinks *l, int n);
+
+/* Likewise of a connection that was made to see whether it succeeds. */
+bool CaroUpstreamLinks_RecordProbe(CaroUpstreamLinks *l, CaroHandle upstream,
+                                   bool is_connected, CaroTime now);
+
+/* Returns whether a direct connection succeeded in the last seconds, so that
+   it is worth another one when no gate is left. */
+bool CaroUpstreamLinks_IsDirectPossible(const CaroUpstreamLinks *l,
+                                        CaroTime now);
+
 /* A tunnel through the VM was opened, or not.  Returns whether the state has
    changed. */
 bool CaroUpstreamLinks_RecordGate(CaroUpstreamLinks *l, CaroHandle vm,
@@ -64,9 +79,10 @@
                                         const CaroMembership *m, CaroTime now);
 
 /*
- * Returns whether a direct connection is to be tried now, only to see whether
- * it succeeds: while the state is not DIRECT, and when no upstream was heard
- * directly since "heard_at" although requests are in progress ("is_waiting").
+ * Returns whether direct connections are to be tried now, only to see whether
+ * they succeed: while the state is not DIRECT, after connections that failed,
+ * and when no upstream was heard directly since "heard_at" although requests
+ * are in progress ("is_waiting").
  */
 bool CaroUpstreamLinks_IsProbeDue(CaroUpstreamLinks *l, bool is_waiting,
                                   CaroTime heard_at, CaroTime now);
--- a/Modules/upstream_paths.c
+++ b/Modules/upstream_paths.c
@@ -15,7 +15,8 @@
 #define GATE_MARGIN (200 * CARO_MS)
 #define PROBE_TIMEOUT (300 * CARO_MS)
 
-enum { PROBES_MAX = 4 };
+/* Two rounds of connections to an upstream of each service. */
+enum { SERVICES_MAX = 16, PROBES_MAX = 2 * SERVICES_MAX };
 
 struct CaroUpstreamPaths {
     CaroUpstreamPathsDeps deps;
@@ -88,6 +89,21 @@
     return true;
 }
 
+static bool
+on_probe_outcome(void *context, CaroHandle upstream, CaroHandle vm,
+                 CaroConnectOutcome outcome)
+{
+    CaroUpstreamPaths *p = context;
+    CaroTime now = CaroClock_Now();
+    bool is_connected = outcome == CARO_CONNECT_DONE;
+    (void)vm;
+    p->heard_at = is_connected ? now : p->heard_at;
+    if (CaroUpstreamLinks_RecordProbe(p->links, upstream, is_connected, now)) {
+        log_state(p);
+    }
+    return true;
+}
+
 static CaroGateOutcome
 gate_outcome(CaroConnectOutcome outcome)
 {
@@ -133,6 +149,28 @@
     return CaroChannel_OpenPath(p->deps.base, address, connect_timeout, &path);
 }
 
+/* Begins a connection that only shows whether it succeeds. */
+static void
+open_probe(CaroUpstreamPaths *p, CaroHandle upstream, CaroTime now)
+{
+    CaroChannelPath path = {.on_outcome = on_probe_outcome,
+                            .context = p,
+                            .upstream = upstream,
+                            .vm = CARO_NO_HANDLE};
+    int place = 0;
+    while (place < PROBES_MAX && p->probes[place] != NULL) {
+        place++;
+    }
+    if (place < PROBES_MAX) {
+        CaroCounters_Add(p->deps.counters, CARO_COUNT_LINK_PROBES, 1);
+        p->probed_at[place] = now;
+        p->probes[place] = CaroChannel_OpenPath(
+            p->deps.base,
+            CaroTargets_GetConst(p->deps.targets, upstream)->entry.address,
+            PROBE_TIMEOUT, &path);
+    }
+}
+
 /* Writes the first record of a tunnel.  Returns its bytes, 0 on failure. */
 static size_t
 write_hello(const CaroUpstreamPaths *p, const CaroVm *gate,
@@ -173,7 +211,9 @@
         log_state(p);
     }
     if (vm == CARO_NO_HANDLE) {
-        return NULL;
+        return CaroUpstreamLinks_IsDirectPossible(p->links, now)
+                   ? open_direct(p, upstream, address, connect_timeout)
+                   : NULL;
     }
     const CaroVm *gate = CaroMembership_Get(p->deps.membership, vm);
     size_t size = write_hello(p, gate, upstream, address, hello);
@@ -222,30 +262,51 @@
     }
 }
 
-/* Tries to connect to an upstream chosen at random. */
-static void
-probe(CaroUpstreamPaths *p, CaroTime now)
+/* Chooses an upstream of each service at random.  Returns their number. */
+static int
+choose_of_each_service(const CaroUpstreamPaths *p, CaroTime now,
+                       CaroHandle chosen[SERVICES_MAX])
 {
     const CaroTargets *targets = p->deps.targets;
-    CaroHandle chosen = CARO_NO_HANDLE;
-    unsigned long n = 0;
-    int place = 0;
+    unsigned long seen[SERVICES_MAX];
+    int n = 0;
     for (CaroHandle h = 0; h < CaroTargets_Count(targets); h++) {
         const CaroTarget *t = CaroTargets_GetConst(targets, h);
-        if (t->is_used && CaroTarget_IsOpen(t, now) &&
-            gsl_rng_uniform_int(p->deps.rng, ++n) == 0) {
-            chosen = h;
+        int i = 0;
+        if (!t->is_used || !CaroTarget_IsOpen(t, now)) {
+            continue;
+        }
+        while (i < n &&
+               strcmp(CaroTargets_GetConst(targets, chosen[i])->entry.service,
+                      t->entry.service) != 0) {
+            i++;
+        }
+        if (i == n && n < SERVICES_MAX) {
+            seen[n++] = 0;
+        }
+        if (i < n && gsl_rng_uniform_int(p->deps.rng, ++seen[i]) == 0) {
+            chosen[i] = h;
         }
     }
-    while (place < PROBES_MAX && p->probes[place] != NULL) {
-        place++;
+    return n;
+}
+
+/* Tries to connect to an upstream of each service, or of one of them to see
+   whether the links are back. */
+static void
+probe(CaroUpstreamPaths *p, CaroTime now)
+{
+    CaroHandle chosen[SERVICES_MAX];
+    int n = choose_of_each_service(p, now, chosen);
+    if (n > 0 && CaroUpstreamLinks_State(p->links) != CARO_LINKS_DIRECT) {
+        open_probe(p,
+                   chosen[gsl_rng_uniform_int(p->deps.rng, (unsigned long)n)],
+                   now);
+        return;
     }
-    if (chosen != CARO_NO_HANDLE && place < PROBES_MAX) {
-        CaroCounters_Add(p->deps.counters, CARO_COUNT_LINK_PROBES, 1);
-        p->probed_at[place] = now;
-        p->probes[place] = open_direct(
-            p, chosen, CaroTargets_GetConst(targets, chosen)->entry.address,
-            PROBE_TIMEOUT);
+    CaroUpstreamLinks_BeginProbes(p->links, n);
+    for (int i = 0; i < n; i++) {
+        open_probe(p, chosen[i], now);
     }
 }
 
--- a/Test/test_tunnels.c
+++ b/Test/test_tunnels.c
@@ -196,6 +196,33 @@
     f->target = CaroTargets_Put(f->targets, &e, CaroClock_Now());
 }
 
+static void
+run_for(Fixture *f, CaroTime time)
+{
+    struct timeval t = {.tv_sec = time / CARO_SECOND,
+                        .tv_usec = time % CARO_SECOND};
+    (void)event_base_loopexit(f->base, &t);
+    (void)event_base_dispatch(f->base);
+}
+
+/* Lets the probe of the links fail: the upstream is registered at a port where
+   nobody listens. */
+static void
+cut_link(Fixture *f)
+{
+    char address[CARO_ADDRESS_SIZE];
+    CaroTarget *target = CaroTargets_Get(f->targets, f->target);
+    CARO_COPY(address, target->entry.address);
+    CARO_COPY(target->entry.address, "127.0.0.1:1");
+    for (int i = 0;
+         i < 50 && CaroUpstreamPaths_State(f->paths) != CARO_LINKS_TUNNELED;
+         i++) {
+        (void)CaroUpstreamPaths_Tick(f->paths, 1, CaroClock_Now());
+        run_for(f, 10 * MS);
+    }
+    CARO_COPY(target->entry.address, address);
+}
+
 /* Creates the paths of the VM, whose links are cut, with a boot id that the
    gate may not know. */
 static void
@@ -213,6 +240,7 @@
     for (CaroHandle h = 0; h < 3; h++) {
         CaroUpstreamPaths_RecordDirect(f->paths, h, false);
     }
+    cut_link(f);
     assert_int_equal(CaroUpstreamPaths_State(f->paths), CARO_LINKS_TUNNELED);
 }
 
@@ -306,15 +334,6 @@
                                          .on_end = on_end,
                                          .on_failure = on_failure};
 
-static void
-run_for(Fixture *f, CaroTime time)
-{
-    struct timeval t = {.tv_sec = time / CARO_SECOND,
-                        .tv_usec = time % CARO_SECOND};
-    (void)event_base_loopexit(f->base, &t);
-    (void)event_base_dispatch(f->base);
-}
-
 /* Sends a request with a body through the gate, and waits for its end. */
 static void
 request(Fixture *f, size_t body_bytes)
