Lint: the choice of an upstream of each service begins with the first

The analyzer did not see that the first draw of each service always takes it; the choice is set where the service is found. No change of behaviour.

--- a/Modules/upstream_paths.c
+++ b/Modules/upstream_paths.c
@@ -282,6 +282,7 @@
             i++;
         }
         if (i == n && n < SERVICES_MAX) {
+            chosen[n] = h;
             seen[n++] = 0;
         }
         if (i < n && gsl_rng_uniform_int(p->deps.rng, ++seen[i]) == 0) {
