In a series the time without a configuration runs from the one still lacked

Found by reading: in a series of configurations of which each is announced before the one before it has arrived, the time without one ran from the beginning of the series, so that after a third of the bound a VM refused all requests although each configuration arrived within 0.4 s.

--- a/Include/internal/caro_active_config.h
+++ b/Include/internal/caro_active_config.h
@@ -55,7 +55,7 @@
 
 /*
  * Returns for how long this VM has known of a newer configuration than that in
- * force, from the first one that it lacked; 0 while it lacks none, or no VM
+ * force, by the first of those that it still lacks; 0 for none, and when no VM
  * has announced it for CARO_CONFIG_ANNOUNCEMENT_TTL.
  */
 CaroTime CaroActiveConfig_LackingTime(const CaroActiveConfig *c, CaroTime now);
--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -7,6 +7,16 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Configurations in quick succession that are not yet in force here; of more
+   the first ones count. */
+enum { ANNOUNCEMENTS_MAX = 8 };
+
+typedef struct {
+    CaroRevision revision;
+    CaroTime first_at;
+    CaroTime last_at;
+} Announcement;
+
 struct CaroActiveConfig {
     CaroCounters *counters;
     CaroRoutes *routes; /* NULL before the first configuration. */
@@ -18,11 +28,8 @@
     CaroRevision superseded_revision;
     CaroTime superseded_at;
     CaroRevision earlier_revision;
-    /* The newest that another VM has, when it was last announced, and since
-       when this VM has lacked one without a pause. */
-    CaroRevision announced_revision;
-    CaroTime announced_at;
-    CaroTime lacking_since;
+    /* Those that other VMs have; a revision of 0 marks a free place. */
+    Announcement announced[ANNOUNCEMENTS_MAX];
 };
 
 CaroActiveConfig *
@@ -209,31 +216,48 @@
            revision > c->superseded_revision;
 }
 
+static bool
+is_lacking(const CaroActiveConfig *c, const Announcement *a, CaroTime now)
+{
+    return a->revision != 0 && CaroActiveConfig_Wants(c, a->revision) &&
+           now - a->last_at < CARO_CONFIG_ANNOUNCEMENT_TTL;
+}
+
 void
 CaroActiveConfig_RecordAnnounced(CaroActiveConfig *c, CaroRevision revision,
                                  CaroTime now)
 {
+    Announcement *place = NULL;
     if (!CaroActiveConfig_Wants(c, revision)) {
         return;
     }
-    if (CaroActiveConfig_LackingTime(c, now) == 0) {
-        c->announced_revision = revision;
-        c->lacking_since = now;
+    for (int i = 0; i < ANNOUNCEMENTS_MAX; i++) {
+        Announcement *a = &c->announced[i];
+        if (!is_lacking(c, a, now)) {
+            a->revision = 0;
+            place = a;
+        }
+        else if (a->revision == revision) {
+            a->last_at = now;
+            return;
+        }
     }
-    if (revision >= c->announced_revision) {
-        c->announced_revision = revision;
-        c->announced_at = now;
+    if (place != NULL) {
+        *place = (Announcement){revision, now, now};
     }
 }
 
 CaroTime
 CaroActiveConfig_LackingTime(const CaroActiveConfig *c, CaroTime now)
 {
-    return c->announced_revision != 0 &&
-                   CaroActiveConfig_Wants(c, c->announced_revision) &&
-                   now - c->announced_at < CARO_CONFIG_ANNOUNCEMENT_TTL
-               ? now - c->lacking_since
-               : 0;
+    CaroTime longest = 0;
+    for (int i = 0; i < ANNOUNCEMENTS_MAX; i++) {
+        const Announcement *a = &c->announced[i];
+        if (is_lacking(c, a, now) && now - a->first_at > longest) {
+            longest = now - a->first_at;
+        }
+    }
+    return longest;
 }
 
 const CaroRoutes *
