A revision of an earlier timeline of the store is not waited for

Cause: another VM that had not yet noticed the restoration announced its revision of the earlier timeline, which may be newer, so that it is wanted; by the time g3 fetched it that VM had the new one, so the earlier revision was never examined, and g3 counted as lacking it until the announcement was forgotten after 10 s.

Only a later revision than that in force is lacked; one of an earlier timeline is fetched as before, and nothing is refused for it. An announcement that no VM repeats is forgotten after 3 s, in which a VM hears from some eight others.

--- a/Include/internal/caro_active_config.h
+++ b/Include/internal/caro_active_config.h
@@ -60,7 +60,7 @@
  */
 CaroTime CaroActiveConfig_LackingTime(const CaroActiveConfig *c, CaroTime now);
 
-#define CARO_CONFIG_ANNOUNCEMENT_TTL (10 * CARO_SECOND)
+#define CARO_CONFIG_ANNOUNCEMENT_TTL (3 * CARO_SECOND)
 
 /* Returns the routes, borrowed until the next Apply; NULL before the first
    configuration. */
--- a/Modules/active_config.c
+++ b/Modules/active_config.c
@@ -216,10 +216,13 @@
            revision > c->superseded_revision;
 }
 
+/* One of an earlier timeline may be newer, but the VM that announced it may
+   have left that timeline, so that it never arrives. */
 static bool
 is_lacking(const CaroActiveConfig *c, const Announcement *a, CaroTime now)
 {
-    return a->revision != 0 && CaroActiveConfig_Wants(c, a->revision) &&
+    return a->revision > c->freshness.revision &&
+           CaroActiveConfig_Wants(c, a->revision) &&
            now - a->last_at < CARO_CONFIG_ANNOUNCEMENT_TTL;
 }
 
@@ -228,7 +231,8 @@
                                  CaroTime now)
 {
     Announcement *place = NULL;
-    if (!CaroActiveConfig_Wants(c, revision)) {
+    if (revision < c->freshness.revision ||
+        !CaroActiveConfig_Wants(c, revision)) {
         return;
     }
     for (int i = 0; i < ANNOUNCEMENTS_MAX; i++) {
--- a/Test/test_active_config.c
+++ b/Test/test_active_config.c
@@ -214,6 +214,26 @@
     CaroActiveConfig_Destroy(c);
 }
 
+/* Guards against a VM that refuses requests after a restoration because
+   another one still had a revision of the earlier timeline. */
+static void
+test_revision_of_an_earlier_timeline_is_not_lacked(void **state)
+{
+    (void)state;
+    CaroTime at = CARO_SECOND;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = CaroActiveConfig_Create(&counters);
+    CaroRevision restored = CaroRevision_Make(1, 25);
+    assert_int_equal(apply(c, VERSION("8"), restored), CARO_CONFIG_APPLIED);
+    assert_true(CaroActiveConfig_Wants(c, 39));
+    CaroActiveConfig_RecordAnnounced(c, 39, at);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 2 * CARO_SECOND), 0);
+    CaroActiveConfig_RecordAnnounced(c, restored + 1, at);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 2 * CARO_SECOND),
+                     2 * CARO_SECOND);
+    CaroActiveConfig_Destroy(c);
+}
+
 /* Guards against refusals in a series of which each configuration arrives
    shortly after the next one was announced. */
 static void
@@ -255,6 +275,7 @@
             test_vm_that_started_beside_the_copy_learns_the_version_of_others),
         cmocka_unit_test(
             test_time_without_an_announced_configuration_runs_from_the_first),
+        cmocka_unit_test(test_revision_of_an_earlier_timeline_is_not_lacked),
         cmocka_unit_test(
             test_series_that_arrives_in_time_is_not_lacked_from_its_beginning),
     };
