--- a/Test/test_active_config.c
+++ b/Test/test_active_config.c
@@ -234,6 +234,23 @@
     CaroActiveConfig_Destroy(c);
 }
 
+/* Likewise because it had itself waited for that revision before. */
+static void
+test_revision_that_arrived_is_not_lacked_after_a_restoration(void **state)
+{
+    (void)state;
+    CaroTime at = CARO_SECOND;
+    CaroCounters counters = {0};
+    CaroActiveConfig *c = CaroActiveConfig_Create(&counters);
+    assert_int_equal(apply(c, VERSION("8"), 34), CARO_CONFIG_APPLIED);
+    CaroActiveConfig_RecordAnnounced(c, 35, at);
+    assert_int_equal(apply(c, VERSION("9"), 35), CARO_CONFIG_APPLIED);
+    assert_int_equal(apply(c, VERSION("9"), CaroRevision_Make(1, 43)),
+                     CARO_CONFIG_KNOWN);
+    assert_int_equal(CaroActiveConfig_LackingTime(c, at + 2 * CARO_SECOND), 0);
+    CaroActiveConfig_Destroy(c);
+}
+
 /* Guards against refusals in a series of which each configuration arrives
    shortly after the next one was announced. */
 static void
@@ -276,6 +293,8 @@
         cmocka_unit_test(
             test_time_without_an_announced_configuration_runs_from_the_first),
         cmocka_unit_test(test_revision_of_an_earlier_timeline_is_not_lacked),
+        cmocka_unit_test(
+            test_revision_that_arrived_is_not_lacked_after_a_restoration),
         cmocka_unit_test(
             test_series_that_arrives_in_time_is_not_lacked_from_its_beginning),
     };
