--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -40,8 +40,9 @@
 #define BODY_MEMORY_FRACTION 0.25
 /* Likewise for responses that callers have not taken. */
 #define RESPONSE_MEMORY_FRACTION 0.25
-/* Fractions of the file descriptors for callers and for idle channels to
-   upstreams; the rest is for busy channels, peers, the store and files. */
+/* Fractions of the file descriptors for tunnels of other VMs, as a limit of
+   their number, for callers, and for idle channels to upstreams; the rest is
+   for busy channels, peers, the store and files. */
 #define TUNNELS_FRACTION 0.125
 #define CALLER_DESCRIPTORS_FRACTION 0.5
 #define IDLE_CHANNELS_FRACTION 0.2
