--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -54,6 +54,10 @@
     X(CONFIG_CONFIRMED_BY_PEERS, "proofs_of_peers")                           \
     X(CONNECTIONS_CUT, "connections_cut")                                     \
     X(PROMPT_CRASHES, "prompt_crashes")                                       \
+    X(PROMPT_LOSSES, "prompt_losses")                                         \
+    X(PROMPT_LOSSES_HEARD, "prompt_losses_heard")                             \
+    X(PROMPT_LOSSES_DOMAIN, "prompt_losses_domain")                           \
+    X(PROMPT_LOSSES_DROPPED, "prompt_losses_dropped")                         \
     X(QUARANTINES, "prompt_quarantines")                                      \
     X(QUARANTINED, "refused_quarantined")                                     \
     X(LIMITED, "refused_limited")                                             \
--- a/Modules/prompt_guard.c
+++ b/Modules/prompt_guard.c
@@ -126,7 +126,16 @@
                            const char *request_id,
                            const CaroPromptParts *parts, CaroTime now)
 {
-    if (parts->n == 0 || g->n_losses == LOSSES_MAX) {
+    if (parts->n == 0) {
+        return;
+    }
+    CaroCounters_Add(g->counters, CARO_COUNT_PROMPT_LOSSES, 1);
+    if (g->n_losses == LOSSES_MAX) {
+        CaroCounters_Add(g->counters, CARO_COUNT_PROMPT_LOSSES_DROPPED, 1);
+        CaroLog_Warn("guard",
+                     "A loss was dropped, too many wait to be confirmed. "
+                     "id=" CARO_LOG_TEXT,
+                     request_id);
         return;
     }
     g->losses[g->n_losses++] = (Loss){
@@ -199,12 +208,23 @@
     bool is_same = target->is_used && upstream_hash(target) == loss->upstream;
     bool is_heard = is_same && target->last_heard_at > loss->at + HEARD_MARGIN;
     if (is_same && is_domain_lost(g, loss, now)) {
+        CaroCounters_Add(g->counters, CARO_COUNT_PROMPT_LOSSES_DOMAIN, 1);
         CaroLog_Info("guard",
                      "An upstream was lost with its domain. upstream=%016llx "
                      "domain=%s",
                      (unsigned long long)loss->upstream, target->entry.domain);
     }
-    else if (!is_heard) {
+    else if (is_heard) {
+        CaroCounters_Add(g->counters, CARO_COUNT_PROMPT_LOSSES_HEARD, 1);
+        CaroLog_Info(
+            "guard",
+            "An upstream was heard after a loss. upstream=%016llx "
+            "request=%016llx heard_ms=%lld",
+            (unsigned long long)loss->upstream,
+            (unsigned long long)loss->request,
+            (long long)((target->last_heard_at - loss->at) / CARO_MS));
+    }
+    else {
         char parts[CARO_PROMPT_PARTS_TEXT_SIZE];
         CaroCounters_Add(g->counters, CARO_COUNT_PROMPT_CRASHES, 1);
         CaroLog_Warn("guard",
