--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -126,6 +126,56 @@
     return rc;
 }
 
+/* "carobench prompts" sends prompts with parts, of which one is deadly. */
+static int
+run_prompts(int argc, char **argv)
+{
+    struct arg_str *fronts =
+        arg_strn(NULL, "front", "IP:PORT", 1, BENCH_NODES_MAX, "gateway");
+    struct arg_str *host =
+        arg_str1(NULL, "host", "NAME", "host name of the routes");
+    struct arg_str *key =
+        arg_str1(NULL, "key", "KEY", "API key of an account");
+    struct arg_str *path =
+        arg_str0(NULL, "path", "PREFIX", "prefix of the route, /s/");
+    struct arg_dbl *seconds = arg_dbl0(NULL, "seconds", "S", "duration");
+    struct arg_dbl *sound =
+        arg_dbl0(NULL, "sound", "N", "sound requests a second");
+    struct arg_dbl *deadly =
+        arg_dbl0(NULL, "deadly", "N", "deadly requests a second");
+    struct arg_int *burst =
+        arg_int0(NULL, "burst", "N", "deadly requests at a moment");
+    struct arg_dbl *after =
+        arg_dbl0(NULL, "deadly-after", "S", "time before the first of them");
+    struct arg_lit *middle =
+        arg_lit0(NULL, "middle-part", "all prompts share one more part");
+    struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the load");
+    struct arg_end *end = arg_end(4);
+    void *table[] = {fronts, host,  key,   path,   seconds, sound,
+                     deadly, burst, after, middle, seed,    end};
+    if (arg_nullcheck(table) != 0 || arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, end, "carobench prompts");
+        arg_freetable(table, sizeof(table) / sizeof(table[0]));
+        return 2;
+    }
+    PromptLoadOptions o = {
+        .fronts = fronts->sval,
+        .n_fronts = fronts->count,
+        .host = host->sval[0],
+        .key = key->sval[0],
+        .path = path->count > 0 ? path->sval[0] : "/s/",
+        .seconds = seconds->count > 0 ? seconds->dval[0] : 10.0,
+        .sound_rate = sound->count > 0 ? sound->dval[0] : 20.0,
+        .deadly_rate = deadly->count > 0 ? deadly->dval[0] : 2.0,
+        .deadly_burst = burst->count > 0 ? burst->ival[0] : 1,
+        .deadly_after_s = after->count > 0 ? after->dval[0] : 2.0,
+        .has_middle_parts = middle->count > 0,
+        .seed = seed->count > 0 ? (unsigned long)seed->ival[0] : 1};
+    int rc = Bench_RunPrompts(&o);
+    arg_freetable(table, sizeof(table) / sizeof(table[0]));
+    return rc;
+}
+
 /* Status of the last response; 0 when there was none. */
 static int response_status;
 
@@ -254,6 +304,9 @@
     if (strcmp(command, "gateway") == 0) {
         return run_gateway(argc - 1, argv + 1);
     }
+    if (strcmp(command, "prompts") == 0) {
+        return run_prompts(argc - 1, argv + 1);
+    }
     if (strcmp(command, "capacity") == 0) {
         return Bench_RunCapacity();
     }
@@ -281,8 +334,8 @@
     if (strcmp(command, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
-    (void)fprintf(stderr,
-                  "usage: carobench load|gateway|order|audit|get|call|"
-                  "decisions|membership|rollouts|capacity|relay [FLAGS]\n");
+    (void)fprintf(stderr, "usage: carobench load|gateway|order|audit|get|call|"
+                          "decisions|membership|rollouts|capacity|relay|"
+                          "prompts [FLAGS]\n");
     return 2;
 }
--- a/Programs/carofake.c
+++ b/Programs/carofake.c
@@ -21,7 +21,8 @@
         return FakeRegistry_Run(options);
     }
     if (strcmp(kind, "target") == 0) {
-        return FakeTarget_Run(options);
+        return options->restart_ms < 0 ? FakeTarget_Run(options)
+                                       : FakeRestart_Run(options);
     }
     if (strcmp(kind, "endless") == 0) {
         return FakeEndless_Run(options);
@@ -66,10 +67,20 @@
         arg_str0(NULL, "service", "NAME", "target: service that it runs");
     struct arg_str *version =
         arg_str0(NULL, "version", "NAME", "target: version of its software");
+    struct arg_str *crash =
+        arg_str0(NULL, "crash", "KIND:MS[:EVENTS]",
+                 "target: how a prompt with the part dead ends it");
+    struct arg_str *crash_log = arg_str0(
+        NULL, "crash-log", "FILE", "target: records such requests there");
+    struct arg_int *restart = arg_int0(
+        NULL, "restart-ms", "N", "target: it starts again after a crash");
+    struct arg_lit *keep_name =
+        arg_lit0(NULL, "keep-name", "target: it does so under its name");
     struct arg_end *end = arg_end(8);
-    void *table[] = {kind,     token,   listen,  name,  load, step,
-                     sequence, prefill, batch,   cache, work, registry,
-                     domain,   service, version, end};
+    void *table[] = {kind,  token,     listen,  name,      load,
+                     step,  sequence,  prefill, batch,     cache,
+                     work,  registry,  domain,  service,   version,
+                     crash, crash_log, restart, keep_name, end};
     FakeOptions options = {.name = "fake",
                            .step_us = 5000,
                            .sequence_us = 100,
@@ -79,7 +90,9 @@
                            .work_ms = 20,
                            .domain = "d1",
                            .service = "chat",
-                           .version = "v1"};
+                           .version = "v1",
+                           .crash_log = "/dev/null",
+                           .restart_ms = -1};
     if (arg_nullcheck(table) != 0) {
         return 1;
     }
@@ -107,6 +120,12 @@
     options.domain = domain->count > 0 ? domain->sval[0] : options.domain;
     options.service = service->count > 0 ? service->sval[0] : options.service;
     options.version = version->count > 0 ? version->sval[0] : options.version;
+    options.crash = crash->count > 0 ? crash->sval[0] : NULL;
+    options.crash_log =
+        crash_log->count > 0 ? crash_log->sval[0] : options.crash_log;
+    options.restart_ms =
+        restart->count > 0 ? restart->ival[0] : options.restart_ms;
+    options.keeps_name = keep_name->count > 0;
     int rc = run_kind(kind->sval[0], &options);
     arg_freetable(table, sizeof(table) / sizeof(table[0]));
     return rc;
--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -145,6 +145,24 @@
    exceeded, or no stream or plain request completed. */
 int Bench_RunGateway(const GatewayLoadOptions *options);
 
+typedef struct {
+    const char *const *fronts; /* Addresses of the gateways. */
+    int n_fronts;
+    const char *host;
+    const char *key;
+    const char *path; /* Prefix of a route; "/s/" for streams. */
+    double seconds;
+    double sound_rate;     /* Requests a second. */
+    double deadly_rate;    /* Likewise. */
+    int deadly_burst;      /* So many deadly requests at a moment. */
+    double deadly_after_s; /* Time without deadly requests. */
+    bool has_middle_parts; /* One more part that all prompts share. */
+    unsigned long seed;
+} PromptLoadOptions;
+
+/* Prints the counts of requests; returns 0. */
+int Bench_RunPrompts(const PromptLoadOptions *options);
+
 /* Relays bytes between two addresses until SIGTERM, then prints the processor
    time used. */
 int Bench_RunRelay(const char *listen, const char *to);
--- /dev/null
+++ b/Tools/crashing_prompts.sh
@@ -0,0 +1,92 @@
+#!/usr/bin/env bash
+# Runs gateways and engines of which each ends on a request with a deadly part,
+# and counts by the engines' own record how many such requests reach them.
+#
+#   Tools/crashing_prompts.sh KIND:DELAY_MS[:EVENTS] [OPTIONS]
+#
+# KIND is how the engine ends, see Tools/fake/target.c.  The other options are
+# variables: SECONDS_LONG, SOUND and DEADLY (requests a second), BURST, DOMAINS,
+# GATEWAYS, ENGINES, RESTART_MS, KEEP_NAME, ROUTE (path of the requests),
+# CONTACT_MS, STOPPED_S (one gateway is stopped for so long), TRIES_MAX (of the
+# route), SEED, LATE_MAX (bound; none if empty), SERVED_MIN (percent of the
+# second half's sound first tries), BIN2 (build of every second gateway),
+# CRASH_KEEP=DIR (keeps the logs).
+#
+# A request is late when it reaches an engine more than CONTACT_MS after the
+# fifth crash.
+set -eu
+crash=$1
+seconds=${SECONDS_LONG:-12}
+contact_ms=${CONTACT_MS:-3000}
+gateways=${GATEWAYS:-3}
+engines=${ENGINES:-12}
+. Tools/gateway_fleet.sh
+trap fleet_stop EXIT
+GRACE_S=2
+record="$fleet_dir/crashes.txt"
+: >"$record"
+
+gateway_start_target() { # I
+    # shellcheck disable=SC2046
+    fleet_run "t$1" "$bin/carofake" target --listen "$(gateway_target "$1")" \
+        --name "t$1" --registry "$(gateway_registry)" \
+        --domain "$(fleet_domain "$1")" --service "${SERVICE:-chat}" \
+        --step-us 15000 --prefill-us 500 --crash "$crash" \
+        --crash-log "$record" --restart-ms "${RESTART_MS:-2000}" \
+        $([ -z "${KEEP_NAME:-}" ] || echo --keep-name)
+    gateway_wait_up "$(gateway_target "$1")"
+}
+if [ -n "${BIN2:-}" ]; then
+    gateway_start() {
+        local program=$bin
+        [ $(($1 % 2)) = 1 ] || program=$BIN2
+        gateway_settings "$1"
+        fleet_run "g$1" "$program/carobloftd" --gateway "$fleet_dir/g$1.json"
+    }
+fi
+
+gateway_fleet_start "${DOMAINS:-3}" "$gateways" "$engines" >&2
+fronts=()
+for i in $(seq 1 "$gateways"); do
+    fronts+=(--front "$(gateway_front "$i")")
+done
+if [ -n "${STOPPED_S:-}" ]; then
+    (
+        sleep 3
+        fleet_kill g1 STOP
+        sleep "$STOPPED_S"
+        fleet_kill g1 CONT
+    ) &
+fi
+"$bin/carobench" prompts "${fronts[@]}" --host desk.example --key key-1 \
+    --seconds "$seconds" --sound "${SOUND:-20}" --deadly "${DEADLY:-2}" \
+    --burst "${BURST:-1}" --seed "${SEED:-1}" --path "${ROUTE:-/s/}" \
+    --deadly-after "${DEADLY_AFTER:-2}" >"$fleet_dir/load.txt"
+counts=$(sort -n "$record" | awk -v contact="$contact_ms" '
+    $2 == "crash" && ++crashes == 5 { fifth = $1 }
+    $2 == "try" { tries++; at[tries] = $1 }
+    END {
+        for (i = 1; i <= tries; i++) late += fifth && at[i] > fifth + contact
+        printf "tries=%d crashes=%d late=%d", tries, crashes, late
+    }')
+load=$(cat "$fleet_dir/load.txt")
+echo "crash=$crash burst=${BURST:-1} domains=${DOMAINS:-3} $counts $load"
+late=${counts##*late=}
+half=$(echo "$load" | sed 's/.* second_half=\([0-9]*\).*/\1/')
+first=$(echo "$load" | sed 's/.*second_half_first_served=\([0-9]*\).*/\1/')
+status=0
+if [ -n "${LATE_MAX:-}" ] && [ "$late" -gt "$LATE_MAX" ]; then
+    echo "FAILED: $late requests reached engines late (bound $LATE_MAX)"
+    status=1
+fi
+if [ -n "${SERVED_MIN:-}" ] &&
+    [ $((100 * first)) -lt $((SERVED_MIN * half)) ]; then
+    echo "FAILED: $first of $half sound first tries served" \
+        "(bound $SERVED_MIN%)"
+    status=1
+fi
+if [ -n "${CRASH_KEEP:-}" ]; then
+    mkdir -p "$CRASH_KEEP"
+    cp -r "$fleet_dir" "$CRASH_KEEP/$crash-${BURST:-1}-${DOMAINS:-3}"
+fi
+exit $status
--- a/Tools/fake/target.c
+++ b/Tools/fake/target.c
@@ -31,6 +31,10 @@
  * FALL_DURATION when it rejects more than N requests in a second: requests are
  * dropped and its registration is not renewed.  /fault tells how often it fell
  * and how many requests it rejected.
+ *
+ * A request whose prompt has the part "dead" crashes the process in the way
+ * that --crash names, see Crash.  --crash-log names a file that gets a line
+ * for each such request and each crash.  fake_restart.c starts it again.
  */
 #include "fake.h"
 
@@ -42,6 +46,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 #include <uthash.h>
 
 #include <xxhash.h>
@@ -61,6 +66,24 @@
 
 enum { ARRIVALS_MAX = 8192, REJECTIONS_MAX = 1024 };
 
+#define DEADLY_PART "dead:"
+
+/* What a request has of its response when it crashes the process. */
+typedef enum {
+    CRASH_NEVER,
+    CRASH_WITHOUT_HEAD,
+    CRASH_AFTER_HEAD,
+    CRASH_IN_EVENT,
+    CRASH_AFTER_EVENTS,
+    CRASH_HANGING /* The process does nothing until it ends. */
+} CrashKind;
+
+typedef struct {
+    CrashKind kind;
+    int events;     /* Before the crash. */
+    CaroTime delay; /* From then, or from the request, to the crash. */
+} Crash;
+
 /* The last refusal on the connection from a port. */
 typedef struct Refusal {
     int port;
@@ -78,6 +101,7 @@
 typedef struct {
     struct event_base *base;
     const FakeOptions *options;
+    Crash crash;
     Run *runs;
     double response_loss_rate;
     double fail_rate;
@@ -125,7 +149,9 @@
     struct event *timer;
     bool is_stream;
     bool is_torn;    /* Ends in the middle of an event. */
+    bool is_deadly;  /* Crashes the process. */
     uint64_t seed;   /* Hash of the body; determines the events' text. */
+    int n_sent;      /* Events of this run. */
     int64_t sent_id; /* Id of the last event sent. */
     int64_t last_id; /* Id of the stream's last event. */
     char id[512];
@@ -192,12 +218,35 @@
     free(r);
 }
 
+/* The timer of a deadly request that has reached its point ends the process.
+ */
+static bool
+is_crash_due(const PendingRequest *r)
+{
+    switch (r->target->crash.kind) {
+    case CRASH_NEVER:
+        return false;
+    case CRASH_WITHOUT_HEAD:
+    case CRASH_HANGING:
+    case CRASH_AFTER_HEAD:
+        return true;
+    case CRASH_IN_EVENT:
+        return r->n_sent > 0;
+    case CRASH_AFTER_EVENTS:
+        return r->n_sent >= r->target->crash.events;
+    }
+    return false;
+}
+
 static void
 on_caller_closed(struct evhttp_connection *connection, void *arg)
 {
     (void)connection;
     PendingRequest *r = arg;
     r->req = NULL;
+    if (r->is_deadly && is_crash_due(r)) {
+        return; /* It crashes the process all the same. */
+    }
     free_request(r);
 }
 
@@ -297,11 +346,75 @@
     CaroHttp_SendText(req, is_failed ? HTTP_INTERNAL : HTTP_OK, text);
 }
 
+/* Appends a line to the file of crashes. */
+static void
+log_crash(const Target *t, const char *what, const char *id)
+{
+    FILE *f = fopen(t->options->crash_log, "a");
+    if (f != NULL) {
+        (void)fprintf(f, "%lld %s %s %s\n", (long long)CaroClock_WallMs(),
+                      what, t->options->name, id);
+        (void)fclose(f);
+    }
+}
+
+/* Parses "KIND:DELAY_MS[:EVENTS]". */
+static int
+parse_crash(const char *text, Crash *crash)
+{
+    static const char *const names[] = {
+        [CRASH_NEVER] = "never",         [CRASH_WITHOUT_HEAD] = "no-head",
+        [CRASH_AFTER_HEAD] = "head",     [CRASH_IN_EVENT] = "in-event",
+        [CRASH_AFTER_EVENTS] = "events", [CRASH_HANGING] = "hanging"};
+    char name[16];
+    int delay_ms;
+    crash->events = 1;
+    if (sscanf(text, "%15[^:]:%d:%d", name, &delay_ms, &crash->events) < 2) {
+        return CARO_ERR_INPUT;
+    }
+    crash->delay = delay_ms * CARO_MS;
+    for (size_t i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+        if (strcmp(name, names[i]) == 0) {
+            crash->kind = (CrashKind)i;
+            return 0;
+        }
+    }
+    return CARO_ERR_INPUT;
+}
+
+/* Ends the process as a crash does: the system closes its connections. */
+static void
+end_process(const PendingRequest *r)
+{
+    log_crash(r->target, "crash", r->id);
+    _exit(1);
+}
+
+/* Returns whether the request has reached the point from which its crash is
+   timed, and starts that. */
+static bool
+begin_crash(PendingRequest *r)
+{
+    const Crash *crash = &r->target->crash;
+    bool is_due = crash->kind == CRASH_AFTER_EVENTS
+                      ? r->n_sent >= crash->events
+                      : crash->kind == CRASH_AFTER_HEAD;
+    if (!r->is_deadly || !is_due) {
+        return false;
+    }
+    set_timer(r, crash->delay);
+    return true;
+}
+
 static void
 send_event(PendingRequest *r)
 {
+    if (begin_crash(r)) {
+        return;
+    }
     struct evbuffer *buf = evbuffer_new();
     r->sent_id++;
+    r->n_sent++;
     evbuffer_add_printf(
         buf, "id: %lld\ndata: %016llx\n\n", (long long)r->sent_id,
         (unsigned long long)XXH64(&r->sent_id, sizeof(r->sent_id), r->seed));
@@ -311,11 +424,18 @@
         evhttp_send_reply_chunk(r->req, half);
         evbuffer_free(half);
         evbuffer_free(buf);
+        if (r->is_deadly) {
+            set_timer(r, r->target->crash.delay);
+            return;
+        }
         drop_request(r);
         return;
     }
     evhttp_send_reply_chunk(r->req, buf);
     evbuffer_free(buf);
+    if (begin_crash(r)) {
+        return;
+    }
     if (r->sent_id >= r->last_id) {
         struct evhttp_request *req = r->req;
         free_request(r);
@@ -331,6 +451,9 @@
     (void)fd;
     (void)what;
     PendingRequest *r = arg;
+    if (r->is_deadly && is_crash_due(r)) {
+        end_process(r);
+    }
     if (!r->is_stream) {
         finish_plain(r);
         return;
@@ -489,10 +612,23 @@
         return;
     }
     record_run(r->target, r->id);
+    if (r->is_deadly && r->target->crash.kind == CRASH_WITHOUT_HEAD) {
+        set_timer(r, r->target->crash.delay);
+        return;
+    }
     add_headers(r);
     evhttp_add_header(evhttp_request_get_output_headers(r->req),
                       "Content-Type", "text/event-stream");
     evhttp_send_reply_start(r->req, HTTP_OK, NULL);
+    if (begin_crash(r)) {
+        return;
+    }
+    if (r->is_deadly && r->target->crash.kind == CRASH_IN_EVENT) {
+        r->is_torn = true;
+        r->last_id = 0; /* The first event is torn. */
+        send_event(r);
+        return;
+    }
     if (r->sent_id >= r->last_id) {
         struct evhttp_request *req = r->req;
         free_request(r);
@@ -559,6 +695,21 @@
     t->running++;
     evhttp_connection_set_closecb(evhttp_request_get_connection(req),
                                   on_caller_closed, r);
+    const char *parts = CaroHttp_Header(req, "X-Prompt-Prefix");
+    r->is_deadly = t->crash.kind != CRASH_NEVER && parts != NULL &&
+                   strstr(parts, DEADLY_PART) != NULL;
+    if (r->is_deadly) {
+        log_crash(t, "try", id);
+    }
+    if (r->is_deadly && t->crash.kind == CRASH_HANGING) {
+        (void)usleep((useconds_t)t->crash.delay);
+        end_process(r);
+    }
+    if (r->is_deadly && tokens == NULL) {
+        r->has_slot = false;
+        set_timer(r, t->crash.delay);
+        return;
+    }
     if (tokens != NULL) {
         start_stream(r, tokens);
     }
@@ -689,6 +840,13 @@
         (void)fprintf(stderr, "carofake: a target needs --registry\n");
         return 2;
     }
+    if (options->crash != NULL && parse_crash(options->crash, &t.crash) < 0) {
+        (void)fprintf(stderr,
+                      "carofake: --crash: found %s; expected "
+                      "KIND:DELAY_MS[:EVENTS]\n",
+                      options->crash);
+        return 2;
+    }
     t.options = options;
     t.started_at_ms = CaroClock_WallMs();
     t.base = event_base_new();
