--- a/Controllers/prompt_quarantine.c
+++ b/Controllers/prompt_quarantine.c
@@ -1,210 +1,447 @@
 /* Which parts of prompts crash upstreams. */
 #include "internal/caro_prompt_quarantine.h"
 
-/* Crashes of different requests closer than this are one event.  The
-   connections to a domain that fails close within some milliseconds; the times
-   that other VMs report are late by their time in transit, which may be some
-   hops through busy VMs. */
+#include <string.h>
+
+/* Crashes of different requests in one domain closer than this are one event.
+   The connections to a domain that fails close within some milliseconds; the
+   times that other VMs report are late by their time in transit, which may be
+   some hops through busy VMs. */
 #define EVENT_INTERVAL_MIN (300 * CARO_MS)
-/* Time in which the other VMs report that a part has begun there. */
+/* A domain that is lost once more after this time was not lost to a failure of
+   power. */
+#define DOMAIN_LOSS_INTERVAL_MIN (1 * CARO_SECOND)
+/* Time in which the other VMs report that a response got further there. */
 #define SETTLE_DELAY (500 * CARO_MS)
-/* Events after which a part that has never begun is chosen. */
-#define EVENTS_MIN 3
-/* Events for which a quarantine of several parts counts with each of them. */
-#define QUARANTINE_EVENTS 1
-/* Events, and time without a begin, after which one that has begun is. */
-#define BEGUN_EVENTS_MIN 5
-#define BEGUN_SILENCE_MIN (2 * CARO_SECOND)
+/* Time without such a response, for a part that had some before. */
+#define PASSED_SILENCE_MIN (2 * CARO_SECOND)
+
+enum {
+    /* Events after which a part is chosen with which no response ever got
+       further, and one with which some did.  Each doubt adds one. */
+    EVENTS_MIN = 3,
+    PASSED_EVENTS_MIN = 5,
+    /* Events that settle a tie of parts that no request has both of. */
+    TIE_EVENTS_MIN = 5,
+    /* Of the crashes of its service, a suspect that is in less than one in
+       COVERAGE_DIVISOR is in doubt, and one that is in less than one in
+       COVERAGE_DIVISOR_MAX is none, unless it has so many events. */
+    COVERAGE_DIVISOR = 2,
+    COVERAGE_DIVISOR_MAX = 4,
+    COVERAGE_EVENTS_MIN = 8,
+    /* Crashes after a quarantine of several parts that tell which it is. */
+    AMBIGUOUS_CRASHES_MIN = 1,
+    DOUBTS_MAX = 4,
+    DOMAINS_MAX = 16,
+    CANDIDATES_MAX = 4096
+};
 
 /* What part of the crashes a part is a suspect of. */
 typedef enum {
-    SUSPECT_NEVER_BEGUN, /* No response with the part has ever begun. */
-    SUSPECT_BEGUN_BEFORE /* The last one began before the crash. */
+    SUSPECT_NEVER_PASSED, /* No response with the part ever got further. */
+    SUSPECT_PASSED_BEFORE /* The last one did before the crash. */
 } SuspectKind;
 
+/* The crashes with what does not depend on the suspect. */
+typedef struct {
+    const CaroPromptCrashes *table;
+    const CaroPromptCrash *crashes;
+    int n;
+    int upstream[CARO_PROMPT_CRASHES_MAX]; /* Number of the upstream. */
+    int n_upstreams;
+    /* By the number of the upstream: the quarantine that explains its crash,
+       or NULL. */
+    const CaroQuarantine *explained_by[CARO_PROMPT_CRASHES_MAX];
+} Evidence;
+
+/* Domains that were lost under a suspect, and when first. */
+typedef struct {
+    uint32_t ids[DOMAINS_MAX];
+    CaroTime first_at[DOMAINS_MAX];
+    int n;
+} LostDomains;
+
+/* The last event in a domain. */
 typedef struct {
+    uint32_t ids[DOMAINS_MAX];
+    CaroTime last_at[DOMAINS_MAX];
     int n;
-    CaroTime first_at;
-    CaroTime settled_at; /* When the last event that is needed was learned. */
-} Events;
+} DomainEvents;
+
+static void
+read_evidence(Evidence *e, const CaroPromptCrashes *t, CaroTime now)
+{
+    e->table = t;
+    e->crashes = CaroPromptCrashes_List(t, &e->n);
+    e->n_upstreams = 0;
+    for (int i = 0; i < e->n; i++) {
+        const CaroPromptCrash *c = &e->crashes[i];
+        int number = -1;
+        for (int j = 0; j < i && number < 0; j++) {
+            number =
+                e->crashes[j].upstream == c->upstream ? e->upstream[j] : -1;
+        }
+        if (number < 0) {
+            number = e->n_upstreams++;
+            e->explained_by[number] = NULL;
+        }
+        e->upstream[i] = number;
+        if (c->parts.n > 0 && e->explained_by[number] == NULL) {
+            e->explained_by[number] =
+                CaroPromptCrashes_FindQuarantine(t, &c->parts, now);
+        }
+    }
+}
 
 static bool
 is_suspect(const CaroPromptCrashes *t, const CaroPromptCrash *crash,
            uint64_t part, SuspectKind kind)
 {
-    CaroTime begun_at = CaroPromptCrashes_BegunAt(t, part);
-    bool is_kind = kind == SUSPECT_NEVER_BEGUN
-                       ? begun_at == CARO_NEVER_BEGUN
-                       : begun_at != CARO_NEVER_BEGUN && begun_at < crash->at;
-    return is_kind && CaroPromptParts_Has(&crash->parts, part);
+    if (!CaroPromptParts_Has(&crash->parts, part)) {
+        return false;
+    }
+    CaroTime passed_at = CaroPromptCrashes_PassedAt(t, part, crash->events);
+    return kind == SUSPECT_NEVER_PASSED
+               ? passed_at == CARO_NEVER_PASSED
+               : passed_at != CARO_NEVER_PASSED && passed_at < crash->at;
 }
 
-/* The quarantine has the part among others.  One of its parts crashed
-   upstreams, and it is not known which. */
+/* Returns whether the crash counts for the part.  One that a quarantine
+   explains does only if the quarantine has the part among others, and it is
+   not known which of them it was. */
 static bool
-is_ambiguous(const CaroQuarantine *q, uint64_t part)
+counts_for(const Evidence *e, int i, uint64_t part)
 {
-    return !q->is_lifted && q->parts.n > 1 &&
-           CaroPromptParts_Has(&q->parts, part);
+    const CaroQuarantine *q = e->explained_by[e->upstream[i]];
+    return q == NULL ||
+           (q->parts.n > 1 && CaroPromptParts_Has(&q->parts, part));
 }
 
+/* Returns whether the loss of a domain may be due to the part.  One that
+   nearly all requests have is in all losses, whatever caused them; but power
+   does not fail again at once. */
+static bool
+counts_as_domain_loss(const CaroPromptCrash *c, bool is_common,
+                      LostDomains *lost)
+{
+    if (!is_common) {
+        return true;
+    }
+    for (int i = 0; i < lost->n; i++) {
+        if (lost->ids[i] == c->domain) {
+            return c->at - lost->first_at[i] >= DOMAIN_LOSS_INTERVAL_MIN;
+        }
+    }
+    if (lost->n < DOMAINS_MAX) {
+        lost->ids[lost->n] = c->domain;
+        lost->first_at[lost->n++] = c->at;
+    }
+    return false;
+}
+
+/* Returns whether the crash is another event than those before it.  For a part
+   that nearly all requests have, all domains are one. */
+static bool
+is_separate(const CaroPromptCrash *c, const CaroPromptCrash *last,
+            bool is_common, DomainEvents *events)
+{
+    uint32_t domain = is_common ? 0 : c->domain;
+    int i = 0;
+    while (i < events->n && events->ids[i] != domain) {
+        i++;
+    }
+    bool is_first = i == events->n;
+    bool is_separate = (last != NULL && c->request == last->request) ||
+                       is_first ||
+                       c->at - events->last_at[i] >= EVENT_INTERVAL_MIN;
+    if (is_first && i < DOMAINS_MAX) {
+        events->ids[events->n++] = domain;
+    }
+    if (is_separate && i < DOMAINS_MAX) {
+        events->last_at[i] = c->at;
+    }
+    return is_separate;
+}
+
+/* Counts the crashes of other upstreams of the service in the time of those of
+   the choice. */
 static int
-count_quarantines(const CaroPromptCrashes *t, uint64_t part)
+count_others(const Evidence *e, const CaroPromptChoice *choice,
+             uint32_t service, CaroTime last_at, const bool *is_covered)
 {
-    int n;
+    bool is_counted[CARO_PROMPT_CRASHES_MAX] = {false};
     int count = 0;
-    const CaroQuarantine *all = CaroPromptCrashes_QuarantinesConst(t, &n);
-    for (int i = 0; i < n; i++) {
-        count += is_ambiguous(&all[i], part);
+    for (int i = 0; i < e->n; i++) {
+        const CaroPromptCrash *c = &e->crashes[i];
+        int u = e->upstream[i];
+        bool is_in_time = c->at >= choice->first_at - EVENT_INTERVAL_MIN &&
+                          c->at <= last_at + EVENT_INTERVAL_MIN;
+        bool is_of_service =
+            c->service == service || c->service == 0 || service == 0;
+        if (is_in_time && is_of_service && !is_covered[u] && !is_counted[u] &&
+            counts_for(e, i, choice->suspect)) {
+            is_counted[u] = true;
+            count++;
+        }
     }
     return count;
 }
 
-/* Counts the events of which the part is a suspect, each upstream once. */
-static Events
-count_events(const CaroPromptCrashes *t, uint64_t part, SuspectKind kind,
-             int needed)
+/* Returns whether all responses ended at about the same point. */
+static bool
+is_consistent(const CaroPromptChoice *c)
 {
-    int n;
-    const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
+    return c->progress_max <= c->progress_min + c->progress_min / 4 + 2;
+}
+
+/* The number of doubts about the suspect.  A prompt crashes upstreams at about
+   the same point, and rarely late in a response. */
+static int
+count_doubts(const CaroPromptChoice *c)
+{
+    bool is_single = c->requests < 2 && !c->has_heads;
+    bool is_late = c->progress_min >= CARO_PROMPT_PROGRESS_MIN;
+    bool is_covering =
+        c->crashes * COVERAGE_DIVISOR >= c->crashes + c->other_crashes;
+    return is_single + !is_consistent(c) + is_late + !is_covering;
+}
+
+/* Examines the crashes under the suspect.  Returns false if it has none. */
+static bool
+examine(const Evidence *e, SuspectKind kind, int needed,
+        CaroPromptChoice *choice)
+{
+    const CaroPromptCrashes *t = e->table;
+    uint64_t part = choice->suspect;
+    bool is_common = CaroPromptCrashes_IsCommon(t, part);
+    uint32_t progress[CARO_PROMPT_CRASHES_MAX];
+    bool is_covered[CARO_PROMPT_CRASHES_MAX] = {false};
+    CaroTime learned[PASSED_EVENTS_MIN + DOUBTS_MAX];
+    LostDomains lost = {.n = 0};
+    DomainEvents domain_events = {.n = 0};
     const CaroPromptCrash *last = NULL;
-    Events events = {.n = 0};
-    if (kind == SUSPECT_NEVER_BEGUN) {
-        events.n = QUARANTINE_EVENTS * count_quarantines(t, part);
-    }
-    for (int i = 0; i < n; i++) {
-        const CaroPromptCrash *c = &crashes[i];
-        if (!is_suspect(t, c, part, kind)) {
+    const CaroPromptCrash *first = NULL;
+    CaroTime last_at = 0;
+    int n_new = 0;
+    for (int i = 0; i < e->n; i++) {
+        const CaroPromptCrash *c = &e->crashes[i];
+        int u = e->upstream[i];
+        if (!is_suspect(t, c, part, kind) || !counts_for(e, i, part)) {
             continue;
         }
-        bool is_event = last == NULL || c->request == last->request ||
-                        c->at - last->at >= EVENT_INTERVAL_MIN;
-        for (int j = 0; j < i && is_event; j++) {
-            is_event = crashes[j].upstream != c->upstream ||
-                       !is_suspect(t, &crashes[j], part, kind);
+        choice->requests = first == NULL                  ? 1
+                           : c->request == first->request ? choice->requests
+                                                          : 2;
+        choice->has_heads = (first == NULL || choice->has_heads) &&
+                            c->has_head && c->events == 0;
+        choice->first_at = first == NULL ? c->at : choice->first_at;
+        first = first == NULL ? c : first;
+        last_at = c->at;
+        if (is_covered[u]) {
+            progress[u] = c->events < progress[u] ? c->events : progress[u];
+            continue;
         }
-        if (!is_event) {
+        is_covered[u] = true;
+        progress[u] = c->events;
+        choice->crashes++;
+        n_new += e->explained_by[u] == NULL;
+        if ((c->is_domain_lost &&
+             !counts_as_domain_loss(c, is_common, &lost)) ||
+            !is_separate(c, last, is_common, &domain_events)) {
             continue;
         }
         last = c;
-        events.first_at = events.n == 0 ? c->at : events.first_at;
-        if (events.n < needed && c->received_at > events.settled_at) {
-            events.settled_at = c->received_at;
+        if (choice->events < (int)(sizeof(learned) / sizeof(learned[0]))) {
+            learned[choice->events] = c->received_at;
+        }
+        choice->events++;
+    }
+    if (first == NULL) {
+        return false;
+    }
+    choice->progress_min = UINT32_MAX;
+    for (int u = 0; u < e->n_upstreams; u++) {
+        if (is_covered[u]) {
+            uint32_t p = progress[u];
+            choice->progress_min =
+                p < choice->progress_min ? p : choice->progress_min;
+            choice->progress_max =
+                p > choice->progress_max ? p : choice->progress_max;
+        }
+    }
+    choice->has_passed = kind == SUSPECT_PASSED_BEFORE;
+    choice->other_crashes =
+        count_others(e, choice, first->service, last_at, is_covered);
+    choice->needed = needed + count_doubts(choice);
+    bool is_rare = choice->crashes * COVERAGE_DIVISOR_MAX <
+                       choice->crashes + choice->other_crashes &&
+                   choice->events < COVERAGE_EVENTS_MIN;
+    if (is_rare ||
+        (n_new < choice->crashes && n_new < AMBIGUOUS_CRASHES_MIN)) {
+        choice->needed = choice->events + 1;
+        return true;
+    }
+    for (int i = 0; i < choice->needed && i < choice->events; i++) {
+        choice->settled_at =
+            learned[i] > choice->settled_at ? learned[i] : choice->settled_at;
+    }
+    return true;
+}
+
+/* Parts that were examined, or occur in the crashes of one upstream only. */
+typedef struct {
+    uint64_t part;
+    int upstream; /* Number + 1 of the first; 0: the entry is free. */
+    bool has_several;
+    bool is_examined;
+} Candidate;
+
+static Candidate *
+get_candidate(Candidate *all, uint64_t part)
+{
+    size_t i = part % CANDIDATES_MAX;
+    for (int tries = 0; tries < CANDIDATES_MAX; tries++) {
+        if (all[i].upstream == 0 || all[i].part == part) {
+            return &all[i];
         }
-        events.n++;
+        i = (i + 1) % CANDIDATES_MAX;
     }
-    return events;
+    return NULL;
 }
 
-/* Keeps the parts that stand in the other set as well. */
+/* Marks the parts that occur in crashes of several upstreams. */
 static void
-intersect(CaroPromptParts *parts, const CaroPromptParts *other)
+find_candidates(const Evidence *e, Candidate *all)
 {
-    CaroPromptParts kept = {.n = 0};
-    for (int i = 0; i < parts->n; i++) {
-        if (CaroPromptParts_Has(other, parts->ids[i])) {
-            CaroPromptParts_Add(&kept, parts->ids[i]);
+    for (int i = 0; i < e->n; i++) {
+        for (int j = 0; j < e->crashes[i].parts.n; j++) {
+            uint64_t part = e->crashes[i].parts.ids[j];
+            Candidate *c = get_candidate(all, part);
+            if (c == NULL) {
+                return;
+            }
+            if (c->upstream == 0) {
+                *c = (Candidate){.part = part, .upstream = e->upstream[i] + 1};
+            }
+            c->has_several |= c->upstream != e->upstream[i] + 1;
         }
     }
-    *parts = kept;
 }
 
-/* Keeps the suspects that occur in each crash of which the part is one, and in
-   the quarantines that are counted for it. */
+/* Keeps the suspects that occur in each crash of which the part is one. */
 static void
-find_common_suspects(const CaroPromptCrashes *t, uint64_t part,
-                     SuspectKind kind, CaroPromptParts *parts)
+find_common_suspects(const Evidence *e, SuspectKind kind,
+                     CaroPromptChoice *choice)
 {
-    int n;
-    const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
     bool is_first = true;
-    parts->n = 0;
-    for (int i = 0; i < n; i++) {
-        const CaroPromptCrash *c = &crashes[i];
-        if (!is_suspect(t, c, part, kind)) {
+    choice->parts.n = 0;
+    for (int i = 0; i < e->n; i++) {
+        const CaroPromptCrash *c = &e->crashes[i];
+        if (!is_suspect(e->table, c, choice->suspect, kind) ||
+            !counts_for(e, i, choice->suspect)) {
             continue;
         }
         CaroPromptParts kept = {.n = 0};
-        const CaroPromptParts *from = is_first ? &c->parts : parts;
-        for (int j = 0; j < from->n; j++) {
-            if (is_suspect(t, c, from->ids[j], kind)) {
-                CaroPromptParts_Add(&kept, from->ids[j]);
+        CaroPromptParts from = is_first ? c->parts : choice->parts;
+        for (int j = 0; j < from.n; j++) {
+            if (is_suspect(e->table, c, from.ids[j], kind)) {
+                CaroPromptParts_Add(&kept, from.ids[j]);
             }
         }
-        *parts = kept;
+        choice->parts = kept;
         is_first = false;
     }
-    const CaroQuarantine *all = CaroPromptCrashes_QuarantinesConst(t, &n);
-    for (int i = 0; i < n && kind == SUSPECT_NEVER_BEGUN; i++) {
-        if (is_ambiguous(&all[i], part)) {
-            intersect(parts, &all[i].parts);
-        }
-    }
 }
 
-/* The part is a suspect of an earlier crash of the list. */
+/* Returns whether the evidence speaks more against "a". */
 static bool
-is_counted(const CaroPromptCrashes *t, int before, uint64_t part,
-           SuspectKind kind)
+is_stronger(const CaroPromptChoice *a, const CaroPromptChoice *b)
 {
-    int n;
-    const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
-    for (int i = 0; i < before; i++) {
-        if (CaroPromptParts_Has(&crashes[i].parts, part) &&
-            is_suspect(t, &crashes[i], part, kind)) {
-            return true;
-        }
-    }
-    return false;
+    return a->events != b->events ? a->events > b->events
+                                  : a->progress_max < b->progress_max;
 }
 
-/* Returns the suspect with most events among those that have enough, and
-   raises *most to the number of events of any. */
-static bool
-choose_suspect(const CaroPromptCrashes *t, SuspectKind kind, int needed,
-               CaroTime now, uint64_t *chosen, int *most)
+/* Chooses the suspect of most events.  Returns the number of events of any. */
+static int
+choose_suspect(const Evidence *e, SuspectKind kind, int needed,
+               CaroPromptChoice *best)
 {
-    int n;
-    const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
-    bool is_found = false;
-    *most = 0;
-    for (int i = 0; i < n; i++) {
-        for (int j = 0; j < crashes[i].parts.n; j++) {
-            uint64_t part = crashes[i].parts.ids[j];
-            if (!is_suspect(t, &crashes[i], part, kind) ||
-                is_counted(t, i, part, kind)) {
+    static Candidate candidates[CANDIDATES_MAX];
+    CaroPromptChoice rival = {.events = 0};
+    memset(best, 0, sizeof(*best));
+    memset(candidates, 0, sizeof(candidates));
+    find_candidates(e, candidates);
+    for (int i = 0; i < e->n; i++) {
+        for (int j = 0; j < e->crashes[i].parts.n; j++) {
+            uint64_t part = e->crashes[i].parts.ids[j];
+            Candidate *c = get_candidate(candidates, part);
+            if (c == NULL || !c->has_several || c->is_examined ||
+                !is_suspect(e->table, &e->crashes[i], part, kind)) {
                 continue;
             }
-            Events events = count_events(t, part, kind, needed);
-            if (events.n <= *most) {
+            CaroPromptChoice choice = {.suspect = part};
+            c->is_examined = true;
+            if (!examine(e, kind, needed, &choice)) {
                 continue;
             }
-            *most = events.n;
-            bool is_silent = kind == SUSPECT_NEVER_BEGUN ||
-                             now - events.first_at >= BEGUN_SILENCE_MIN;
-            is_found = events.n >= needed && is_silent &&
-                       now - events.settled_at >= SETTLE_DELAY;
-            *chosen = part;
+            if (is_stronger(&choice, best)) {
+                rival = *best;
+                *best = choice;
+            }
+            else if (is_stronger(&choice, &rival)) {
+                rival = choice;
+            }
         }
     }
-    return is_found;
+    if (best->events == 0) {
+        return 0;
+    }
+    find_common_suspects(e, kind, best);
+    bool is_tie = rival.events == best->events &&
+                  rival.progress_max == best->progress_max &&
+                  !CaroPromptParts_Has(&best->parts, rival.suspect);
+    if (is_tie && best->needed < TIE_EVENTS_MIN) {
+        best->needed = TIE_EVENTS_MIN;
+    }
+    return best->events;
 }
 
-bool
-CaroPromptQuarantine_Choose(const CaroPromptCrashes *t, CaroTime now,
-                            CaroPromptParts *parts)
+CaroPromptVerdict
+CaroPromptQuarantine_Choose(const CaroPromptCrashes *t,
+                            CaroPromptChoice *choice, CaroTime now)
 {
-    uint64_t part = 0;
-    int most;
-    SuspectKind kind = SUSPECT_NEVER_BEGUN;
-    bool is_found = choose_suspect(t, kind, EVENTS_MIN, now, &part, &most);
-    if (!is_found && most < 2) {
-        kind = SUSPECT_BEGUN_BEFORE;
-        is_found =
-            choose_suspect(t, kind, BEGUN_EVENTS_MIN, now, &part, &most);
+    static Evidence evidence;
+    read_evidence(&evidence, t, now);
+    int most =
+        choose_suspect(&evidence, SUSPECT_NEVER_PASSED, EVENTS_MIN, choice);
+    if (most < 2) {
+        most = choose_suspect(&evidence, SUSPECT_PASSED_BEFORE,
+                              PASSED_EVENTS_MIN, choice);
+        if (now - choice->first_at < PASSED_SILENCE_MIN) {
+            return CARO_VERDICT_NONE;
+        }
     }
-    if (is_found) {
-        find_common_suspects(t, part, kind, parts);
+    if (most == 0 || choice->events < choice->needed) {
+        return CARO_VERDICT_NONE;
     }
-    return is_found;
+    return now - choice->settled_at >= SETTLE_DELAY ? CARO_VERDICT_QUARANTINE
+                                                    : CARO_VERDICT_PENDING;
+}
+
+int
+CaroPromptQuarantine_CountCrashes(const CaroPromptCrashes *t, uint64_t part)
+{
+    int n;
+    int count = 0;
+    const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
+    for (int i = 0; i < n; i++) {
+        bool is_counted =
+            !is_suspect(t, &crashes[i], part, SUSPECT_NEVER_PASSED);
+        for (int j = 0; j < i && !is_counted; j++) {
+            is_counted = crashes[j].upstream == crashes[i].upstream &&
+                         CaroPromptParts_Has(&crashes[j].parts, part);
+        }
+        count += !is_counted;
+    }
+    return count;
 }
--- a/Include/internal/caro_channel.h
+++ b/Include/internal/caro_channel.h
@@ -84,6 +84,10 @@
 /* Whether a byte of the request may have reached the upstream. */
 bool CaroChannel_IsSent(const CaroChannel *c);
 
+/* Whether the upstream's own system closed the connection: neither the gate of
+   a tunnel nor a dead link did. */
+bool CaroChannel_IsClosedByUpstream(const CaroChannel *c);
+
 /* Whether bytes of the response, or its end, have arrived that no callback has
    reported yet. */
 bool CaroChannel_HasUnread(const CaroChannel *c);
--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -58,7 +58,9 @@
     X(PROMPT_LOSSES_HEARD, "prompt_losses_heard")                             \
     X(PROMPT_LOSSES_DOMAIN, "prompt_losses_domain")                           \
     X(PROMPT_LOSSES_DROPPED, "prompt_losses_dropped")                         \
+    X(PROMPTS_HELD, "prompts_held")                                           \
     X(QUARANTINES, "prompt_quarantines")                                      \
+    X(QUARANTINE_PROBES, "quarantine_probes")                                 \
     X(QUARANTINED, "refused_quarantined")                                     \
     X(LIMITED, "refused_limited")                                             \
     X(TARGETS_LEAVING, "upstreams_announced_leaving")                         \
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -61,6 +61,14 @@
     void (*on_load_report)(void *context, const caro_load_report *report);
     /* A peer reported parts of prompts that crash upstreams; borrowed. */
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
+    /* Likewise in the present form. */
+    void (*on_prompt_evidence)(void *context,
+                               const caro_prompt_evidence *evidence);
+    /* A peer asked for this VM's evidence; the handler has to reply. */
+    void (*on_prompt_query)(void *context, CaroRpcRequest *request);
+    /* A peer answered this VM's query; borrowed. */
+    void (*on_prompt_reply)(void *context,
+                            const caro_prompt_evidence *evidence);
     /* Fills the reply to a peer that asks for the changes of the store after a
        revision; returns false for no reply. */
     bool (*collect_store_changes)(void *context, CaroRevision after,
@@ -154,11 +162,14 @@
 void CaroFleet_SendBrittleNotice(CaroFleet *f,
                                  const caro_brittle_notice *notice);
 
-/* Sends what this VM knows of parts of prompts that crash upstreams to
-   "fanout" usable VMs chosen at random, or fewer when there are not as
-   many. */
-void CaroFleet_SendPromptReport(CaroFleet *f, const caro_prompt_report *report,
-                                int fanout);
+/* Sends evidence on prompts to so many usable VMs, chosen at random; "old" has
+   it in the form of earlier versions, and may be NULL. */
+void CaroFleet_SendPromptEvidence(CaroFleet *f,
+                                  const caro_prompt_evidence *evidence,
+                                  const caro_prompt_report *old, int fanout);
+
+/* Asks some usable VMs, chosen at random, for their evidence on prompts. */
+void CaroFleet_QueryPrompts(CaroFleet *f);
 
 /* Asks a VM for the changes of the store after a revision; the outcome goes to
    on_store_changes. */
--- a/Include/internal/caro_platform.h
+++ b/Include/internal/caro_platform.h
@@ -159,14 +159,21 @@
    memory. */
 char *CaroPlatform_WriteVm(const char *peer);
 
-/* Parses the parts of a quarantine and the wall-clock time of its end.
-   Returns 0 or CARO_ERR_INPUT. */
+/* A quarantine as the store keeps it. */
+typedef struct {
+    CaroPromptParts parts;
+    int64_t until_ms; /* Wall-clock time of its end. */
+    bool has_probes;  /* Versions that do not probe leave out the rest. */
+    int probes;
+    uint32_t events;
+} CaroStoredQuarantine;
+
+/* Parses a quarantine.  Returns 0 or CARO_ERR_INPUT. */
 int CaroPlatform_ReadQuarantine(const char *bytes, size_t size,
-                                CaroPromptParts *parts, int64_t *until_ms);
+                                CaroStoredQuarantine *q);
 
-/* Formats them.  The caller frees the text; NULL without memory. */
-char *CaroPlatform_WriteQuarantine(const CaroPromptParts *parts,
-                                   int64_t until_ms);
+/* Formats it.  The caller frees the text; NULL without memory. */
+char *CaroPlatform_WriteQuarantine(const CaroStoredQuarantine *q);
 
 /* A request of the operators to roll out a version of a service.  Names are
    as of caro_name.h. */
--- a/Include/internal/caro_prompt_crashes.h
+++ b/Include/internal/caro_prompt_crashes.h
@@ -2,15 +2,14 @@
  * NAME
  *     caro_prompt_crashes - evidence on parts of prompts that crash upstreams
  *
- * Three bounded tables.  Crashes: requests whose upstream closed the
- * connection after the head of the response and before its first event.
- * Begins: when a response to a prompt with the part last had its first event,
- * which a part that crashes upstreams never has.  Quarantines: sets of parts;
+ * Bounded tables.  Crashes: requests that were in progress at an upstream when
+ * it crashed, with the parts that may have caused that.  Progress: how far
+ * responses to prompts with a part have got; a part that crashes upstreams
+ * never gets beyond the point at which it does.  Quarantines: sets of parts;
  * requests with all parts of a set are refused.
  *
- * VMs exchange the tables.  All entries are facts that are merged by set
- * union, so messages may be lost, doubled and reordered; times are sent as
- * ages, because the clocks of VMs differ.
+ * VMs exchange the tables (caro_prompt_reports.h).  All entries are facts that
+ * are merged by set union, so messages may be lost, doubled and reordered.
  */
 #ifndef CARO_PROMPT_CRASHES_H
 #define CARO_PROMPT_CRASHES_H
@@ -19,21 +18,30 @@
 #include "internal/caro_prompt_parts.h"
 
 enum {
-    CARO_PROMPT_CRASHES_MAX = 64,    /* The oldest yield. */
-    CARO_PROMPT_QUARANTINES_MAX = 16 /* Likewise. */
+    CARO_PROMPT_CRASHES_MAX = 512, /* The oldest yield. */
+    CARO_QUARANTINES_KEPT_MAX = CARO_PROMPT_QUARANTINES_MAX,
+    /* A response with fewer events says nothing of its prompt. */
+    CARO_PROMPT_PROGRESS_MIN = 5
 };
 
 /* A crash counts for this long. */
-#define CARO_PROMPT_CRASH_TTL (120 * CARO_SECOND)
-/* Time of the last begin of a part that has not begun.  Other times may be
-   negative: they are before the start of this VM's clock. */
-#define CARO_NEVER_BEGUN INT64_MIN
-/* Life of a quarantine. */
-#define CARO_QUARANTINE_TTL (600 * CARO_SECOND)
-
+#define CARO_PROMPT_CRASH_TTL (1800 * CARO_SECOND)
+/* Time of what has never happened.  Other times may be negative: they are
+   before the start of this VM's clock. */
+#define CARO_NEVER_PASSED INT64_MIN
+/* Life of a quarantine after the decision or its last failed probe. */
+#define CARO_QUARANTINE_TTL (86400 * CARO_SECOND)
+
+/* A request that was in progress at an upstream when it crashed.  Without
+   parts it only says that the upstream crashed. */
 typedef struct {
-    uint64_t upstream; /* Hash of the start of the upstream. */
-    uint64_t request;  /* Hash of the request's id. */
+    uint64_t upstream;   /* Hash of the start of the upstream. */
+    uint64_t request;    /* Hash of the request's id. */
+    uint32_t service;    /* Hash; 0 when unknown. */
+    uint32_t domain;     /* Hash of the failure domain; 0 when unknown. */
+    bool is_domain_lost; /* Most of the domain's upstreams failed with it. */
+    bool has_head;       /* The head of the response had arrived. */
+    uint32_t events;     /* Of the response, before the crash. */
     CaroPromptParts parts;
     CaroTime at;
     CaroTime received_at; /* Time at which this VM learned of it. */
@@ -41,11 +49,13 @@
 
 typedef struct {
     CaroPromptParts parts;
-    CaroTime at; /* Time of the decision. */
+    CaroTime at;     /* Time of the decision or of the last failed probe. */
+    int probes;      /* Failed probes. */
+    uint32_t events; /* Most events of a response before a crash. */
     CaroTime expires_at;
-    CaroTime received_at; /* Time at which this VM learned of it. */
-    bool is_lifted;       /* All of its parts have begun since. */
-    bool is_stored;       /* The platform's store has it. */
+    CaroTime received_at;  /* Time at which this VM learned of it. */
+    CaroTime stored_until; /* The platform's store has it until then. */
+    bool is_lifted;        /* Responses with all of its parts passed since. */
 } CaroQuarantine;
 
 typedef struct CaroPromptCrashes CaroPromptCrashes;
@@ -54,33 +64,52 @@
 CaroPromptCrashes *CaroPromptCrashes_Create(void);
 void CaroPromptCrashes_Destroy(CaroPromptCrashes *t);
 
-/* Records a crash; has no effect when it is known, too old, without parts, or
-   explained by a quarantine. */
-void CaroPromptCrashes_Record(CaroPromptCrashes *t, uint64_t upstream,
-                              uint64_t request, const CaroPromptParts *parts,
-                              CaroTime at, CaroTime now);
+/* Records a crash, of which "received_at" is set; has no effect when it is
+   known, too old, or all of its parts have passed long since. */
+void CaroPromptCrashes_Record(CaroPromptCrashes *t,
+                              const CaroPromptCrash *crash, CaroTime now);
+
+/* Drops the crashes of an upstream that turned out to be alive. */
+void CaroPromptCrashes_Refute(CaroPromptCrashes *t, uint64_t upstream);
 
-/* Records the first event of a response. */
-void CaroPromptCrashes_RecordBegin(CaroPromptCrashes *t,
-                                   const CaroPromptParts *parts, CaroTime now);
+/* Records a new request with the parts. */
+void CaroPromptCrashes_RecordRequest(CaroPromptCrashes *t,
+                                     const CaroPromptParts *parts,
+                                     CaroTime now);
 
-/* Returns when a response to a prompt with the part last began, or
-   CARO_NEVER_BEGUN. */
-CaroTime CaroPromptCrashes_BegunAt(const CaroPromptCrashes *t, uint64_t part);
+/* Returns whether at least half of this VM's recent requests have the part, or
+   too few are known. */
+bool CaroPromptCrashes_IsCommon(const CaroPromptCrashes *t, uint64_t part);
+
+/* Records that a response to a prompt with the parts has got "events" events
+   from one upstream, or has been received whole. */
+void CaroPromptCrashes_RecordEvents(CaroPromptCrashes *t,
+                                    const CaroPromptParts *parts,
+                                    uint32_t events, CaroTime now);
+void CaroPromptCrashes_RecordFinish(CaroPromptCrashes *t,
+                                    const CaroPromptParts *parts,
+                                    CaroTime now);
+
+/*
+ * Returns when a response to a prompt with the part last got beyond the point
+ * of a crash after "events" events, or CARO_NEVER_PASSED.  The events of a
+ * crashing upstream arrive in part, so the point is taken as up to
+ * 2 * events + 4.
+ */
+CaroTime CaroPromptCrashes_PassedAt(const CaroPromptCrashes *t, uint64_t part,
+                                    uint32_t events);
 
 /* The crashes, in the order of their times; borrowed until the next change. */
 const CaroPromptCrash *CaroPromptCrashes_List(const CaroPromptCrashes *t,
                                               int *n);
 
 /*
- * Adds a quarantine that ends at "expires_at" and drops the crashes that it
- * explains.  Returns it, or NULL when one that covers it exists or was
- * lifted.
+ * Adds a quarantine by its parts, "at", "probes" and "events".  One with the
+ * same parts takes over the later failed probe.  Returns it, or NULL when one
+ * that covers it exists, it has expired or responses have passed since.
  */
 CaroQuarantine *CaroPromptCrashes_AddQuarantine(CaroPromptCrashes *t,
-                                                const CaroPromptParts *parts,
-                                                CaroTime at,
-                                                CaroTime expires_at,
+                                                const CaroQuarantine *q,
                                                 CaroTime now);
 
 /* Returns the quarantine that holds for a prompt with the parts, or NULL. */
@@ -96,32 +125,32 @@
 const CaroQuarantine *
 CaroPromptCrashes_QuarantinesConst(const CaroPromptCrashes *t, int *n);
 
+/* A probe of the quarantine has crashed an upstream, or did not get far. */
+void CaroPromptCrashes_FailProbe(CaroPromptCrashes *t,
+                                 const CaroPromptParts *parts, CaroTime now);
+
 /*
- * Drops what has expired; takes parts that have begun since out of the
- * quarantines, and lifts a quarantine whose parts have all begun.
+ * Drops what has expired; takes parts that have passed since out of the
+ * quarantines, and lifts a quarantine whose parts have all passed.
  */
 void CaroPromptCrashes_Tick(CaroPromptCrashes *t, CaroTime now);
 
-/* A report and the storage that it points to. */
-typedef struct {
-    caro_prompt_report report;
-    caro_prompt_crash crashes[CARO_CRASHES_MAX];
-    caro_prompt_begin begins[CARO_BEGINS_MAX];
-    caro_quarantine quarantines[CARO_QUARANTINES_MAX];
-} CaroPromptReport;
-
-/* Fills the report, except the sender, with the quarantines, the newest
-   crashes, and the begins of the parts of both.  It points into the table.
-   Returns whether there is anything to report. */
-bool CaroPromptCrashes_Collect(CaroPromptCrashes *t, CaroPromptReport *out,
-                               CaroTime now);
-
-/* Merges the report of another VM. */
-void CaroPromptCrashes_Apply(CaroPromptCrashes *t,
-                             const caro_prompt_report *report, CaroTime now);
+/* Merges what another VM knows of the progress of a part; times may be
+   CARO_NEVER_PASSED. */
+void CaroPromptCrashes_MergeProgress(CaroPromptCrashes *t, uint64_t part,
+                                     CaroTime finished_at, uint32_t events,
+                                     CaroTime events_at, CaroTime now);
+
+/* Returns whether progress of the part is known, and stores it. */
+bool CaroPromptCrashes_GetProgress(const CaroPromptCrashes *t, uint64_t part,
+                                   CaroTime *finished_at, uint32_t *events,
+                                   CaroTime *events_at);
 
 /* Returns whether something was learned since the last call that other VMs may
    not know, and clears the mark. */
 bool CaroPromptCrashes_ConsumeChange(CaroPromptCrashes *t);
 
+/* Likewise whether the evidence has changed since the last decision. */
+bool CaroPromptCrashes_ConsumeEvidence(CaroPromptCrashes *t);
+
 #endif
--- a/Include/internal/caro_prompt_guard.h
+++ b/Include/internal/caro_prompt_guard.h
@@ -3,20 +3,41 @@
  *     caro_prompt_guard - keeps prompts that crash upstreams from them
  *
  * Collects what this VM's requests show, merges what the other VMs report,
- * decides which parts of prompts to put into quarantine, and writes that to
- * the platform's store, so that VMs that start all at once know it.
+ * decides which parts of prompts to put into quarantine, and has that written
+ * to the platform's store, so that VMs that start all at once know it.
  */
 #ifndef CARO_PROMPT_GUARD_H
 #define CARO_PROMPT_GUARD_H
 
 #include "internal/caro_counters.h"
-#include "internal/caro_prompt_crashes.h"
+#include "internal/caro_prompt_reports.h"
 #include "internal/caro_store_client.h"
+#include "internal/caro_targets.h"
 
 #include <jansson.h>
 
 typedef struct CaroPromptGuard CaroPromptGuard;
 
+/* What may be done with a request at this time. */
+typedef enum {
+    CARO_PROMPT_ADMITTED,
+    CARO_PROMPT_PROBE,  /* Admitted, for one attempt, in spite of a
+                           quarantine; ends with CaroPromptGuard_EndProbe. */
+    CARO_PROMPT_HELD,   /* To be asked again later: a decision is near, or
+                           this VM has yet to hear the others. */
+    CARO_PROMPT_REFUSED /* A part of the prompt is in quarantine. */
+} CaroPromptAdmission;
+
+/* An attempt at an upstream. */
+typedef struct {
+    CaroHandle target;
+    const char *request_id;
+    const CaroPromptParts *parts;
+    bool has_head;   /* The head of its response has arrived. */
+    uint32_t events; /* Of its response so far. */
+    CaroTime started_at;
+} CaroPromptAttempt;
+
 /* The targets and the counters are borrowed; so is the client, which may be
    NULL: then nothing is stored.  Returns NULL when out of memory. */
 CaroPromptGuard *CaroPromptGuard_Create(const CaroTargets *targets,
@@ -28,25 +49,60 @@
 bool CaroPromptGuard_Refuses(const CaroPromptGuard *g,
                              const CaroPromptParts *parts, CaroTime now);
 
+/* Returns what may be done with an attempt of a request; "boot_now" is the
+   present time of a clock that also counts while the machine is suspended. */
+CaroPromptAdmission CaroPromptGuard_Admit(CaroPromptGuard *g,
+                                          const CaroPromptParts *parts,
+                                          CaroTime boot_now, CaroTime now);
+
+/* A probe has ended; "has_passed" tells whether its response got far enough.
+ */
+void CaroPromptGuard_EndProbe(CaroPromptGuard *g, const CaroPromptParts *parts,
+                              bool has_passed, CaroTime now);
+
 /* Returns whether quarantines were added since the last call. */
 bool CaroPromptGuard_ConsumeQuarantine(CaroPromptGuard *g);
 
-/*
- * The target closed the connection of the request after the head of its
- * response and before the first event.  It counts as a crash unless the target
- * is heard again shortly after.
- */
-void CaroPromptGuard_RecordLoss(CaroPromptGuard *g, CaroHandle target,
-                                const char *request_id,
-                                const CaroPromptParts *parts, CaroTime now);
+/* Records a new request. */
+void CaroPromptGuard_RecordRequest(CaroPromptGuard *g,
+                                   const CaroPromptParts *parts, CaroTime now);
+
+/* The target closed the connection of the attempt before its response was
+   complete.  It counts as a crash unless the target is heard again shortly
+   after. */
+void CaroPromptGuard_RecordLoss(CaroPromptGuard *g,
+                                const CaroPromptAttempt *attempt,
+                                CaroTime now);
 
-/* The first event of a response arrived. */
-void CaroPromptGuard_RecordBegin(CaroPromptGuard *g,
-                                 const CaroPromptParts *parts, CaroTime now);
+/* The attempt was given up while its target was silent.  It counts if the
+   target turns out to have crashed. */
+void CaroPromptGuard_RecordSilence(CaroPromptGuard *g,
+                                   const CaroPromptAttempt *attempt,
+                                   CaroTime now);
 
-/* Merges the report of another VM. */
+/* The target refused a connection. */
+void CaroPromptGuard_RecordRefusedConnection(CaroPromptGuard *g,
+                                             CaroHandle target);
+
+/* A response has got so many events from one upstream. */
+void CaroPromptGuard_RecordEvents(CaroPromptGuard *g,
+                                  const CaroPromptParts *parts,
+                                  uint32_t events, CaroTime now);
+
+/* A response was received whole. */
+void CaroPromptGuard_RecordFinish(CaroPromptGuard *g,
+                                  const CaroPromptParts *parts, CaroTime now);
+
+/* Merges the evidence of another VM, or that of an earlier version. */
 void CaroPromptGuard_Apply(CaroPromptGuard *g,
-                           const caro_prompt_report *report, CaroTime now);
+                           const caro_prompt_evidence *evidence, CaroTime now);
+void CaroPromptGuard_ApplyOld(CaroPromptGuard *g,
+                              const caro_prompt_report *report, CaroTime now);
+
+/* Likewise the answer to the query of CaroPromptGuard_ConsumeQuery. */
+void CaroPromptGuard_OnQueryReply(CaroPromptGuard *g,
+                                  const caro_prompt_evidence *evidence,
+                                  CaroTime now);
 
 /* The store was restored from an older copy: quarantines in force that it does
    not list are written again. */
@@ -61,11 +117,26 @@
    "rank" is this VM's among the VMs. */
 void CaroPromptGuard_Tick(CaroPromptGuard *g, int rank, CaroTime now);
 
-/* Fills the report, except the sender, and returns to how many other VMs it is
-   to be sent now; 0 when none is due. */
-int CaroPromptGuard_Collect(CaroPromptGuard *g, CaroPromptReport *out,
+/* Fills the message, except the sender, and returns to how many other VMs it
+   is to be sent now; 0 when none is due. */
+int CaroPromptGuard_Collect(CaroPromptGuard *g, CaroPromptEvidence *out,
                             CaroTime now);
 
+/* Fills the message, except the sender, for a VM that asks. */
+void CaroPromptGuard_CollectReply(CaroPromptGuard *g, CaroPromptEvidence *out,
+                                  CaroTime now);
+
+/* Likewise in the form of earlier versions.  Returns whether there is anything
+   to report. */
+bool CaroPromptGuard_CollectOld(CaroPromptGuard *g, CaroPromptReport *out,
+                                CaroTime now);
+
+/* Returns whether other VMs are to be asked for their evidence, once after
+   each time that this VM did not run; "has_peers" tells whether there are any.
+ */
+bool CaroPromptGuard_ConsumeQuery(CaroPromptGuard *g, bool has_peers,
+                                  CaroTime now);
+
 /* Returns the quarantines for the report of the state, in new memory. */
 json_t *CaroPromptGuard_Dump(CaroPromptGuard *g, CaroTime now);
 
--- a/Include/internal/caro_prompt_parts.h
+++ b/Include/internal/caro_prompt_parts.h
@@ -11,8 +11,9 @@
 #include "internal/caro_types.h"
 
 enum {
-    /* As CARO_PARTS_MAX of the messages; parts after these are ignored. */
-    CARO_PROMPT_PARTS_MAX = 12,
+    /* As CARO_PROMPT_LOSS_PARTS_MAX of the messages.  Of a longer prompt the
+       first and the last half of these are known. */
+    CARO_PROMPT_PARTS_MAX = 32,
     /* Bytes of a formatted list of parts with its terminator. */
     CARO_PROMPT_PARTS_TEXT_SIZE = CARO_PROMPT_PARTS_MAX * 17 + 1
 };
@@ -43,6 +44,10 @@
 /* Adds a part unless it is there or there is no room. */
 void CaroPromptParts_Add(CaroPromptParts *parts, uint64_t id);
 
+/* Likewise, but when there is no room the part takes the place of the oldest
+   in the second half. */
+void CaroPromptParts_Append(CaroPromptParts *parts, uint64_t id);
+
 /* Formats the parts as hexadecimal numbers with commas; returns "out". */
 const char *CaroPromptParts_Format(const CaroPromptParts *parts,
                                    char out[CARO_PROMPT_PARTS_TEXT_SIZE]);
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -83,8 +83,12 @@
     uint32_t events_at_target; /* CaroEventPace_Count at the last event. */
     int prefill_tokens; /* Pending prefill at the target; 0 after an event. */
     int prompt_tokens;  /* Prompt of the request; 0 for plain requests. */
-    CaroPromptParts prompt_parts; /* None for plain requests. */
-    CaroSizedParts sized_parts;   /* Likewise, with the last part. */
+    CaroPromptParts prompt_parts;
+    CaroSizedParts sized_parts; /* With the last part; none for plain
+                                   requests. */
+    bool is_prompt_held;        /* It waits for a decision about its prompt. */
+    bool is_probe;              /* The attempt probes a quarantine. */
+    bool is_resume;         /* The attempt asks for the rest of a stream. */
     double retained_tokens; /* Expected to be held at the target when it was
                                chosen. */
     bool is_from_kv_copy;   /* The attempt resumes from a KV copy. */
@@ -229,7 +233,25 @@
 void CaroRelay_ScheduleTimer(CaroRelay *r, CaroTime now);
 void CaroRelay_OnTimer(evutil_socket_t fd, short what, void *relay);
 
-/* A stream that has begun before is not affected by a quarantine. */
+/* relay_prompts.c: what the request tells of its prompt. */
+
+/* Returns whether the prompt may be sent now; holds the request or bars it
+   from attempts accordingly. */
+CaroPromptAdmission CaroRelay_AdmitPrompt(CaroRelay *r, CaroTime now);
+
+/* Returns whether the attempt is to be ended for a quarantine: it has no event
+   yet, and its end loses nothing. */
 bool CaroRelay_IsQuarantined(const CaroRelay *r, CaroTime now);
 
+/* Further events of the attempt arrived; "before" is their number before. */
+void CaroRelay_RecordPromptEvents(CaroRelay *r, int before, CaroTime now);
+
+/* The response is complete. */
+void CaroRelay_RecordPromptFinish(CaroRelay *r, CaroTime now);
+
+/* The attempt has ended otherwise, or the caller disconnected during it. */
+void CaroRelay_RecordPromptEnd(CaroRelay *r, CaroOutcome outcome,
+                               CaroTime now);
+void CaroRelay_RecordPromptCancelled(CaroRelay *r, CaroTime now);
+
 #endif
--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <assert.h>
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -39,12 +40,13 @@
        the upstream without frames; NULL otherwise. */
     struct evbuffer *held;
     struct evbuffer *unframed;
-    size_t request_size; /* Bytes of the request. */
-    bool has_request;    /* A request is in progress. */
-    bool is_reusable;    /* See CaroChannel_IsReusable. */
-    bool is_destroyed;   /* To be freed when the callbacks have returned. */
-    int callback_depth;  /* Callbacks that are running. */
-    int n_interim;       /* Interim responses to the request. */
+    size_t request_size;        /* Bytes of the request. */
+    bool has_request;           /* A request is in progress. */
+    bool is_reusable;           /* See CaroChannel_IsReusable. */
+    bool is_closed_by_upstream; /* See CaroChannel_IsClosedByUpstream. */
+    bool is_destroyed;  /* To be freed when the callbacks have returned. */
+    int callback_depth; /* Callbacks that are running. */
+    int n_interim;      /* Interim responses to the request. */
     const CaroChannelEvents *events;
     void *context;
     void (*on_idle_closed)(void *context, CaroChannel *c);
@@ -295,6 +297,7 @@
         c->is_reusable = false;
     }
     if (!c->is_destroyed && event != 0) {
+        c->is_closed_by_upstream = true;
         handle_close(c, event);
     }
     end_callback(c);
@@ -337,6 +340,11 @@
                        is_timeout ? "connect timeout" : "connection refused");
         return;
     }
+    /* The system reports a timeout when the link is dead. */
+    int error = EVUTIL_SOCKET_ERROR();
+    c->is_closed_by_upstream =
+        !c->is_tunneled &&
+        ((what & BEV_EVENT_EOF) != 0 || error == ECONNRESET || error == EPIPE);
     /* A gate that is killed closes its connections as if all were sent. */
     handle_close(c, c->is_tunneled ? BEV_EVENT_ERROR : what);
 }
@@ -465,6 +473,12 @@
                c->request_size;
 }
 
+bool
+CaroChannel_IsClosedByUpstream(const CaroChannel *c)
+{
+    return c->is_closed_by_upstream;
+}
+
 bool
 CaroChannel_HasUnread(const CaroChannel *c)
 {
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -33,11 +33,16 @@
 #define CONFIG_TIMEOUT (1 * CARO_SECOND)
 /* Load reports are not replied to; the call's state is freed after this. */
 #define LOAD_REPORT_TIMEOUT (20 * CARO_MS)
+#define PROMPT_QUERY_TIMEOUT (500 * CARO_MS)
 
 /* How a VM sends its configuration; those of earlier versions send it plain
    and do not reply to a call for the packed form. */
 typedef enum { CONFIG_UNKNOWN, CONFIG_PACKED, CONFIG_PLAIN } ConfigForm;
 
+/* VMs that get a message with evidence on prompts, and that are asked for
+   theirs. */
+enum { PROMPT_FANOUT_MAX = 8, PROMPT_QUERIES = 3 };
+
 struct CaroFleet {
     CaroRpc *rpc;
     CaroMembership *membership;
@@ -466,6 +471,20 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_PROMPT_EVIDENCE:
+        if (f->handlers->on_prompt_evidence != NULL) {
+            f->handlers->on_prompt_evidence(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
+    case CARO_PROMPT_QUERY:
+        if (f->handlers->on_prompt_query != NULL) {
+            f->handlers->on_prompt_query(f->context, request);
+        }
+        else {
+            CaroRpc_Ignore(request);
+        }
+        break;
     case CARO_RETRY_LOAN:
         if (f->handlers->on_retry_loan != NULL) {
             f->handlers->on_retry_loan(f->context, request, args);
@@ -698,23 +717,69 @@
     send_to_all(f, CARO_BRITTLE_NOTICE, notice);
 }
 
-void
-CaroFleet_SendPromptReport(CaroFleet *f, const caro_prompt_report *report,
-                           int fanout)
+/* Chooses up to "most" different usable VMs at random; returns their number.
+ */
+static int
+choose_peers(CaroFleet *f, CaroHandle *peers, int most)
 {
     int count = CaroMembership_Count(f->membership);
-    for (int tries = 0; tries < 8 * fanout && fanout > 0; tries++) {
+    int n = 0;
+    for (int tries = 0; tries < 8 * most && n < most; tries++) {
         CaroHandle vm =
             (CaroHandle)gsl_rng_uniform_int(f->rng, (unsigned long)count);
-        if (vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm)) {
-            CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
-                         CARO_RPC_UDP, CARO_PROMPT_REPORT, report,
+        bool is_usable =
+            vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm);
+        for (int i = 0; i < n && is_usable; i++) {
+            is_usable = peers[i] != vm;
+        }
+        if (is_usable) {
+            peers[n++] = vm;
+        }
+    }
+    return n;
+}
+
+void
+CaroFleet_SendPromptEvidence(CaroFleet *f,
+                             const caro_prompt_evidence *evidence,
+                             const caro_prompt_report *old, int fanout)
+{
+    CaroHandle peers[PROMPT_FANOUT_MAX];
+    int n = choose_peers(
+        f, peers, fanout < PROMPT_FANOUT_MAX ? fanout : PROMPT_FANOUT_MAX);
+    for (int i = 0; i < n; i++) {
+        const char *peer = CaroMembership_Get(f->membership, peers[i])->peer;
+        CaroRpc_Call(f->rpc, peer, CARO_RPC_UDP, CARO_PROMPT_EVIDENCE,
+                     evidence, LOAD_REPORT_TIMEOUT, NULL, NULL);
+        if (old != NULL) {
+            CaroRpc_Call(f->rpc, peer, CARO_RPC_UDP, CARO_PROMPT_REPORT, old,
                          LOAD_REPORT_TIMEOUT, NULL, NULL);
-            fanout--;
         }
     }
 }
 
+static void
+on_prompt_reply(void *context, int code, const void *result)
+{
+    CaroFleet *f = context;
+    if (code == 0 && f->handlers->on_prompt_reply != NULL) {
+        f->handlers->on_prompt_reply(f->context, result);
+    }
+}
+
+void
+CaroFleet_QueryPrompts(CaroFleet *f)
+{
+    CaroHandle peers[PROMPT_QUERIES];
+    caro_prompt_query query = {.sender = f->name};
+    int n = choose_peers(f, peers, PROMPT_QUERIES);
+    for (int i = 0; i < n; i++) {
+        CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, peers[i])->peer,
+                     CARO_RPC_UDP, CARO_PROMPT_QUERY, &query,
+                     PROMPT_QUERY_TIMEOUT, on_prompt_reply, f);
+    }
+}
+
 /* A call for changes of the store in progress. */
 typedef struct {
     CaroFleet *fleet;
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -643,7 +643,31 @@
 on_prompt_report(void *context, const caro_prompt_report *report)
 {
     CaroGateway *g = context;
-    CaroPromptGuard_Apply(g->guard, report, CaroClock_Now());
+    CaroPromptGuard_ApplyOld(g->guard, report, CaroClock_Now());
+}
+
+static void
+on_prompt_evidence(void *context, const caro_prompt_evidence *evidence)
+{
+    CaroGateway *g = context;
+    CaroPromptGuard_Apply(g->guard, evidence, CaroClock_Now());
+}
+
+static void
+on_prompt_query(void *context, CaroRpcRequest *request)
+{
+    CaroGateway *g = context;
+    CaroPromptEvidence out;
+    CaroPromptGuard_CollectReply(g->guard, &out, CaroClock_Now());
+    out.evidence.sender = g->settings.vm;
+    CaroRpc_Reply(request, &out.evidence);
+}
+
+static void
+on_prompt_reply(void *context, const caro_prompt_evidence *evidence)
+{
+    CaroGateway *g = context;
+    CaroPromptGuard_OnQueryReply(g->guard, evidence, CaroClock_Now());
 }
 
 static void
@@ -692,6 +716,9 @@
     .on_pace_report = on_pace_report,
     .on_retention_report = on_retention_report,
     .on_prompt_report = on_prompt_report,
+    .on_prompt_evidence = on_prompt_evidence,
+    .on_prompt_query = on_prompt_query,
+    .on_prompt_reply = on_prompt_reply,
     .on_load_report = on_load_report,
     .get_config_freshness = get_config_freshness,
     .on_peer_freshness = on_peer_freshness,
--- a/Modules/gateway_explain.c
+++ b/Modules/gateway_explain.c
@@ -289,7 +289,7 @@
     }
     e->has_allowance =
         CaroRequestLimits_HasAllowance(s->limits, service, e->rng, e->now);
-    if (e->query.is_stream && is_quarantined(s, request, e->now)) {
+    if (is_quarantined(s, request, e->now)) {
         (void)json_object_set_new(out, "admission", json_string("quarantine"));
         set_refusal(out, 503, "a part of the prompt is in quarantine", 0.0);
         return;
--- a/Modules/peer_reports.c
+++ b/Modules/peer_reports.c
@@ -139,17 +139,25 @@
 static void
 tick_guard(CaroPeerReports *p, CaroTime now)
 {
-    CaroPromptReport out;
-    CaroPromptGuard_Tick(
-        p->deps.guard,
-        CaroMembership_Rank(CaroFleet_GetMembershipConst(p->deps.fleet)), now);
+    CaroPromptEvidence out;
+    CaroPromptReport old;
+    const CaroMembership *members =
+        CaroFleet_GetMembershipConst(p->deps.fleet);
+    CaroPromptGuard_Tick(p->deps.guard, CaroMembership_Rank(members), now);
+    if (CaroPromptGuard_ConsumeQuery(
+            p->deps.guard, CaroMembership_CountUsable(members) > 1, now)) {
+        CaroFleet_QueryPrompts(p->deps.fleet);
+    }
     if (CaroPromptGuard_ConsumeQuarantine(p->deps.guard)) {
         CaroRelays_EndQuarantined(p->deps.relays, now);
     }
     int fanout = CaroPromptGuard_Collect(p->deps.guard, &out, now);
     if (fanout > 0) {
-        out.report.sender = p->deps.vm;
-        CaroFleet_SendPromptReport(p->deps.fleet, &out.report, fanout);
+        bool has_old = CaroPromptGuard_CollectOld(p->deps.guard, &old, now);
+        out.evidence.sender = p->deps.vm;
+        old.report.sender = p->deps.vm;
+        CaroFleet_SendPromptEvidence(p->deps.fleet, &out.evidence,
+                                     has_old ? &old.report : NULL, fanout);
     }
 }
 
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -83,22 +83,26 @@
 }
 
 static void
-set_prompt(CaroRelay *r, const CaroHttpHead *head)
+set_prompt(CaroRelay *r, const CaroHttpHead *head, CaroTime now)
 {
     int64_t tokens = 0;
-    CaroText value = CaroHttpHead_Find(
-        head, CaroPlatform_HeaderName(CARO_HEADER_TOKEN_COUNTS));
+    CaroText parts = CaroHttpHead_Find(
+        head, CaroPlatform_HeaderName(CARO_HEADER_PROMPT_PARTS));
+    (void)CaroPlatform_ReadPromptParts(parts, &r->prompt_parts);
+    if (r->prompt_parts.n > 0) {
+        CaroPromptGuard_RecordRequest(r->relays->deps.guard, &r->prompt_parts,
+                                      now);
+    }
     if (CaroRelay_IsStream(r)) {
+        CaroText value = CaroHttpHead_Find(
+            head, CaroPlatform_HeaderName(CARO_HEADER_TOKEN_COUNTS));
         if (CaroPlatform_ReadPromptTokens(value, &tokens) < 0) {
             tokens = 0;
         }
         CaroPlacementQuery_SetPrompt(&r->query, tokens);
         r->prompt_tokens = r->query.prompt_tokens;
         r->held_tokens = r->query.held_tokens;
-        value = CaroHttpHead_Find(
-            head, CaroPlatform_HeaderName(CARO_HEADER_PROMPT_PARTS));
-        (void)CaroPlatform_ReadPromptParts(value, &r->prompt_parts);
-        (void)CaroPlatform_ReadSizedParts(value, &r->sized_parts);
+        (void)CaroPlatform_ReadSizedParts(parts, &r->sized_parts);
     }
 }
 
@@ -185,7 +189,7 @@
                              .parts = &r->sized_parts};
     choose_version(r, now);
     set_deadline(r, head, now);
-    set_prompt(r, head);
+    set_prompt(r, head, now);
     CaroRetryBudget_RecordRequest(relays->deps.budget, r->service, now);
     CaroRequestLimits_RecordDemand(relays->deps.limits, r->service, now);
     CaroRelay_AddCount(r, CARO_COUNT_RELAYS);
@@ -204,6 +208,7 @@
         return;
     }
     CaroRelay_AddCount(r, CARO_COUNT_CALLERS_DISCONNECTED);
+    CaroRelay_RecordPromptCancelled(r, now);
     CaroRelay_LogEnd(r, 0, "the caller disconnected", now);
     CaroRelay_Destroy(r);
 }
@@ -247,7 +252,9 @@
         CaroRelay_Cut(r, "the VM is shutting down", now);
     }
     else {
-        CaroRelay_RespondStatus(r, r->is_held ? 503 : 502,
+        bool is_unsent =
+            r->is_held || (r->is_prompt_held && !r->attempt.may_have_arrived);
+        CaroRelay_RespondStatus(r, is_unsent ? 503 : 502,
                                 "the VM is shutting down", now);
     }
 }
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -228,6 +228,10 @@
     if (r->is_awaiting_permit && !is_expired) {
         CaroRelay_SetTimer(r, r->attempt.deadline, now);
     }
+    else if (r->is_prompt_held && !is_expired) {
+        r->is_prompt_held = false;
+        CaroRelay_BeginAttempt(r, now);
+    }
     else if (r->is_held) {
         if (CaroRelay_EndHold(r, now)) {
             CaroRelay_BeginAttempt(r, now);
@@ -356,6 +360,7 @@
     bool is_first = !CaroEventForwarder_HasEvents(r->forwarder);
     bool is_resuming =
         is_first && CaroEventForwarder_FirstWait(r->forwarder) >= 0;
+    int before = r->n_events;
     int n = CaroEventForwarder_Feed(r->forwarder, r->call, bytes, now);
     if (n < 0) {
         end_attempt(r, CARO_OUTCOME_LOST,
@@ -378,9 +383,10 @@
     if (n > 0 && is_resuming) {
         log_resume(r, now);
     }
+    if (n > 0) {
+        CaroRelay_RecordPromptEvents(r, before, now);
+    }
     if (n > 0 && is_first) {
-        CaroPromptGuard_RecordBegin(r->relays->deps.guard, &r->prompt_parts,
-                                    now);
         CaroRelay_SetPrefill(r, 0);
         CaroRelay_ScheduleTimer(
             r, now); /* Later events have a shorter timeout. */
@@ -562,16 +568,6 @@
     }
 }
 
-/* Tells the guard of a response that was closed before its first event. */
-static void
-record_loss_before_events(CaroRelay *r, CaroTime now)
-{
-    if (r->is_event_stream && !CaroEventForwarder_HasEvents(r->forwarder)) {
-        CaroPromptGuard_RecordLoss(r->relays->deps.guard, r->target, r->id,
-                                   &r->prompt_parts, now);
-    }
-}
-
 static void
 on_end(void *context)
 {
@@ -592,7 +588,6 @@
     }
     if (r->is_event_stream && r->is_close_delimited &&
         !CaroEventForwarder_HasEvents(r->forwarder)) {
-        record_loss_before_events(r, now);
         end_attempt(r, CARO_OUTCOME_LOST, "the stream ended without an event",
                     now);
         return;
@@ -618,6 +613,7 @@
         return;
     }
     CaroTargets_RecordSuccess(targets, r->target);
+    CaroRelay_RecordPromptFinish(r, now);
     CaroServiceRollouts_OnEnd(r->relays->deps.rollouts, &r->rollout_attempt,
                               CARO_ATTEMPT_ANSWERED, now);
     if (!CaroRelay_IsStream(r)) {
@@ -638,7 +634,10 @@
                                                     : CARO_OUTCOME_UNSENT;
     if (is_sent && code == CARO_ERR_IO) {
         r->is_cut_unread = may_be_cut_unread(r, now);
-        record_loss_before_events(r, now);
+    }
+    if (code == CARO_ERR_NOT_FOUND) {
+        CaroPromptGuard_RecordRefusedConnection(r->relays->deps.guard,
+                                                r->target);
     }
     end_attempt(r, is_sent ? outcome_without_end(r) : unsent, reason, now);
 }
@@ -824,8 +823,7 @@
             ? ""
             : CaroTargets_GetConst(targets, r->kv_copy_at)->entry.id;
     char parts[CARO_PROMPT_PARTS_TEXT_SIZE] = "";
-    if (outcome == CARO_OUTCOME_LOST &&
-        !CaroEventForwarder_HasEvents(r->forwarder)) {
+    if (outcome == CARO_OUTCOME_LOST || outcome == CARO_OUTCOME_SILENT) {
         (void)CaroPromptParts_Format(&r->prompt_parts, parts);
     }
     CaroLog_Info(
@@ -833,13 +831,14 @@
         "An attempt ended. id=" CARO_LOG_TEXT
         " upstream=%s outcome=%s ms=%lld "
         "silent_ms=%lld has_head=%d has_events=%d from_copy=%d "
-        "copy_at=%s unread=%d parts=%s retry=%s reason=\"%s\"",
+        "copy_at=%s unread=%d events=%d parts=%s retry=%s reason=\"%s\"",
         r->id, CaroTargets_GetConst(targets, r->target)->entry.id,
         CaroOutcome_Name(outcome),
         (long long)((now - r->attempt_started_at) / CARO_MS),
         (long long)((now - r->last_event_at) / CARO_MS), r->is_event_stream,
         CaroEventForwarder_HasEvents(r->forwarder), r->is_from_kv_copy,
-        kv_copy, r->is_cut_unread, parts, CaroRetryLimit_Name(limit), reason);
+        kv_copy, r->is_cut_unread, r->n_events, parts,
+        CaroRetryLimit_Name(limit), reason);
 }
 
 /* Returns whether the attempt may have reached its upstream. */
@@ -859,6 +858,7 @@
     r->attempt.may_have_arrived |= may_have_arrived(r, outcome);
     bool has_budget = has_retry_budget(r, now);
     if (r->target != CARO_NO_HANDLE) {
+        CaroRelay_RecordPromptEnd(r, outcome, now);
         record_failure(r, outcome, now);
         add_failure_sample(r, outcome, now);
         CaroRetryLimit limit = CaroAttempt_CheckRetry(
@@ -1093,14 +1093,6 @@
     CaroRelay_ScheduleTimer(r, now);
 }
 
-bool
-CaroRelay_IsQuarantined(const CaroRelay *r, CaroTime now)
-{
-    return CaroEventForwarder_FirstWait(r->forwarder) < 0 &&
-           CaroPromptGuard_Refuses(r->relays->deps.guard, &r->prompt_parts,
-                                   now);
-}
-
 /* The target is chosen and does not yet count the request. */
 static void
 begin_rollout_attempt(CaroRelay *r, const CaroTarget *target, CaroTime now)
@@ -1151,9 +1143,13 @@
 CaroRelay_BeginAttempt(CaroRelay *r, CaroTime now)
 {
     CaroRelays *relays = r->relays;
-    if (CaroRelay_IsQuarantined(r, now)) {
-        r->attempt.is_barred = true;
-        CaroRelay_AddCount(r, CARO_COUNT_QUARANTINED);
+    switch (CaroRelay_AdmitPrompt(r, now)) {
+    case CARO_PROMPT_ADMITTED:
+    case CARO_PROMPT_PROBE:
+        break;
+    case CARO_PROMPT_HELD:
+        return;
+    case CARO_PROMPT_REFUSED:
         end_attempt(r, CARO_OUTCOME_NO_TARGET,
                     "a part of the prompt is in quarantine", now);
         return;
@@ -1178,6 +1174,7 @@
     r->is_paused = false;
     r->unread_until = 0;
     r->is_cut_unread = false;
+    r->is_resume = CaroEventForwarder_LastId(r->forwarder) >= 0;
     evbuffer_drain(r->body, evbuffer_get_length(r->body));
     CaroEventForwarder_BeginAttempt(r->forwarder);
     r->target = choose_target(r, now);
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -41,6 +41,9 @@
     [CARO_SLOT_PERMIT] = PROCEDURE(caro_permit_args, caro_permit),
     [CARO_BRITTLE_NOTICE] =
         PROCEDURE(caro_brittle_notice, caro_brittle_notice),
+    [CARO_PROMPT_EVIDENCE] =
+        PROCEDURE(caro_prompt_evidence, caro_prompt_evidence),
+    [CARO_PROMPT_QUERY] = PROCEDURE(caro_prompt_query, caro_prompt_evidence),
 };
 
 enum { N_PROCEDURES = sizeof(procedures) / sizeof(procedures[0]) };
--- a/Objects/prompt_crashes.c
+++ b/Objects/prompt_crashes.c
@@ -4,46 +4,54 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The begins are a cache of sets of four entries by the hash of the part. */
-enum { BEGIN_SETS = 512, BEGIN_WAYS = 4 };
+/* Parts are kept in a cache of sets of four entries by their hash. */
+enum { PART_SETS = 512, PART_WAYS = 4 };
 
-/* A begin that another VM reports replaces the known one when it is newer by
+/* Progress that another VM reports replaces the known one when it is newer by
    more than this, so that the time in transit is not added up from VM to
    VM. */
-#define BEGIN_STEP_MIN (1 * CARO_SECOND)
-/* Interval at which further begins of a suspected part are passed on. */
-#define BEGIN_REPORT_INTERVAL (2 * CARO_SECOND)
+#define PROGRESS_STEP_MIN (1 * CARO_SECOND)
+/* Interval at which further progress of a suspected part is passed on. */
+#define PROGRESS_REPORT_INTERVAL (2 * CARO_SECOND)
+/* A shorter response counts again as the farthest after this time. */
+#define PROGRESS_TTL (10 * CARO_SECOND)
 
 #define LIFTED_TTL (60 * CARO_SECOND)
 #define DISPROVED_TTL (20 * CARO_SECOND)
+/* Crashes without parts only tell how many there were. */
+#define BARE_CRASH_TTL (600 * CARO_SECOND)
 
-/* Longest age in a report, an hour. */
-enum { AGE_MS_MAX = 3600000 };
+/* The counts of requests are halved at this interval. */
+#define REQUESTS_INTERVAL (60 * CARO_SECOND)
+enum { REQUESTS_MIN = 4, COMMON_DIVISOR = 2 };
 
 typedef struct {
     uint64_t part;
-    CaroTime at; /* CARO_NEVER_BEGUN: the entry is free. */
+    bool is_used;
+    CaroTime finished_at; /* CARO_NEVER_PASSED for never; likewise below. */
+    uint32_t events;
+    CaroTime events_at;
     CaroTime reported_at;
-} Begin;
+    uint32_t requests;
+} Part;
 
 struct CaroPromptCrashes {
     CaroPromptCrash crashes[CARO_PROMPT_CRASHES_MAX];
     int n_crashes;
-    CaroQuarantine quarantines[CARO_PROMPT_QUARANTINES_MAX];
+    CaroQuarantine quarantines[CARO_QUARANTINES_KEPT_MAX];
     int n_quarantines;
-    Begin begins[BEGIN_SETS][BEGIN_WAYS];
+    Part parts[PART_SETS][PART_WAYS];
+    uint32_t requests;
+    CaroTime next_halving;
     bool has_unsent_change;
     bool has_new_quarantine;
+    bool has_new_evidence;
 };
 
 CaroPromptCrashes *
 CaroPromptCrashes_Create(void)
 {
-    CaroPromptCrashes *t = calloc(1, sizeof(*t));
-    for (int i = 0; t != NULL && i < BEGIN_SETS * BEGIN_WAYS; i++) {
-        t->begins[i / BEGIN_WAYS][i % BEGIN_WAYS].at = CARO_NEVER_BEGUN;
-    }
-    return t;
+    return calloc(1, sizeof(CaroPromptCrashes));
 }
 
 void
@@ -52,31 +60,52 @@
     free(t);
 }
 
-static Begin *
-find_begin(const CaroPromptCrashes *t, uint64_t part)
+static const Part *
+find_part(const CaroPromptCrashes *t, uint64_t part)
 {
-    const Begin *set = t->begins[part % BEGIN_SETS];
-    for (int i = 0; i < BEGIN_WAYS; i++) {
-        if (set[i].at != CARO_NEVER_BEGUN && set[i].part == part) {
-            return (Begin *)&set[i];
+    const Part *set = t->parts[part % PART_SETS];
+    for (int i = 0; i < PART_WAYS; i++) {
+        if (set[i].is_used && set[i].part == part) {
+            return &set[i];
         }
     }
     return NULL;
 }
 
-/* Returns the entry of the part, or a free one or that of the least recent
-   begin in its place. */
-static Begin *
-get_begin(CaroPromptCrashes *t, uint64_t part)
+static CaroTime
+later(CaroTime a, CaroTime b)
+{
+    return a > b ? a : b;
+}
+
+/* Returns whether the entry of "a" may rather be replaced: it passed longer
+   ago, or neither did and it is requested less. */
+static bool
+is_less_used(const Part *a, const Part *b)
 {
-    Begin *set = t->begins[part % BEGIN_SETS];
-    Begin *entry = find_begin(t, part);
+    CaroTime a_at = later(a->finished_at, a->events_at);
+    CaroTime b_at = later(b->finished_at, b->events_at);
+    return a->is_used != b->is_used
+               ? !a->is_used
+               : a_at < b_at || (a_at == b_at && a->requests < b->requests);
+}
+
+/* Returns the entry of the part, or a new one in the place of the least
+   used. */
+static Part *
+get_part(CaroPromptCrashes *t, uint64_t part)
+{
+    Part *set = t->parts[part % PART_SETS];
+    Part *entry = (Part *)find_part(t, part);
     if (entry == NULL) {
         entry = &set[0];
-        for (int i = 1; i < BEGIN_WAYS; i++) {
-            entry = set[i].at < entry->at ? &set[i] : entry;
+        for (int i = 1; i < PART_WAYS; i++) {
+            entry = is_less_used(&set[i], entry) ? &set[i] : entry;
         }
-        *entry = (Begin){.part = part, .at = CARO_NEVER_BEGUN};
+        *entry = (Part){.part = part,
+                        .is_used = true,
+                        .finished_at = CARO_NEVER_PASSED,
+                        .events_at = CARO_NEVER_PASSED};
     }
     return entry;
 }
@@ -99,34 +128,135 @@
 }
 
 static void
-record_begin(CaroPromptCrashes *t, uint64_t part, CaroTime at, CaroTime now)
+mark_progress(CaroPromptCrashes *t, Part *entry, CaroTime now)
 {
-    Begin *entry = get_begin(t, part);
-    entry->at = at;
     if ((entry->reported_at == 0 ||
-         now - entry->reported_at >= BEGIN_REPORT_INTERVAL) &&
-        is_suspected(t, part)) {
+         now - entry->reported_at >= PROGRESS_REPORT_INTERVAL) &&
+        is_suspected(t, entry->part)) {
         entry->reported_at = now;
         t->has_unsent_change = true;
     }
 }
 
+static void
+set_events(Part *entry, uint32_t events, CaroTime at)
+{
+    if (events >= entry->events || at - entry->events_at > PROGRESS_TTL) {
+        entry->events = events;
+        entry->events_at = at;
+    }
+}
+
+void
+CaroPromptCrashes_RecordEvents(CaroPromptCrashes *t,
+                               const CaroPromptParts *parts, uint32_t events,
+                               CaroTime now)
+{
+    for (int i = 0; i < parts->n; i++) {
+        Part *entry = get_part(t, parts->ids[i]);
+        set_events(entry, events, now);
+        mark_progress(t, entry, now);
+    }
+}
+
+void
+CaroPromptCrashes_RecordFinish(CaroPromptCrashes *t,
+                               const CaroPromptParts *parts, CaroTime now)
+{
+    for (int i = 0; i < parts->n; i++) {
+        Part *entry = get_part(t, parts->ids[i]);
+        entry->finished_at = now;
+        mark_progress(t, entry, now);
+    }
+}
+
+void
+CaroPromptCrashes_MergeProgress(CaroPromptCrashes *t, uint64_t part,
+                                CaroTime finished_at, uint32_t events,
+                                CaroTime events_at, CaroTime now)
+{
+    Part *entry = get_part(t, part);
+    bool is_new = false;
+    if (finished_at != CARO_NEVER_PASSED &&
+        (entry->finished_at == CARO_NEVER_PASSED ||
+         finished_at > entry->finished_at + PROGRESS_STEP_MIN)) {
+        entry->finished_at = finished_at;
+        is_new = true;
+    }
+    if (events > 0 && events_at != CARO_NEVER_PASSED &&
+        (entry->events_at == CARO_NEVER_PASSED || events > entry->events ||
+         events_at > entry->events_at + PROGRESS_STEP_MIN)) {
+        set_events(entry, events, events_at);
+        is_new = true;
+    }
+    if (is_new) {
+        mark_progress(t, entry, now);
+    }
+}
+
+bool
+CaroPromptCrashes_GetProgress(const CaroPromptCrashes *t, uint64_t part,
+                              CaroTime *finished_at, uint32_t *events,
+                              CaroTime *events_at)
+{
+    const Part *entry = find_part(t, part);
+    if (entry == NULL || (entry->finished_at == CARO_NEVER_PASSED &&
+                          entry->events_at == CARO_NEVER_PASSED)) {
+        return false;
+    }
+    *finished_at = entry->finished_at;
+    *events = entry->events;
+    *events_at = entry->events_at;
+    return true;
+}
+
 CaroTime
-CaroPromptCrashes_BegunAt(const CaroPromptCrashes *t, uint64_t part)
+CaroPromptCrashes_PassedAt(const CaroPromptCrashes *t, uint64_t part,
+                           uint32_t events)
 {
-    const Begin *entry = find_begin(t, part);
-    return entry == NULL ? CARO_NEVER_BEGUN : entry->at;
+    const Part *entry = find_part(t, part);
+    if (entry == NULL) {
+        return CARO_NEVER_PASSED;
+    }
+    bool has_passed = entry->events_at != CARO_NEVER_PASSED &&
+                      (uint64_t)entry->events > 2 * (uint64_t)events + 4;
+    return has_passed ? later(entry->finished_at, entry->events_at)
+                      : entry->finished_at;
+}
+
+/* Halves all counts of requests, so that recent ones weigh most. */
+static void
+halve_requests(CaroPromptCrashes *t, CaroTime now)
+{
+    t->next_halving = now + REQUESTS_INTERVAL;
+    t->requests /= 2;
+    for (int i = 0; i < PART_SETS * PART_WAYS; i++) {
+        t->parts[i / PART_WAYS][i % PART_WAYS].requests /= 2;
+    }
 }
 
 void
-CaroPromptCrashes_RecordBegin(CaroPromptCrashes *t,
-                              const CaroPromptParts *parts, CaroTime now)
+CaroPromptCrashes_RecordRequest(CaroPromptCrashes *t,
+                                const CaroPromptParts *parts, CaroTime now)
 {
+    if (now >= t->next_halving) {
+        halve_requests(t, now);
+    }
+    t->requests++;
     for (int i = 0; i < parts->n; i++) {
-        record_begin(t, parts->ids[i], now, now);
+        get_part(t, parts->ids[i])->requests++;
     }
 }
 
+bool
+CaroPromptCrashes_IsCommon(const CaroPromptCrashes *t, uint64_t part)
+{
+    const Part *entry = find_part(t, part);
+    uint32_t requests = entry == NULL ? 0 : entry->requests;
+    return t->requests < REQUESTS_MIN ||
+           requests * COMMON_DIVISOR >= t->requests;
+}
+
 const CaroPromptCrash *
 CaroPromptCrashes_List(const CaroPromptCrashes *t, int *n)
 {
@@ -148,27 +278,36 @@
     return NULL;
 }
 
-/* All parts of the crash have begun since.  For a while it is kept, so that
-   reports have these begins. */
+/* All parts of the crash have passed since.  For a while it is kept, so that
+   reports have that. */
 static bool
-is_settled(const CaroPromptCrashes *t, const CaroPromptParts *parts,
-           CaroTime at, CaroTime now)
+is_settled(const CaroPromptCrashes *t, const CaroPromptCrash *c, CaroTime now)
 {
-    for (int i = 0; i < parts->n; i++) {
-        if (CaroPromptCrashes_BegunAt(t, parts->ids[i]) <= at) {
+    for (int i = 0; i < c->parts.n; i++) {
+        if (CaroPromptCrashes_PassedAt(t, c->parts.ids[i], c->events) <=
+            c->at) {
             return false;
         }
     }
-    return now - at >= DISPROVED_TTL;
+    return now - c->at >= (c->parts.n == 0 ? BARE_CRASH_TTL : DISPROVED_TTL);
+}
+
+static bool
+has_same_parts(const CaroPromptParts *a, const CaroPromptParts *b)
+{
+    return CaroPromptParts_Contain(a, b) && CaroPromptParts_Contain(b, a);
 }
 
-/* Returns the index of the crash, or -1. */
+/* Returns the index of the crash, or -1.  Requests with the same parts at one
+   upstream are one. */
 static int
-find_crash(const CaroPromptCrashes *t, uint64_t upstream, uint64_t request)
+find_crash(const CaroPromptCrashes *t, const CaroPromptCrash *crash)
 {
     for (int i = 0; i < t->n_crashes; i++) {
-        if (t->crashes[i].upstream == upstream &&
-            t->crashes[i].request == request) {
+        const CaroPromptCrash *c = &t->crashes[i];
+        if (c->upstream == crash->upstream &&
+            (c->request == crash->request ||
+             has_same_parts(&c->parts, &crash->parts))) {
             return i;
         }
     }
@@ -194,40 +333,62 @@
     t->crashes[i] = *crash;
 }
 
+/* Merges what another report tells of a known crash. */
+static void
+merge_crash(CaroPromptCrashes *t, int known, const CaroPromptCrash *crash)
+{
+    CaroPromptCrash *c = &t->crashes[known];
+    c->events = crash->events < c->events ? crash->events : c->events;
+    if (c->service == 0) { /* Reports of earlier versions lack these. */
+        c->service = crash->service;
+        c->domain = crash->domain;
+        c->is_domain_lost = crash->is_domain_lost;
+        c->has_head = crash->has_head;
+    }
+    /* The earliest of the reported times was the least in transit. */
+    if (crash->at < c->at) {
+        CaroPromptCrash merged = *c;
+        merged.at = crash->at;
+        remove_crash(t, known);
+        insert_crash(t, &merged);
+    }
+}
+
 void
-CaroPromptCrashes_Record(CaroPromptCrashes *t, uint64_t upstream,
-                         uint64_t request, const CaroPromptParts *parts,
-                         CaroTime at, CaroTime now)
+CaroPromptCrashes_Record(CaroPromptCrashes *t, const CaroPromptCrash *crash,
+                         CaroTime now)
 {
-    if (parts->n == 0 || now - at >= CARO_PROMPT_CRASH_TTL ||
-        is_settled(t, parts, at, now) ||
-        CaroPromptCrashes_FindQuarantine(t, parts, now) != NULL) {
+    if (now - crash->at >= CARO_PROMPT_CRASH_TTL ||
+        is_settled(t, crash, now)) {
         return;
     }
-    int known = find_crash(t, upstream, request);
+    int known = find_crash(t, crash);
     if (known >= 0) {
-        /* The earliest of the reported times was the least in transit. */
-        CaroPromptCrash crash = t->crashes[known];
-        if (at < crash.at) {
-            crash.at = at;
-            remove_crash(t, known);
-            insert_crash(t, &crash);
-        }
+        merge_crash(t, known, crash);
         return;
     }
     if (t->n_crashes == CARO_PROMPT_CRASHES_MAX) {
-        if (at <= t->crashes[0].at) {
+        if (crash->at <= t->crashes[0].at) {
             return;
         }
         remove_crash(t, 0);
     }
-    CaroPromptCrash crash = {.upstream = upstream,
-                             .request = request,
-                             .parts = *parts,
-                             .at = at,
-                             .received_at = now};
-    insert_crash(t, &crash);
+    CaroPromptCrash added = *crash;
+    added.received_at = now;
+    insert_crash(t, &added);
     t->has_unsent_change = true;
+    t->has_new_evidence = true;
+}
+
+void
+CaroPromptCrashes_Refute(CaroPromptCrashes *t, uint64_t upstream)
+{
+    for (int i = t->n_crashes - 1; i >= 0; i--) {
+        if (t->crashes[i].upstream == upstream) {
+            remove_crash(t, i);
+            t->has_new_evidence = true;
+        }
+    }
 }
 
 static void
@@ -238,62 +399,89 @@
             (size_t)(t->n_quarantines - i) * sizeof(t->quarantines[0]));
 }
 
-/* Removes the crashes that the quarantines explain. */
-static void
-remove_explained_crashes(CaroPromptCrashes *t, CaroTime now)
-{
-    for (int i = t->n_crashes - 1; i >= 0; i--) {
-        if (CaroPromptCrashes_FindQuarantine(t, &t->crashes[i].parts, now) !=
-            NULL) {
-            remove_crash(t, i);
-        }
-    }
-}
-
-/* All of the parts began about when or after they were put into quarantine.
+/* All of the parts passed about when or after they were put into quarantine.
    The time of a quarantine of another VM is late by its time in transit. */
 static bool
-is_disproved(const CaroPromptCrashes *t, const CaroPromptParts *parts,
-             CaroTime at)
+is_disproved(const CaroPromptCrashes *t, const CaroQuarantine *q)
 {
-    for (int i = 0; i < parts->n; i++) {
-        CaroTime begun_at = CaroPromptCrashes_BegunAt(t, parts->ids[i]);
-        if (begun_at == CARO_NEVER_BEGUN || begun_at + BEGIN_STEP_MIN <= at) {
+    for (int i = 0; i < q->parts.n; i++) {
+        CaroTime passed_at =
+            CaroPromptCrashes_PassedAt(t, q->parts.ids[i], q->events);
+        if (passed_at == CARO_NEVER_PASSED ||
+            passed_at + PROGRESS_STEP_MIN <= q->at) {
             return false;
         }
     }
     return true;
 }
 
+/* Takes over a failed probe that this VM did not know. */
+static void
+merge_probes(CaroPromptCrashes *t, CaroQuarantine *known,
+             const CaroQuarantine *q)
+{
+    if (q->probes > known->probes) {
+        known->probes = q->probes;
+        known->at = later(known->at, q->at);
+        known->expires_at = known->at + CARO_QUARANTINE_TTL;
+        known->stored_until = 0;
+        t->has_unsent_change = true;
+    }
+}
+
 CaroQuarantine *
-CaroPromptCrashes_AddQuarantine(CaroPromptCrashes *t,
-                                const CaroPromptParts *parts, CaroTime at,
-                                CaroTime expires_at, CaroTime now)
+CaroPromptCrashes_AddQuarantine(CaroPromptCrashes *t, const CaroQuarantine *q,
+                                CaroTime now)
 {
-    if (parts->n == 0 || expires_at <= now || is_disproved(t, parts, at)) {
+    CaroTime expires_at =
+        q->expires_at != 0 ? q->expires_at : q->at + CARO_QUARANTINE_TTL;
+    if (q->parts.n == 0 || expires_at <= now || is_disproved(t, q)) {
         return NULL;
     }
     for (int i = t->n_quarantines - 1; i >= 0; i--) {
-        const CaroQuarantine *q = &t->quarantines[i];
-        if (!q->is_lifted && CaroPromptParts_Contain(parts, &q->parts)) {
+        CaroQuarantine *known = &t->quarantines[i];
+        if (!known->is_lifted && now < known->expires_at &&
+            CaroPromptParts_Contain(&q->parts, &known->parts)) {
+            if (q->parts.n == known->parts.n) {
+                known->expires_at = later(known->expires_at, expires_at);
+                merge_probes(t, known, q);
+            }
             return NULL;
         }
-        if (CaroPromptParts_Contain(&q->parts, parts)) {
+        if (CaroPromptParts_Contain(&known->parts, &q->parts)) {
             remove_quarantine(t, i);
         }
     }
-    if (t->n_quarantines == CARO_PROMPT_QUARANTINES_MAX) {
+    if (t->n_quarantines == CARO_QUARANTINES_KEPT_MAX) {
         remove_quarantine(t, 0);
     }
-    CaroQuarantine *q = &t->quarantines[t->n_quarantines++];
-    *q = (CaroQuarantine){.parts = *parts,
-                          .at = at,
-                          .expires_at = expires_at,
-                          .received_at = now};
-    remove_explained_crashes(t, now);
+    CaroQuarantine *added = &t->quarantines[t->n_quarantines++];
+    *added = (CaroQuarantine){.parts = q->parts,
+                              .at = q->at,
+                              .probes = q->probes,
+                              .events = q->events,
+                              .expires_at = expires_at,
+                              .received_at = now};
     t->has_unsent_change = true;
     t->has_new_quarantine = true;
-    return q;
+    t->has_new_evidence = true;
+    return added;
+}
+
+void
+CaroPromptCrashes_FailProbe(CaroPromptCrashes *t, const CaroPromptParts *parts,
+                            CaroTime now)
+{
+    for (int i = 0; i < t->n_quarantines; i++) {
+        CaroQuarantine *q = &t->quarantines[i];
+        if (!q->is_lifted && has_same_parts(&q->parts, parts)) {
+            q->probes++;
+            q->at = now;
+            q->expires_at = now + CARO_QUARANTINE_TTL;
+            q->stored_until = 0;
+            t->has_unsent_change = true;
+        }
+    }
 }
 
 bool
@@ -318,22 +506,24 @@
     return t->quarantines;
 }
 
-/* Takes the parts that have begun since out of the quarantine, unless all
+/* Takes the parts that have passed since out of the quarantine, unless all
    have. */
 static void
-refine_quarantine(const CaroPromptCrashes *t, CaroQuarantine *q, CaroTime now)
+refine_quarantine(CaroPromptCrashes *t, CaroQuarantine *q, CaroTime now)
 {
     CaroPromptParts rest = {.n = 0};
     for (int i = 0; i < q->parts.n; i++) {
-        if (CaroPromptCrashes_BegunAt(t, q->parts.ids[i]) <= q->at) {
+        if (CaroPromptCrashes_PassedAt(t, q->parts.ids[i], q->events) <=
+            q->at) {
             CaroPromptParts_Add(&rest, q->parts.ids[i]);
         }
     }
     if (rest.n > 0) {
+        q->stored_until = rest.n == q->parts.n ? q->stored_until : 0;
         q->parts = rest;
     }
     else if (!q->is_lifted) {
-        /* Kept for a while, so that reports have the begins of its parts. */
+        /* Kept for a while, so that reports have the progress of its parts. */
         q->is_lifted = true;
         q->expires_at = now + LIFTED_TTL < q->expires_at ? now + LIFTED_TTL
                                                          : q->expires_at;
@@ -345,8 +535,7 @@
 {
     for (int i = t->n_crashes - 1; i >= 0; i--) {
         const CaroPromptCrash *c = &t->crashes[i];
-        if (now - c->at >= CARO_PROMPT_CRASH_TTL ||
-            is_settled(t, &c->parts, c->at, now)) {
+        if (now - c->at >= CARO_PROMPT_CRASH_TTL || is_settled(t, c, now)) {
             remove_crash(t, i);
         }
     }
@@ -356,107 +545,6 @@
             remove_quarantine(t, i);
         }
     }
-    remove_explained_crashes(t, now);
-}
-
-static u_int
-age_ms(CaroTime at, CaroTime now)
-{
-    CaroTime ms = (now - at) / CARO_MS;
-    return ms < 0 ? 0 : ms < AGE_MS_MAX ? (u_int)ms : AGE_MS_MAX;
-}
-
-static void
-collect_begins(const CaroPromptCrashes *t, const CaroPromptParts *parts,
-               CaroPromptReport *out, CaroTime now)
-{
-    for (int i = 0; i < parts->n; i++) {
-        u_int *n = &out->report.begins.begins_len;
-        CaroTime at = CaroPromptCrashes_BegunAt(t, parts->ids[i]);
-        bool is_listed = at == CARO_NEVER_BEGUN || *n == CARO_BEGINS_MAX;
-        for (u_int j = 0; j < *n && !is_listed; j++) {
-            is_listed = out->begins[j].part == parts->ids[i];
-        }
-        if (!is_listed) {
-            out->begins[(*n)++] = (caro_prompt_begin){
-                .part = parts->ids[i], .age_ms = age_ms(at, now)};
-        }
-    }
-}
-
-bool
-CaroPromptCrashes_Collect(CaroPromptCrashes *t, CaroPromptReport *out,
-                          CaroTime now)
-{
-    caro_prompt_report *r = &out->report;
-    memset(r, 0, sizeof(*r));
-    r->crashes.crashes_val = out->crashes;
-    r->begins.begins_val = out->begins;
-    r->quarantines.quarantines_val = out->quarantines;
-    for (int i = 0; i < t->n_quarantines; i++) {
-        CaroQuarantine *q = &t->quarantines[i];
-        if (!q->is_lifted) {
-            caro_quarantine *to =
-                &out->quarantines[r->quarantines.quarantines_len++];
-            to->parts.parts_val = q->parts.ids;
-            to->parts.parts_len = (u_int)q->parts.n;
-            to->age_ms = age_ms(q->at, now);
-            to->left_ms = age_ms(now, q->expires_at);
-        }
-        collect_begins(t, &q->parts, out, now);
-    }
-    for (int i = t->n_crashes - 1;
-         i >= 0 && r->crashes.crashes_len < CARO_CRASHES_MAX; i--) {
-        CaroPromptCrash *c = &t->crashes[i];
-        caro_prompt_crash *to = &out->crashes[r->crashes.crashes_len++];
-        to->upstream = c->upstream;
-        to->request = c->request;
-        to->age_ms = age_ms(c->at, now);
-        to->parts.parts_val = c->parts.ids;
-        to->parts.parts_len = (u_int)c->parts.n;
-        collect_begins(t, &c->parts, out, now);
-    }
-    return r->crashes.crashes_len > 0 || r->quarantines.quarantines_len > 0 ||
-           r->begins.begins_len > 0;
-}
-
-static void
-read_parts(const u_quad_t *ids, u_int n, CaroPromptParts *parts)
-{
-    parts->n = 0;
-    for (u_int i = 0; i < n; i++) {
-        CaroPromptParts_Add(parts, ids[i]);
-    }
-}
-
-void
-CaroPromptCrashes_Apply(CaroPromptCrashes *t, const caro_prompt_report *report,
-                        CaroTime now)
-{
-    CaroPromptParts parts;
-    for (u_int i = 0; i < report->begins.begins_len; i++) {
-        const caro_prompt_begin *b = &report->begins.begins_val[i];
-        CaroTime at = now - (CaroTime)b->age_ms * CARO_MS;
-        CaroTime known_at = CaroPromptCrashes_BegunAt(t, b->part);
-        if (known_at == CARO_NEVER_BEGUN || at > known_at + BEGIN_STEP_MIN) {
-            record_begin(t, b->part, at, now);
-        }
-    }
-    for (u_int i = 0; i < report->quarantines.quarantines_len; i++) {
-        const caro_quarantine *q = &report->quarantines.quarantines_val[i];
-        CaroTime left = (CaroTime)q->left_ms * CARO_MS;
-        read_parts(q->parts.parts_val, q->parts.parts_len, &parts);
-        (void)CaroPromptCrashes_AddQuarantine(
-            t, &parts, now - (CaroTime)q->age_ms * CARO_MS,
-            now + (left < CARO_QUARANTINE_TTL ? left : CARO_QUARANTINE_TTL),
-            now);
-    }
-    for (u_int i = 0; i < report->crashes.crashes_len; i++) {
-        const caro_prompt_crash *c = &report->crashes.crashes_val[i];
-        read_parts(c->parts.parts_val, c->parts.parts_len, &parts);
-        CaroPromptCrashes_Record(t, c->upstream, c->request, &parts,
-                                 now - (CaroTime)c->age_ms * CARO_MS, now);
-    }
 }
 
 bool
@@ -466,3 +554,11 @@
     t->has_unsent_change = false;
     return has_change;
 }
+
+bool
+CaroPromptCrashes_ConsumeEvidence(CaroPromptCrashes *t)
+{
+    bool has_new = t->has_new_evidence;
+    t->has_new_evidence = false;
+    return has_new;
+}
--- a/Objects/prompt_parts.c
+++ b/Objects/prompt_parts.c
@@ -39,6 +39,18 @@
     }
 }
 
+void
+CaroPromptParts_Append(CaroPromptParts *parts, uint64_t id)
+{
+    enum { HALF = CARO_PROMPT_PARTS_MAX / 2 };
+    if (parts->n == CARO_PROMPT_PARTS_MAX && !CaroPromptParts_Has(parts, id)) {
+        parts->n--;
+        memmove(&parts->ids[HALF], &parts->ids[HALF + 1],
+                (size_t)(parts->n - HALF) * sizeof(parts->ids[0]));
+    }
+    CaroPromptParts_Add(parts, id);
+}
+
 const char *
 CaroPromptParts_Format(const CaroPromptParts *parts,
                        char out[CARO_PROMPT_PARTS_TEXT_SIZE])
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -388,6 +388,68 @@
 	} quarantines;
 };
 typedef struct caro_prompt_report caro_prompt_report;
+#define CARO_PROMPT_LOSS_PARTS_MAX 32
+#define CARO_PROMPT_LOSSES_MAX 64
+#define CARO_PARTS_PROGRESS_MAX 96
+#define CARO_PROMPT_QUARANTINES_MAX 32
+
+struct caro_prompt_loss {
+	u_quad_t upstream;
+	u_quad_t request;
+	u_int service;
+	u_int domain;
+	bool_t is_domain_lost;
+	bool_t has_head;
+	u_int events;
+	u_int age_ms;
+	struct {
+		u_int parts_len;
+		u_quad_t *parts_val;
+	} parts;
+};
+typedef struct caro_prompt_loss caro_prompt_loss;
+
+struct caro_part_progress {
+	u_quad_t part;
+	bool_t is_finished;
+	u_int finished_age_ms;
+	u_int events;
+	u_int events_age_ms;
+};
+typedef struct caro_part_progress caro_part_progress;
+
+struct caro_prompt_quarantine {
+	struct {
+		u_int parts_len;
+		u_quad_t *parts_val;
+	} parts;
+	u_int age_ms;
+	u_int probes;
+	u_int events;
+};
+typedef struct caro_prompt_quarantine caro_prompt_quarantine;
+
+struct caro_prompt_evidence {
+	char *sender;
+	struct {
+		u_int losses_len;
+		caro_prompt_loss *losses_val;
+	} losses;
+	struct {
+		u_int progress_len;
+		caro_part_progress *progress_val;
+	} progress;
+	struct {
+		u_int quarantines_len;
+		caro_prompt_quarantine *quarantines_val;
+	} quarantines;
+};
+typedef struct caro_prompt_evidence caro_prompt_evidence;
+
+struct caro_prompt_query {
+	char *sender;
+};
+typedef struct caro_prompt_query caro_prompt_query;
 #define CARO_LIMITS_MAX 64
 #define CARO_DEMANDS_MAX 16
 
@@ -628,6 +690,12 @@
 #define CARO_BRITTLE_NOTICE 23
 extern  caro_brittle_notice * caro_brittle_notice_1(caro_brittle_notice *, CLIENT *);
 extern  caro_brittle_notice * caro_brittle_notice_1_svc(caro_brittle_notice *, struct svc_req *);
+#define CARO_PROMPT_EVIDENCE 24
+extern  caro_prompt_evidence * caro_prompt_evidence_1(caro_prompt_evidence *, CLIENT *);
+extern  caro_prompt_evidence * caro_prompt_evidence_1_svc(caro_prompt_evidence *, struct svc_req *);
+#define CARO_PROMPT_QUERY 25
+extern  caro_prompt_evidence * caro_prompt_query_1(caro_prompt_query *, CLIENT *);
+extern  caro_prompt_evidence * caro_prompt_query_1_svc(caro_prompt_query *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -700,6 +768,12 @@
 #define CARO_BRITTLE_NOTICE 23
 extern  caro_brittle_notice * caro_brittle_notice_1();
 extern  caro_brittle_notice * caro_brittle_notice_1_svc();
+#define CARO_PROMPT_EVIDENCE 24
+extern  caro_prompt_evidence * caro_prompt_evidence_1();
+extern  caro_prompt_evidence * caro_prompt_evidence_1_svc();
+#define CARO_PROMPT_QUERY 25
+extern  caro_prompt_evidence * caro_prompt_query_1();
+extern  caro_prompt_evidence * caro_prompt_query_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -742,6 +816,11 @@
 extern  bool_t xdr_caro_prompt_begin (XDR *, caro_prompt_begin*);
 extern  bool_t xdr_caro_quarantine (XDR *, caro_quarantine*);
 extern  bool_t xdr_caro_prompt_report (XDR *, caro_prompt_report*);
+extern  bool_t xdr_caro_prompt_loss (XDR *, caro_prompt_loss*);
+extern  bool_t xdr_caro_part_progress (XDR *, caro_part_progress*);
+extern  bool_t xdr_caro_prompt_quarantine (XDR *, caro_prompt_quarantine*);
+extern  bool_t xdr_caro_prompt_evidence (XDR *, caro_prompt_evidence*);
+extern  bool_t xdr_caro_prompt_query (XDR *, caro_prompt_query*);
 extern  bool_t xdr_caro_target_limit (XDR *, caro_target_limit*);
 extern  bool_t xdr_caro_service_demand (XDR *, caro_service_demand*);
 extern  bool_t xdr_caro_limit_report (XDR *, caro_limit_report*);
@@ -796,6 +875,11 @@
 extern bool_t xdr_caro_prompt_begin ();
 extern bool_t xdr_caro_quarantine ();
 extern bool_t xdr_caro_prompt_report ();
+extern bool_t xdr_caro_prompt_loss ();
+extern bool_t xdr_caro_part_progress ();
+extern bool_t xdr_caro_prompt_quarantine ();
+extern bool_t xdr_caro_prompt_evidence ();
+extern bool_t xdr_caro_prompt_query ();
 extern bool_t xdr_caro_target_limit ();
 extern bool_t xdr_caro_service_demand ();
 extern bool_t xdr_caro_limit_report ();
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -316,6 +316,58 @@
     caro_quarantine quarantines<CARO_QUARANTINES_MAX>;
 };
 
+const CARO_PROMPT_LOSS_PARTS_MAX = 32;
+const CARO_PROMPT_LOSSES_MAX = 64;
+const CARO_PARTS_PROGRESS_MAX = 96;
+const CARO_PROMPT_QUARANTINES_MAX = 32;
+
+/* A request was in progress at an upstream that crashed. */
+struct caro_prompt_loss {
+    unsigned hyper upstream; /* Hash of the start of the upstream. */
+    unsigned hyper request; /* Hash of the request's id. */
+    unsigned int service; /* Hash. */
+    unsigned int domain; /* Hash of the upstream's failure domain. */
+    bool is_domain_lost; /* Most of its upstreams failed with it. */
+    bool has_head; /* The head of the response had arrived. */
+    unsigned int events; /* Of the response, before the crash. */
+    unsigned int age_ms;
+    /* The parts of its prompt that may have caused the crash; none if none
+       may. */
+    unsigned hyper parts<CARO_PROMPT_LOSS_PARTS_MAX>;
+};
+
+/* How far a response to a prompt with the part has got. */
+struct caro_part_progress {
+    unsigned hyper part;
+    bool is_finished;
+    unsigned int finished_age_ms; /* If is_finished: since it last did. */
+    unsigned int events; /* Most events of a response; 0 for none. */
+    unsigned int events_age_ms;
+};
+
+/* Requests with all of the parts are refused. */
+struct caro_prompt_quarantine {
+    unsigned hyper parts<CARO_PROMPT_LOSS_PARTS_MAX>;
+    unsigned int age_ms; /* Since the decision or the last failed probe. */
+    unsigned int probes; /* Failed probes. */
+    unsigned int events; /* Most events of a response before a crash. */
+};
+
+/* The evidence of the sender on prompts that crash upstreams, its own and that
+   of other VMs.  It takes the place of caro_prompt_report, which is still sent
+   and read for VMs of versions that do not know it. */
+struct caro_prompt_evidence {
+    string sender<CARO_NAME_MAX>;
+    caro_prompt_loss losses<CARO_PROMPT_LOSSES_MAX>;
+    caro_part_progress progress<CARO_PARTS_PROGRESS_MAX>;
+    caro_prompt_quarantine quarantines<CARO_PROMPT_QUARANTINES_MAX>;
+};
+
+/* A VM that did not run for some time asks for the evidence of another. */
+struct caro_prompt_query {
+    string sender<CARO_NAME_MAX>;
+};
+
 const CARO_LIMITS_MAX = 64;
 const CARO_DEMANDS_MAX = 16;
 
@@ -497,5 +549,8 @@
         caro_packed_config CARO_PACKED_CONFIG(caro_config_args) = 21;
         caro_permit CARO_SLOT_PERMIT(caro_permit_args) = 22;
         caro_brittle_notice CARO_BRITTLE_NOTICE(caro_brittle_notice) = 23;
+        caro_prompt_evidence
+            CARO_PROMPT_EVIDENCE(caro_prompt_evidence) = 24;
+        caro_prompt_evidence CARO_PROMPT_QUERY(caro_prompt_query) = 25;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -734,6 +734,207 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_prompt_loss (XDR *xdrs, caro_prompt_loss *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->service))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->domain))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_domain_lost))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->has_head))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->service);
+		IXDR_PUT_U_LONG(buf, objp->domain);
+		IXDR_PUT_BOOL(buf, objp->is_domain_lost);
+		IXDR_PUT_BOOL(buf, objp->has_head);
+		IXDR_PUT_U_LONG(buf, objp->events);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CARO_PROMPT_LOSS_PARTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->service))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->domain))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_domain_lost))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->has_head))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+
+		} else {
+		objp->service = IXDR_GET_U_LONG(buf);
+		objp->domain = IXDR_GET_U_LONG(buf);
+		objp->is_domain_lost = IXDR_GET_BOOL(buf);
+		objp->has_head = IXDR_GET_BOOL(buf);
+		objp->events = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CARO_PROMPT_LOSS_PARTS_MAX,
+			sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->upstream))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_domain_lost))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->has_head))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->events))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CARO_PROMPT_LOSS_PARTS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_part_progress (XDR *xdrs, caro_part_progress *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->part))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->is_finished))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->finished_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events_age_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->is_finished);
+			IXDR_PUT_U_LONG(buf, objp->finished_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->events);
+			IXDR_PUT_U_LONG(buf, objp->events_age_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->part))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->is_finished))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->finished_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->events_age_ms))
+				 return FALSE;
+		} else {
+			objp->is_finished = IXDR_GET_BOOL(buf);
+			objp->finished_age_ms = IXDR_GET_U_LONG(buf);
+			objp->events = IXDR_GET_U_LONG(buf);
+			objp->events_age_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->part))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_finished))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->finished_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->events))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->events_age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_prompt_quarantine (XDR *xdrs, caro_prompt_quarantine *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, CARO_PROMPT_LOSS_PARTS_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->probes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->events))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_prompt_evidence (XDR *xdrs, caro_prompt_evidence *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->losses.losses_val, (u_int *) &objp->losses.losses_len, CARO_PROMPT_LOSSES_MAX,
+		sizeof (caro_prompt_loss), (xdrproc_t) xdr_caro_prompt_loss))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->progress.progress_val, (u_int *) &objp->progress.progress_len, CARO_PARTS_PROGRESS_MAX,
+		sizeof (caro_part_progress), (xdrproc_t) xdr_caro_part_progress))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->quarantines.quarantines_val, (u_int *) &objp->quarantines.quarantines_len, CARO_PROMPT_QUARANTINES_MAX,
+		sizeof (caro_prompt_quarantine), (xdrproc_t) xdr_caro_prompt_quarantine))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_prompt_query (XDR *xdrs, caro_prompt_query *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_target_limit (XDR *xdrs, caro_target_limit *objp)
 {
--- a/Test/proc_crashing_prompts.sh
+++ b/Test/proc_crashing_prompts.sh
@@ -33,7 +33,7 @@
 # A third of the callers cannot be served while it is stopped.
 start_run stopped-gateway SERVED_MIN= DEADLY=4 STOPPED_S=6 head:50
 start_run same-name DEADLY=2 KEEP_NAME=1 RESTART_MS=0 no-head:0
-start_run plain-route DEADLY=2 SERVICE=desk ROUTE=/l/ no-head:50
+start_run plain-route DEADLY=2 ROUTE=/p/ no-head:50
 wait_runs
 cat "$results"/*
 exit $status
--- a/Test/test_gateway_explain.c
+++ b/Test/test_gateway_explain.c
@@ -489,7 +489,8 @@
     assert_int_equal(
         CaroPlatform_ReadPromptParts((CaroText){list, strlen(list)}, &parts),
         0);
-    char *stored = CaroPlatform_WriteQuarantine(&parts, WALL_MS + 10000);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = WALL_MS + 10000, .has_probes = true});
     CaroPromptGuard_OnStored(vm->guard, stored, strlen(stored), WALL_MS,
                              vm->now);
     free(stored);
--- a/Test/test_platform.c
+++ b/Test/test_platform.c
@@ -453,18 +453,26 @@
 test_quarantine_documents(void **state)
 {
     (void)state;
-    CaroPromptParts a = {.ids = {1, UINT64_MAX}, .n = 2};
-    CaroPromptParts b;
+    CaroStoredQuarantine a = {.parts = {.ids = {1, UINT64_MAX}, .n = 2},
+                              .until_ms = 77,
+                              .has_probes = true,
+                              .probes = 3,
+                              .events = 8};
+    CaroStoredQuarantine b;
     const char *rest;
     char key[CARO_KEY_SIZE];
-    int64_t until_ms;
-    char *text = CaroPlatform_WriteQuarantine(&a, 77);
+    char *text = CaroPlatform_WriteQuarantine(&a);
     assert_non_null(text);
-    assert_int_equal(
-        CaroPlatform_ReadQuarantine(text, strlen(text), &b, &until_ms), 0);
-    assert_int_equal(until_ms, 77);
-    assert_true(b.n == 2 && CaroPromptParts_Contain(&a, &b));
+    assert_int_equal(CaroPlatform_ReadQuarantine(text, strlen(text), &b), 0);
+    assert_int_equal(b.until_ms, 77);
+    assert_true(b.parts.n == 2 && CaroPromptParts_Contain(&a.parts, &b.parts));
+    assert_true(b.has_probes && b.probes == 3 && b.events == 8);
     free(text);
+    /* As versions write it that do not probe. */
+    static const char old[] =
+        "{\"parts\":\"0000000000000001\",\"until_ms\":7}";
+    assert_int_equal(CaroPlatform_ReadQuarantine(old, strlen(old), &b), 0);
+    assert_true(b.until_ms == 7 && b.parts.n == 1 && !b.has_probes);
     CaroPlatform_WriteKey(key, sizeof(key), CARO_KEY_QUARANTINE, "ab");
     assert_int_equal(CaroPlatform_KeyKind(key, &rest), CARO_KEY_QUARANTINE);
     assert_string_equal(rest, "ab");
--- a/Test/test_prompt_guard.c
+++ b/Test/test_prompt_guard.c
@@ -133,15 +133,15 @@
 send_reports(Fleet *f, int vm)
 {
     static char bytes[MESSAGE_BYTES_MAX];
-    CaroPromptReport out;
+    CaroPromptEvidence out;
     XDR xdr;
     int fanout = CaroPromptGuard_Collect(f->guards[vm], &out, f->now);
     if (fanout == 0) {
         return;
     }
-    out.report.sender = "vm";
+    out.evidence.sender = "vm";
     xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
-    assert_true(xdr_caro_prompt_report(&xdr, &out.report));
+    assert_true(xdr_caro_prompt_evidence(&xdr, &out.evidence));
     for (int i = 0; i < fanout; i++) {
         int to = choose_vm(f);
         int copies = gsl_rng_uniform(f->rng) < LOSS_FRACTION     ? 0
@@ -158,7 +158,7 @@
 {
     for (int i = f->n_messages - 1; i >= 0; i--) {
         Message m = f->messages[i];
-        caro_prompt_report report;
+        caro_prompt_evidence report;
         XDR xdr;
         if (m.due_at > f->now) {
             continue;
@@ -166,9 +166,9 @@
         f->messages[i] = f->messages[--f->n_messages];
         memset(&report, 0, sizeof(report));
         xdrmem_create(&xdr, m.bytes, (u_int)m.size, XDR_DECODE);
-        assert_true(xdr_caro_prompt_report(&xdr, &report));
+        assert_true(xdr_caro_prompt_evidence(&xdr, &report));
         CaroPromptGuard_Apply(f->guards[m.to], &report, f->now);
-        xdr_free((xdrproc_t)xdr_caro_prompt_report, &report);
+        xdr_free((xdrproc_t)xdr_caro_prompt_evidence, &report);
         free(m.bytes);
     }
 }
@@ -183,11 +183,22 @@
     return CaroTargets_Put(f->targets, &e, f->now);
 }
 
+static void
+record_loss(Fleet *f, CaroHandle h, const Request *r, CaroTime now)
+{
+    CaroPromptAttempt attempt = {.target = h,
+                                 .has_head = true,
+                                 .request_id = r->id,
+                                 .parts = &r->parts,
+                                 .started_at = now};
+    CaroPromptGuard_RecordLoss(f->guards[r->vm], &attempt, now);
+}
+
 /* The upstream crashes after the head of the response. */
 static void
 crash_upstream(Fleet *f, CaroHandle h, const Request *r)
 {
-    CaroPromptGuard_RecordLoss(f->guards[r->vm], h, r->id, &r->parts, f->now);
+    record_loss(f, h, r, f->now);
     CaroTargets_Remove(f->targets, h);
 }
 
@@ -237,6 +248,7 @@
             if (second != 0) {
                 CaroPromptParts_Add(&r->parts, second);
             }
+            CaroPromptGuard_RecordRequest(f->guards[r->vm], &r->parts, f->now);
             begin_attempt(f, r);
             return r;
         }
@@ -255,7 +267,8 @@
         }
         int deadly = find_deadly(f, &r->parts);
         if (deadly < 0) {
-            CaroPromptGuard_RecordBegin(f->guards[r->vm], &r->parts, f->now);
+            CaroPromptGuard_RecordEvents(f->guards[r->vm], &r->parts,
+                                         CARO_PROMPT_PROGRESS_MIN, f->now);
             f->n_sound_begun++;
             r->answer_at = 0;
             continue;
@@ -432,7 +445,8 @@
 {
     (void)state;
     CaroPromptParts parts = {.ids = {DEADLY_PART}, .n = 1};
-    char *stored = CaroPlatform_WriteQuarantine(&parts, END_MS);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = END_MS, .has_probes = true});
     Fleet *f = create_fleet(20, 1);
     run(f, 5 * CARO_SECOND, 2.0, 0.0);
     f->deadly[0] = DEADLY_PART;
@@ -490,8 +504,7 @@
     CaroPromptParts_Add(&r.parts, ROUTE_PART);
     CaroPromptParts_Add(&r.parts, RARE_PART + 99);
     for (int i = 0; i < 5; i++) {
-        CaroPromptGuard_RecordLoss(f->guards[1], grey[i], r.id, &r.parts,
-                                   f->now);
+        record_loss(f, grey[i], &r, f->now);
         CaroTime until = f->now + 700 * CARO_MS;
         while (f->now < until) {
             for (int j = 0; j < 5; j++) {
@@ -516,7 +529,7 @@
         Request r = {.vm = choose_vm(f)};
         (void)snprintf(r.id, sizeof(r.id), "x%d", i);
         CaroPromptParts_Add(&r.parts, RARE_PART);
-        CaroPromptGuard_RecordLoss(f->guards[r.vm], h, r.id, &r.parts, f->now);
+        record_loss(f, h, &r, f->now);
         run(f, 500 * CARO_MS, 0.0, 0.0);
     }
     run(f, 5 * CARO_SECOND, 0.0, 0.0);
@@ -539,7 +552,8 @@
             crash_upstream(f, start_upstream(f), &r);
             run(f, CARO_SECOND, 0.5, 0.0);
         }
-        CaroPromptGuard_RecordBegin(f->guards[r.vm], &r.parts, f->now);
+        CaroPromptGuard_RecordEvents(f->guards[r.vm], &r.parts,
+                                     CARO_PROMPT_PROGRESS_MIN, f->now);
     }
     assert_int_equal(f->counters.values[CARO_COUNT_QUARANTINES], 0);
     destroy_fleet(f);
@@ -551,12 +565,14 @@
     (void)state;
     Fleet *f = create_fleet(20, 1);
     CaroPromptParts parts = {.ids = {DEADLY_PART}, .n = 1};
-    char *stored = CaroPlatform_WriteQuarantine(&parts, END_MS);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = END_MS, .has_probes = true});
     CaroPromptGuard_OnStored(f->guards[0], stored, strlen(stored), WALL_MS,
                              f->now);
     run(f, CONTACT, 1.0, 0.0);
     assert_true(is_refused_by_all(f, ROUTE_PART, DEADLY_PART));
-    CaroPromptGuard_RecordBegin(f->guards[5], &parts, f->now);
+    CaroPromptGuard_RecordEvents(f->guards[5], &parts,
+                                 CARO_PROMPT_PROGRESS_MIN, f->now);
     run(f, CONTACT, 1.0, 0.0);
     for (int i = 0; i < f->n_vms; i++) {
         assert_false(CaroPromptGuard_Refuses(f->guards[i], &parts, f->now));
@@ -575,7 +591,8 @@
     CaroTargets *targets = CaroTargets_Create();
     CaroPromptGuard *g = CaroPromptGuard_Create(targets, NULL, &counters);
     CaroPromptParts parts = {.ids = {DEADLY_PART}, .n = 1};
-    char *stored = CaroPlatform_WriteQuarantine(&parts, END_MS);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = END_MS, .has_probes = true});
     CaroPromptGuard_OnStored(g, stored, strlen(stored), WALL_MS, CARO_SECOND);
     CaroTime last = CARO_SECOND + CARO_QUARANTINE_TTL - 1;
     assert_true(CaroPromptGuard_Refuses(g, &parts, last));
@@ -608,7 +625,13 @@
     CaroPromptGuard *g = CaroPromptGuard_Create(targets, NULL, &counters);
     CaroTime now = 5 * CARO_SECOND;
     CaroPromptParts none = {.n = 0};
-    static const char *const values[] = {
+    char too_many[(CARO_PROMPT_PARTS_MAX + 1) * 17 + 64];
+    size_t at = (size_t)sprintf(too_many, "{\"parts\":\"");
+    for (int i = 0; i <= CARO_PROMPT_PARTS_MAX; i++) {
+        at += (size_t)sprintf(too_many + at, "%s%016x", i == 0 ? "" : ",", i);
+    }
+    (void)sprintf(too_many + at, "\",\"until_ms\":9000}");
+    const char *const values[] = {
         "",
         "{",
         "[]",
@@ -620,10 +643,7 @@
         "{\"parts\":\"0000000000000001\",\"until_ms\":-9}",
         "{\"parts\":\"xyz\",\"until_ms\":9000}",
         "{\"parts\":\"0000000000000001,\",\"until_ms\":9000}",
-        "{\"parts\":\"0000000000000001,0000000000000002,0000000000000003,"
-        "0000000000000004,0000000000000005,0000000000000006,0000000000000007,"
-        "0000000000000008,0000000000000009,000000000000000a,000000000000000b,"
-        "000000000000000c,000000000000000d\",\"until_ms\":9000}"};
+        too_many};
     for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
         CaroPromptGuard_OnStored(g, values[i], strlen(values[i]), WALL_MS,
                                  now);
@@ -640,7 +660,7 @@
         .crashes = {.crashes_len = 1, .crashes_val = &crash},
         .begins = {.begins_len = 1, .begins_val = &begin},
         .quarantines = {.quarantines_len = 2, .quarantines_val = quarantines}};
-    CaroPromptGuard_Apply(g, &report, now);
+    CaroPromptGuard_ApplyOld(g, &report, now);
     json_t *all = CaroPromptGuard_Dump(g, now);
     assert_int_equal(json_array_size(all), 0);
     json_decref(all);
@@ -680,7 +700,7 @@
     caro_prompt_report report = {
         .sender = "x",
         .quarantines = {.quarantines_len = 1, .quarantines_val = &q}};
-    CaroPromptGuard_Apply(g, &report, now);
+    CaroPromptGuard_ApplyOld(g, &report, now);
 }
 
 /* The monotonic clock of a VM that has just booted is younger than the
@@ -710,7 +730,11 @@
     CaroPromptParts parts = {.ids = {DEADLY_PART}, .n = 1};
     CaroTime now = 20 * CARO_SECOND;
     int n;
-    CaroPromptCrashes_Record(t, 1, 1, &parts, now - 30 * CARO_SECOND, now);
+    CaroPromptCrash crash = {.upstream = 1,
+                             .request = 1,
+                             .parts = parts,
+                             .at = now - 30 * CARO_SECOND};
+    CaroPromptCrashes_Record(t, &crash, now);
     (void)CaroPromptCrashes_List(t, &n);
     assert_int_equal(n, 1);
     CaroPromptCrashes_Destroy(t);
@@ -724,11 +748,13 @@
     (void)state;
     Fleet *f = create_fleet(20, 1);
     CaroPromptParts parts = {.ids = {DEADLY_PART}, .n = 1};
-    char *stored = CaroPlatform_WriteQuarantine(&parts, END_MS);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = END_MS, .has_probes = true});
     CaroPromptGuard_OnStored(f->guards[0], stored, strlen(stored), WALL_MS,
                              f->now);
     run(f, CONTACT, 1.0, 0.0);
-    CaroPromptGuard_RecordBegin(f->guards[5], &parts, f->now);
+    CaroPromptGuard_RecordEvents(f->guards[5], &parts,
+                                 CARO_PROMPT_PROGRESS_MIN, f->now);
     run(f, CONTACT, 1.0, 0.0);
     assert_false(CaroPromptGuard_Refuses(f->guards[0], &parts, f->now));
     CaroPromptGuard_OnStored(f->guards[0], stored, strlen(stored),
@@ -758,7 +784,9 @@
     CARO_COPY(e.id, "t1");
     CaroHandle h = CaroTargets_Put(targets, &e, now);
     CaroPromptGuard_Tick(g, 0, now);
-    CaroPromptGuard_RecordLoss(g, h, "r1", &parts, now);
+    CaroPromptAttempt attempt = {
+        .target = h, .request_id = "r1", .parts = &parts, .started_at = now};
+    CaroPromptGuard_RecordLoss(g, &attempt, now);
     now += 400 * CARO_MS;
     CaroPromptGuard_Tick(g, 0, now);
     CaroTargets_RecordHeard(targets, h, now);
--- a/Test/test_prompt_guard_domains.c
+++ b/Test/test_prompt_guard_domains.c
@@ -66,7 +66,9 @@
     CaroHandle h = f->engines[domain][engine];
     CaroPromptParts parts = prompt(OWN_PART + number);
     (void)snprintf(id, sizeof(id), "r%d", number);
-    CaroPromptGuard_RecordLoss(f->guard, h, id, &parts, f->now);
+    CaroPromptAttempt attempt = {
+        .target = h, .request_id = id, .parts = &parts, .started_at = f->now};
+    CaroPromptGuard_RecordLoss(f->guard, &attempt, f->now);
     CaroTargets_Avoid(f->targets, h, CARO_TARGET_FAILING, f->now);
 }
 
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -370,7 +370,8 @@
     assert_int_equal(f->up.n_requests, 1);
     assert_int_equal(
         CaroPlatform_ReadPromptParts((CaroText){"a1:1,e0:1", 9}, &parts), 0);
-    char *stored = CaroPlatform_WriteQuarantine(&parts, 60000);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = 60000, .has_probes = true});
     CaroPromptGuard_OnStored(f->deps.guard, stored, strlen(stored), 0,
                              CaroClock_Now());
     free(stored);
@@ -392,7 +393,8 @@
     assert_int_equal(f->up.n_requests, 1);
     assert_int_equal(
         CaroPlatform_ReadPromptParts((CaroText){"a1:1,e0:1", 9}, &parts), 0);
-    char *stored = CaroPlatform_WriteQuarantine(&parts, 60000);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = 60000, .has_probes = true});
     CaroPromptGuard_OnStored(f->deps.guard, stored, strlen(stored), 0,
                              CaroClock_Now());
     free(stored);
@@ -1286,7 +1288,8 @@
     CaroTime now = CaroClock_Now();
     assert_int_equal(
         CaroPlatform_ReadPromptParts((CaroText){"a1:1,e0:1", 9}, &parts), 0);
-    char *stored = CaroPlatform_WriteQuarantine(&parts, 60000);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts, .until_ms = 60000, .has_probes = true});
     CaroPromptGuard_OnStored(f->deps.guard, stored, strlen(stored), 0, now);
     free(stored);
     CaroRelays_EndQuarantined(f->relays, now);
--- a/Test/test_writes_restored.c
+++ b/Test/test_writes_restored.c
@@ -177,8 +177,10 @@
     CaroTargets *targets = CaroTargets_Create();
     CaroPromptGuard *g = CaroPromptGuard_Create(
         targets, (CaroStoreClient *)&written, &counters);
-    char *stored = CaroPlatform_WriteQuarantine(
-        &parts, WALL_MS + CARO_QUARANTINE_TTL / CARO_MS);
+    char *stored = CaroPlatform_WriteQuarantine(&(CaroStoredQuarantine){
+        .parts = parts,
+        .until_ms = WALL_MS + CARO_QUARANTINE_TTL / CARO_MS,
+        .has_probes = true});
     memset(&written, 0, sizeof(written));
     CaroPromptGuard_OnStored(g, stored, strlen(stored), WALL_MS, CARO_SECOND);
     CaroPromptGuard_Tick(g, 0, 2 * CARO_SECOND);
--- a/Tools/crashing_prompts.sh
+++ b/Tools/crashing_prompts.sh
@@ -8,7 +8,7 @@
 # variables: SECONDS_LONG, SOUND and DEADLY (requests a second), BURST, DOMAINS,
 # GATEWAYS, ENGINES, RESTART_MS, KEEP_NAME, ROUTE (path of the requests),
 # CONTACT_MS, STOPPED_S (one gateway is stopped for so long), TRIES_MAX (of the
-# route), SEED, LATE_MAX (bound; none if empty), SERVED_MIN (percent of the
+# route /p/, which is no stream), SEED, LATE_MAX (bound; none if empty), SERVED_MIN (percent of the
 # second half's sound first tries), BIN2 (build of every second gateway),
 # CRASH_KEEP=DIR (keeps the logs).
 #
@@ -30,12 +30,26 @@
     # shellcheck disable=SC2046
     fleet_run "t$1" "$bin/carofake" target --listen "$(gateway_target "$1")" \
         --name "t$1" --registry "$(gateway_registry)" \
-        --domain "$(fleet_domain "$1")" --service "${SERVICE:-chat}" \
+        --domain "$(fleet_domain "$1")" --service chat \
         --step-us 15000 --prefill-us 500 --crash "$crash" \
         --crash-log "$record" --restart-ms "${RESTART_MS:-2000}" \
         $([ -z "${KEEP_NAME:-}" ] || echo --keep-name)
     gateway_wait_up "$(gateway_target "$1")"
 }
+# "/p/" is a route of the engines that is no stream.
+gateway_config() {
+    local route='"host":"desk.example","timeout_ms":8000'
+    gateway_write op/config "{\"version\":1,\"routes\":[
+{\"name\":\"r-s\",$route,\"path_prefix\":\"/s/\",\"kind\":\"streaming\",
+ \"target_latency_ms\":2000,\"target_gap_ms\":700,\"resumable\":true,
+ \"max_attempts\":5,\"service\":\"chat\"},
+{\"name\":\"r-p\",$route,\"path_prefix\":\"/p/\",\"kind\":\"idempotent\",
+ \"target_latency_ms\":150,\"max_attempts\":${TRIES_MAX:-2},
+ \"service\":\"chat\"}],
+\"services\":[],\"tenants\":[{\"name\":\"yard\",\"api_keys\":[\"key-1\"]}],
+\"limits\":{\"max_header_bytes\":8192,\"max_body_bytes\":100000,
+\"header_timeout_ms\":700,\"idle_timeout_ms\":3000}}"
+}
 if [ -n "${BIN2:-}" ]; then
     gateway_start() {
         local program=$bin
