A gate ends the tunnels that its VM no longer uses

What callers saw: a stream ran at two servers at once (TWICE) when a VM that sent it through a gate lost the gate in silence and resumed it elsewhere.

Cause: closing the channel is the only cancellation, and it has to pass a hop that may be dead; the gate went on for as long as the server did. Earlier versions are served as before.

--- a/Include/internal/caro_channel.h
+++ b/Include/internal/caro_channel.h
@@ -57,9 +57,12 @@
     size_t hello_size;
     bool (*on_outcome)(void *context, CaroHandle upstream, CaroHandle vm,
                        CaroConnectOutcome outcome);
+    /* The channel through a gate is closed; NULL for none. */
+    void (*on_closed)(void *context, uint32_t tunnel);
     void *context;
     CaroHandle upstream;
-    CaroHandle vm; /* The gate. */
+    CaroHandle vm;   /* The gate. */
+    uint32_t tunnel; /* Number of the tunnel. */
 } CaroChannelPath;
 
 /* Likewise by a path, which is copied. */
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -61,7 +61,9 @@
     void (*on_load_report)(void *context, const caro_load_report *report);
     /* A peer reported parts of prompts that crash upstreams; borrowed. */
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
-    /* Likewise in the present form. */
+    /* A peer named its tunnels through this VM; borrowed. */
+    void (*on_tunnel_lease)(void *context, const caro_tunnel_lease *lease);
+    /* Evidence on prompts in the present form; borrowed. */
     void (*on_prompt_evidence)(void *context,
                                const caro_prompt_evidence *evidence);
     /* A peer asked for this VM's evidence; the handler has to reply. */
@@ -162,6 +164,10 @@
 void CaroFleet_SendBrittleNotice(CaroFleet *f,
                                  const caro_brittle_notice *notice);
 
+/* Names to a VM the tunnels through it that are in use; sets the sender. */
+void CaroFleet_SendTunnelLease(CaroFleet *f, CaroHandle vm,
+                               caro_tunnel_lease *lease);
+
 /* Sends evidence on prompts to so many usable VMs, chosen at random; "old" has
    it in the form of earlier versions, and may be NULL. */
 void CaroFleet_SendPromptEvidence(CaroFleet *f,
--- a/Include/internal/caro_relay_private.h
+++ b/Include/internal/caro_relay_private.h
@@ -86,9 +86,10 @@
     CaroPromptParts prompt_parts;
     CaroSizedParts sized_parts; /* With the last part; none for plain
                                    requests. */
-    bool is_prompt_held;        /* It waits for a decision about its prompt. */
-    bool is_probe;              /* The attempt probes a quarantine. */
-    bool is_resume;         /* The attempt asks for the rest of a stream. */
+    bool is_delayed;     /* It waits, without a target, to begin an attempt. */
+    CaroTime not_before; /* Of the next attempt. */
+    bool is_probe;       /* The attempt probes a quarantine. */
+    bool is_resume;      /* The attempt asks for the rest of a stream. */
     double retained_tokens; /* Expected to be held at the target when it was
                                chosen. */
     bool is_from_kv_copy;   /* The attempt resumes from a KV copy. */
--- a/Include/internal/caro_tunnel_gate.h
+++ b/Include/internal/caro_tunnel_gate.h
@@ -11,6 +11,7 @@
 #define CARO_TUNNEL_GATE_H
 
 #include "caro_error.h"
+#include "caro_peer.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_membership.h"
 #include "internal/caro_targets.h"
@@ -41,6 +42,13 @@
                                       CaroError *err);
 void CaroTunnelGate_Destroy(CaroTunnelGate *g);
 
+/* A VM names its tunnels in use: others of it are ended. */
+void CaroTunnelGate_ApplyLease(CaroTunnelGate *g,
+                               const caro_tunnel_lease *lease, CaroTime now);
+
+/* Ends the tunnels of VMs that were not heard for some time; accepts NULL. */
+void CaroTunnelGate_Tick(CaroTunnelGate *g, CaroTime now);
+
 /* Returns the number of tunnels that are open; 0 for NULL. */
 int CaroTunnelGate_Count(const CaroTunnelGate *g);
 
--- a/Include/internal/caro_upstream_paths.h
+++ b/Include/internal/caro_upstream_paths.h
@@ -8,6 +8,7 @@
 #ifndef CARO_UPSTREAM_PATHS_H
 #define CARO_UPSTREAM_PATHS_H
 
+#include "caro_peer.h"
 #include "internal/caro_channel.h"
 #include "internal/caro_counters.h"
 #include "internal/caro_membership.h"
@@ -52,6 +53,18 @@
    call; idle channels are then out of date. */
 bool CaroUpstreamPaths_Tick(CaroUpstreamPaths *p, int n_waiting, CaroTime now);
 
+/* Names the tunnels in use through a gate. */
+typedef struct {
+    CaroHandle gate;
+    caro_tunnel_lease lease;
+    u_int tunnels[CARO_TUNNELS_MAX];
+} CaroTunnelLease;
+
+/* Fills a lease that is due, except the sender, and returns true; to be called
+   until it returns false.  Accepts NULL. */
+bool CaroUpstreamPaths_CollectLease(CaroUpstreamPaths *p, CaroTunnelLease *out,
+                                    CaroTime now);
+
 CaroLinksState CaroUpstreamPaths_State(const CaroUpstreamPaths *p);
 
 #endif
--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -428,6 +428,9 @@
     if (c == NULL) {
         return;
     }
+    if (!c->is_destroyed && c->path.on_closed != NULL) {
+        c->path.on_closed(c->path.context, c->path.tunnel);
+    }
     c->is_destroyed = true;
     if (c->callback_depth == 0) {
         free_channel(c);
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -471,6 +471,12 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_TUNNEL_LEASE:
+        if (f->handlers->on_tunnel_lease != NULL) {
+            f->handlers->on_tunnel_lease(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
     case CARO_PROMPT_EVIDENCE:
         if (f->handlers->on_prompt_evidence != NULL) {
             f->handlers->on_prompt_evidence(f->context, args);
@@ -739,6 +745,16 @@
     return n;
 }
 
+void
+CaroFleet_SendTunnelLease(CaroFleet *f, CaroHandle vm,
+                          caro_tunnel_lease *lease)
+{
+    lease->sender = f->name;
+    CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, vm)->peer,
+                 CARO_RPC_UDP, CARO_TUNNEL_LEASE, lease, LOAD_REPORT_TIMEOUT,
+                 NULL, NULL);
+}
+
 void
 CaroFleet_SendPromptEvidence(CaroFleet *f,
                              const caro_prompt_evidence *evidence,
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -646,6 +646,13 @@
     CaroPromptGuard_ApplyOld(g->guard, report, CaroClock_Now());
 }
 
+static void
+on_tunnel_lease(void *context, const caro_tunnel_lease *lease)
+{
+    CaroGateway *g = context;
+    CaroTunnelGate_ApplyLease(g->tunnel_gate, lease, CaroClock_Now());
+}
+
 static void
 on_prompt_evidence(void *context, const caro_prompt_evidence *evidence)
 {
@@ -716,6 +723,7 @@
     .on_pace_report = on_pace_report,
     .on_retention_report = on_retention_report,
     .on_prompt_report = on_prompt_report,
+    .on_tunnel_lease = on_tunnel_lease,
     .on_prompt_evidence = on_prompt_evidence,
     .on_prompt_query = on_prompt_query,
     .on_prompt_reply = on_prompt_reply,
@@ -901,6 +909,18 @@
     }
 }
 
+/* Names the tunnels in use to their gates, and ends those of other VMs that
+   are not. */
+static void
+tick_tunnels(CaroGateway *g, CaroTime now)
+{
+    static CaroTunnelLease out; /* It is large, and there is one thread. */
+    while (CaroUpstreamPaths_CollectLease(g->paths, &out, now)) {
+        CaroFleet_SendTunnelLease(g->fleet, out.gate, &out.lease);
+    }
+    CaroTunnelGate_Tick(g->tunnel_gate, now);
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -926,6 +946,7 @@
         CaroChannelPool_DropAll(g->pool);
         CaroTargets_ForgetFailures(g->targets);
     }
+    tick_tunnels(g, now);
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
         g->was_config_fresh = is_fresh;
--- a/Modules/relay.c
+++ b/Modules/relay.c
@@ -253,7 +253,7 @@
     }
     else {
         bool is_unsent =
-            r->is_held || (r->is_prompt_held && !r->attempt.may_have_arrived);
+            r->is_held || (r->is_delayed && !r->attempt.may_have_arrived);
         CaroRelay_RespondStatus(r, is_unsent ? 503 : 502,
                                 "the VM is shutting down", now);
     }
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -37,6 +37,9 @@
 /* Time after reading is resumed within which the end of such a connection is
    found, behind the bytes that the sockets held. */
 #define UNREAD_CLOSE_TIME (1 * CARO_SECOND)
+/* A gate that does not hear of the cancellation ends the request this much
+   later than another attempt may begin beside it. */
+#define GATE_CANCEL_TIME (200 * CARO_MS)
 /* An adaptive timeout depends on other streams and engines, and may become
    shorter while a stream is silent. */
 #define RECHECK_DELAY (20 * CARO_MS)
@@ -228,8 +231,8 @@
     if (r->is_awaiting_permit && !is_expired) {
         CaroRelay_SetTimer(r, r->attempt.deadline, now);
     }
-    else if (r->is_prompt_held && !is_expired) {
-        r->is_prompt_held = false;
+    else if (r->is_delayed && !is_expired) {
+        r->is_delayed = false;
         CaroRelay_BeginAttempt(r, now);
     }
     else if (r->is_held) {
@@ -856,6 +859,10 @@
             CaroTime now)
 {
     r->attempt.may_have_arrived |= may_have_arrived(r, outcome);
+    if (outcome == CARO_OUTCOME_SILENT && r->channel != NULL &&
+        CaroChannel_IsTunneled(r->channel)) {
+        r->not_before = now + GATE_CANCEL_TIME;
+    }
     bool has_budget = has_retry_budget(r, now);
     if (r->target != CARO_NO_HANDLE) {
         CaroRelay_RecordPromptEnd(r, outcome, now);
@@ -1143,6 +1150,15 @@
 CaroRelay_BeginAttempt(CaroRelay *r, CaroTime now)
 {
     CaroRelays *relays = r->relays;
+    if (now < r->not_before && now < r->attempt.deadline) {
+        r->is_delayed = true;
+        CaroRelay_SetTimer(r,
+                           r->not_before < r->attempt.deadline
+                               ? r->not_before
+                               : r->attempt.deadline,
+                           now);
+        return;
+    }
     switch (CaroRelay_AdmitPrompt(r, now)) {
     case CARO_PROMPT_ADMITTED:
     case CARO_PROMPT_PROBE:
--- a/Modules/relay_prompts.c
+++ b/Modules/relay_prompts.c
@@ -25,7 +25,7 @@
         r->attempt.is_barred = true; /* From any further attempt. */
         break;
     case CARO_PROMPT_HELD:
-        r->is_prompt_held = true;
+        r->is_delayed = true;
         CaroRelay_SetTimer(r,
                            now + HELD_RETRY_DELAY < r->attempt.deadline
                                ? now + HELD_RETRY_DELAY
--- a/Modules/tunnel_gate.c
+++ b/Modules/tunnel_gate.c
@@ -22,6 +22,14 @@
 /* Time for the first record, and for the last bytes to be taken. */
 #define HELLO_TIMEOUT_S 1
 #define FLUSH_TIMEOUT_S 2
+/* A VM that is not heard for this time may have sent its requests elsewhere.
+ */
+#define LEASE_TTL (500 * CARO_MS)
+/* A lease that is on its way does not name a tunnel that is younger. */
+#define LEASE_TRANSIT_MAX (200 * CARO_MS)
+/* Of a longer time between two ticks the rest is a stall of this process, in
+   which nothing is heard. */
+#define TICK_TIME_MAX (100 * CARO_MS)
 /* Bytes that wait for one end, above which the other is not read. */
 #define PENDING_BYTES_MAX 65536
 
@@ -32,8 +40,12 @@
     struct bufferevent *upstream; /* NULL before the first record. */
     char peer[CARO_ADDRESS_SIZE]; /* IP address of the VM. */
     CaroHandle target;            /* The upstream. */
-    bool is_open;                 /* It has accepted. */
-    bool is_ending;               /* What waits for the VM is its last. */
+    CaroHandle sender;            /* The VM, after the first record. */
+    uint32_t number; /* By which it names the tunnel; 0 if it does not. */
+    CaroTime accepted_at;
+    CaroTime leased_at; /* When it last named it, or opened it. */
+    bool is_open;       /* It has accepted. */
+    bool is_ending;     /* What waits for the VM is its last. */
 } Tunnel;
 
 struct CaroTunnelGate {
@@ -41,6 +53,7 @@
     struct evconnlistener *listener;
     Tunnel *tunnels;
     int n;
+    CaroTime last_tick;
 };
 
 static void
@@ -247,7 +260,7 @@
 }
 
 static void
-accept_hello(Tunnel *t, caro_tunnel_hello *hello)
+accept_hello(Tunnel *t, const caro_tunnel_hello *hello, uint32_t number)
 {
     const CaroTunnelGateDeps *d = &t->gate->deps;
     CaroHandle upstream = find_upstream(t, hello);
@@ -268,6 +281,8 @@
     }
     CaroCounters_Add(d->counters, CARO_COUNT_TUNNELS_TAKEN, 1);
     t->target = upstream;
+    t->sender = CaroMembership_Find(d->membership, hello->sender);
+    t->number = number;
     connect_upstream(t, hello->address);
 }
 
@@ -296,7 +311,11 @@
     memset(&hello, 0, sizeof(hello));
     xdrmem_create(&xdr, record, size, XDR_DECODE);
     if (xdr_caro_tunnel_hello(&xdr, &hello)) {
-        accept_hello(t, &hello);
+        u_int number = 0;
+        if (xdr_getpos(&xdr) < size && !xdr_u_int(&xdr, &number)) {
+            number = 0;
+        }
+        accept_hello(t, &hello, number);
     }
     else {
         send_status(t, CARO_TUNNEL_UNABLE);
@@ -330,6 +349,8 @@
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     CaroHttp_DetectDeadPeer(fd);
     t->gate = g;
+    t->accepted_at = CaroClock_Now();
+    t->leased_at = t->accepted_at;
     t->next = g->tunnels;
     g->tunnels = t;
     g->n++;
@@ -381,6 +402,77 @@
     free(g);
 }
 
+/* Cancels the request of a tunnel whose VM has left it. */
+static void
+end_left_tunnel(Tunnel *t, const char *reason, CaroTime now)
+{
+    CaroTunnelGate *g = t->gate;
+    CaroCounters_Add(g->deps.counters, CARO_COUNT_TUNNELS_LEFT, 1);
+    CaroLog_Info(
+        "tunnel",
+        "A tunnel was ended. vm=%s tunnel=%u leased_ms=%lld reason=\"%s\"",
+        CaroMembership_Get(g->deps.membership, t->sender)->name, t->number,
+        (long long)((now - t->leased_at) / CARO_MS), reason);
+    destroy_tunnel(t);
+}
+
+static bool
+is_named(const caro_tunnel_lease *lease, uint32_t number)
+{
+    for (u_int i = 0; i < lease->tunnels.tunnels_len; i++) {
+        if (lease->tunnels.tunnels_val[i] == number) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+CaroTunnelGate_ApplyLease(CaroTunnelGate *g, const caro_tunnel_lease *lease,
+                          CaroTime now)
+{
+    CaroHandle vm =
+        g == NULL ? CARO_NO_HANDLE
+                  : CaroMembership_Find(g->deps.membership, lease->sender);
+    if (vm == CARO_NO_HANDLE ||
+        CaroMembership_Get(g->deps.membership, vm)->boot_id !=
+            lease->sender_boot_id) {
+        return;
+    }
+    Tunnel *next;
+    for (Tunnel *t = g->tunnels; t != NULL; t = next) {
+        next = t->next;
+        if (t->number == 0 || t->sender != vm) {
+            continue;
+        }
+        if (is_named(lease, t->number) || lease->is_partial) {
+            t->leased_at = now;
+        }
+        else if (now - t->accepted_at > LEASE_TRANSIT_MAX) {
+            end_left_tunnel(t, "the VM does not use it", now);
+        }
+    }
+}
+
+void
+CaroTunnelGate_Tick(CaroTunnelGate *g, CaroTime now)
+{
+    if (g == NULL) {
+        return;
+    }
+    CaroTime time = g->last_tick == 0 ? 0 : now - g->last_tick;
+    CaroTime stall = time > TICK_TIME_MAX ? time - TICK_TIME_MAX : 0;
+    g->last_tick = now;
+    Tunnel *next;
+    for (Tunnel *t = g->tunnels; t != NULL; t = next) {
+        next = t->next;
+        t->leased_at += stall;
+        if (t->number != 0 && now - t->leased_at > LEASE_TTL) {
+            end_left_tunnel(t, "the VM is not heard", now);
+        }
+    }
+}
+
 int
 CaroTunnelGate_Count(const CaroTunnelGate *g)
 {
--- a/Modules/upstream_paths.c
+++ b/Modules/upstream_paths.c
@@ -14,10 +14,18 @@
 /* A tunnel takes a connection to the gate and one from there. */
 #define GATE_MARGIN (200 * CARO_MS)
 #define PROBE_TIMEOUT (300 * CARO_MS)
+/* Interval at which a gate is told which tunnels are in use. */
+#define LEASE_INTERVAL (100 * CARO_MS)
 
 /* Two rounds of connections to an upstream of each service. */
 enum { SERVICES_MAX = 16, PROBES_MAX = 2 * SERVICES_MAX };
 
+/* A channel through a gate. */
+typedef struct {
+    uint32_t number; /* 0: the entry is free. */
+    CaroHandle gate;
+} Tunnel;
+
 struct CaroUpstreamPaths {
     CaroUpstreamPathsDeps deps;
     CaroUpstreamLinks *links;
@@ -26,6 +34,12 @@
     /* Connections that only show whether they succeed. */
     CaroChannel *probes[PROBES_MAX];
     CaroTime probed_at[PROBES_MAX];
+
+    Tunnel *tunnels;
+    int tunnels_capacity;
+    uint32_t last_tunnel; /* Number of the last one that was opened. */
+    bool is_lease_due[CARO_VMS_MAX]; /* By the gate. */
+    CaroTime next_lease;
 };
 
 CaroUpstreamPaths *
@@ -54,9 +68,87 @@
         CaroChannel_Destroy(p->probes[i]);
     }
     CaroUpstreamLinks_Destroy(p->links);
+    free(p->tunnels);
     free(p);
 }
 
+/* Returns the number of a new tunnel through the gate, or 0 without memory. */
+static uint32_t
+add_tunnel(CaroUpstreamPaths *p, CaroHandle gate)
+{
+    int i = 0;
+    while (i < p->tunnels_capacity && p->tunnels[i].number != 0) {
+        i++;
+    }
+    if (i == p->tunnels_capacity) {
+        int capacity = i == 0 ? 16 : 2 * i;
+        Tunnel *all = realloc(p->tunnels, (size_t)capacity * sizeof(*all));
+        if (all == NULL) {
+            return 0;
+        }
+        memset(&all[i], 0, (size_t)(capacity - i) * sizeof(*all));
+        p->tunnels = all;
+        p->tunnels_capacity = capacity;
+    }
+    p->last_tunnel += p->last_tunnel == UINT32_MAX ? 2 : 1;
+    p->tunnels[i] = (Tunnel){.number = p->last_tunnel, .gate = gate};
+    return p->last_tunnel;
+}
+
+/* The gate is told at once, as the close of the connection may get lost. */
+static void
+on_tunnel_closed(void *context, uint32_t number)
+{
+    CaroUpstreamPaths *p = context;
+    for (int i = 0; i < p->tunnels_capacity; i++) {
+        if (p->tunnels[i].number == number) {
+            p->tunnels[i].number = 0;
+            p->is_lease_due[p->tunnels[i].gate] = true;
+            return;
+        }
+    }
+}
+
+bool
+CaroUpstreamPaths_CollectLease(CaroUpstreamPaths *p, CaroTunnelLease *out,
+                               CaroTime now)
+{
+    if (p == NULL) {
+        return false;
+    }
+    if (now >= p->next_lease) {
+        p->next_lease = now + LEASE_INTERVAL;
+        for (int i = 0; i < p->tunnels_capacity; i++) {
+            if (p->tunnels[i].number != 0) {
+                p->is_lease_due[p->tunnels[i].gate] = true;
+            }
+        }
+    }
+    CaroHandle gate = 0;
+    while (gate < CARO_VMS_MAX && !p->is_lease_due[gate]) {
+        gate++;
+    }
+    if (gate == CARO_VMS_MAX) {
+        return false;
+    }
+    p->is_lease_due[gate] = false;
+    out->gate = gate;
+    out->lease = (caro_tunnel_lease){.sender_boot_id = p->deps.boot_id};
+    out->lease.tunnels.tunnels_val = out->tunnels;
+    for (int i = 0; i < p->tunnels_capacity; i++) {
+        u_int *n = &out->lease.tunnels.tunnels_len;
+        if (p->tunnels[i].number == 0 || p->tunnels[i].gate != gate) {
+            continue;
+        }
+        if (*n == CARO_TUNNELS_MAX) {
+            out->lease.is_partial = true;
+            break;
+        }
+        out->tunnels[(*n)++] = p->tunnels[i].number;
+    }
+    return true;
+}
+
 static void
 log_state(CaroUpstreamPaths *p)
 {
@@ -174,7 +266,7 @@
 /* Writes the first record of a tunnel.  Returns its bytes, 0 on failure. */
 static size_t
 write_hello(const CaroUpstreamPaths *p, const CaroVm *gate,
-            CaroHandle upstream, const char *address,
+            CaroHandle upstream, const char *address, uint32_t tunnel,
             char out[CARO_TUNNEL_HELLO_MAX])
 {
     XDR xdr;
@@ -188,7 +280,8 @@
     uint32_t size;
     xdrmem_create(&xdr, out + sizeof(size),
                   CARO_TUNNEL_HELLO_MAX - sizeof(size), XDR_ENCODE);
-    if (!xdr_caro_tunnel_hello(&xdr, &hello)) {
+    u_int number = tunnel;
+    if (!xdr_caro_tunnel_hello(&xdr, &hello) || !xdr_u_int(&xdr, &number)) {
         return 0;
     }
     size = htonl(xdr_getpos(&xdr));
@@ -216,8 +309,12 @@
                    : NULL;
     }
     const CaroVm *gate = CaroMembership_Get(p->deps.membership, vm);
-    size_t size = write_hello(p, gate, upstream, address, hello);
+    uint32_t tunnel = add_tunnel(p, vm);
+    size_t size = tunnel == 0
+                      ? 0
+                      : write_hello(p, gate, upstream, address, tunnel, hello);
     if (size == 0 || CaroHttp_SplitAddress(gate->peer, host, &port) < 0) {
+        on_tunnel_closed(p, tunnel);
         return NULL;
     }
     (void)snprintf(at, sizeof(at), "%.30s:%d", host,
@@ -226,12 +323,18 @@
                             .hello = hello,
                             .hello_size = size,
                             .on_outcome = on_tunnel_outcome,
+                            .on_closed = on_tunnel_closed,
                             .context = p,
                             .upstream = upstream,
-                            .vm = vm};
+                            .vm = vm,
+                            .tunnel = tunnel};
     CaroCounters_Add(p->deps.counters, CARO_COUNT_TUNNELS_OPENED, 1);
-    return CaroChannel_OpenPath(p->deps.base, address,
-                                connect_timeout + GATE_MARGIN, &path);
+    CaroChannel *channel = CaroChannel_OpenPath(
+        p->deps.base, address, connect_timeout + GATE_MARGIN, &path);
+    if (channel == NULL) {
+        on_tunnel_closed(p, tunnel);
+    }
+    return channel;
 }
 
 void
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -270,6 +270,18 @@
 	char *address;
 };
 typedef struct caro_tunnel_hello caro_tunnel_hello;
+#define CARO_TUNNELS_MAX 1024
+
+struct caro_tunnel_lease {
+	char *sender;
+	u_quad_t sender_boot_id;
+	bool_t is_partial;
+	struct {
+		u_int tunnels_len;
+		u_int *tunnels_val;
+	} tunnels;
+};
+typedef struct caro_tunnel_lease caro_tunnel_lease;
 
 enum caro_tunnel_status {
 	CARO_TUNNEL_OPEN = 1,
@@ -696,6 +708,9 @@
 #define CARO_PROMPT_QUERY 25
 extern  caro_prompt_evidence * caro_prompt_query_1(caro_prompt_query *, CLIENT *);
 extern  caro_prompt_evidence * caro_prompt_query_1_svc(caro_prompt_query *, struct svc_req *);
+#define CARO_TUNNEL_LEASE 26
+extern  caro_tunnel_lease * caro_tunnel_lease_1(caro_tunnel_lease *, CLIENT *);
+extern  caro_tunnel_lease * caro_tunnel_lease_1_svc(caro_tunnel_lease *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -774,6 +789,9 @@
 #define CARO_PROMPT_QUERY 25
 extern  caro_prompt_evidence * caro_prompt_query_1();
 extern  caro_prompt_evidence * caro_prompt_query_1_svc();
+#define CARO_TUNNEL_LEASE 26
+extern  caro_tunnel_lease * caro_tunnel_lease_1();
+extern  caro_tunnel_lease * caro_tunnel_lease_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -805,6 +823,7 @@
 extern  bool_t xdr_caro_brittle_service (XDR *, caro_brittle_service*);
 extern  bool_t xdr_caro_brittle_notice (XDR *, caro_brittle_notice*);
 extern  bool_t xdr_caro_tunnel_hello (XDR *, caro_tunnel_hello*);
+extern  bool_t xdr_caro_tunnel_lease (XDR *, caro_tunnel_lease*);
 extern  bool_t xdr_caro_tunnel_status (XDR *, caro_tunnel_status*);
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
 extern  bool_t xdr_caro_decision (XDR *, caro_decision*);
@@ -864,6 +883,7 @@
 extern bool_t xdr_caro_brittle_service ();
 extern bool_t xdr_caro_brittle_notice ();
 extern bool_t xdr_caro_tunnel_hello ();
+extern bool_t xdr_caro_tunnel_lease ();
 extern bool_t xdr_caro_tunnel_status ();
 extern bool_t xdr_caro_why_args ();
 extern bool_t xdr_caro_decision ();
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -214,6 +214,20 @@
     string address<CARO_ADDRESS_MAX>; /* Of the upstream. */
 };
 
+/* Behind the hello, if the VM names its tunnels in leases, stands an unsigned
+   int: the number of the tunnel, not 0. */
+
+const CARO_TUNNELS_MAX = 1024;
+
+/* The tunnels of the sender through the gate that are still in use.  The gate
+   ends others, and all of them when it hears none for some time. */
+struct caro_tunnel_lease {
+    string sender<CARO_NAME_MAX>;
+    unsigned hyper sender_boot_id;
+    bool is_partial; /* There are more than are listed. */
+    unsigned int tunnels<CARO_TUNNELS_MAX>;
+};
+
 /* The first byte that the gate sends.  After CARO_TUNNEL_OPEN come frames:
    two bytes with a size, and so many bytes of the upstream.  A size of 0 tells
    that the upstream closed the connection, one of 65535 that it broke. */
@@ -552,5 +566,6 @@
         caro_prompt_evidence
             CARO_PROMPT_EVIDENCE(caro_prompt_evidence) = 24;
         caro_prompt_evidence CARO_PROMPT_QUERY(caro_prompt_query) = 25;
+        caro_tunnel_lease CARO_TUNNEL_LEASE(caro_tunnel_lease) = 26;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -519,6 +519,23 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_tunnel_lease (XDR *xdrs, caro_tunnel_lease *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sender_boot_id))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_partial))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tunnels.tunnels_val, (u_int *) &objp->tunnels.tunnels_len, CARO_TUNNELS_MAX,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_tunnel_status (XDR *xdrs, caro_tunnel_status *objp)
 {
--- a/Test/test_tunnels.c
+++ b/Test/test_tunnels.c
@@ -36,6 +36,7 @@
     bool has_length;
     bool holds_response;
     char upstream_address[CARO_ADDRESS_SIZE];
+    char gate_address[CARO_ADDRESS_SIZE];
     CaroCounters counters;
     CaroTargets *targets; /* The same table at both VMs. */
     CaroMembership *at_vm;
@@ -249,15 +250,14 @@
 {
     Fixture *f = calloc(1, sizeof(*f));
     CaroError err;
-    char gate_address[CARO_ADDRESS_SIZE];
     f->base = event_base_new();
     f->rng = gsl_rng_alloc(gsl_rng_taus2);
     f->upstream = listen_at(f, f->upstream_address);
-    evconnlistener_free(listen_at(f, gate_address));
+    evconnlistener_free(listen_at(f, f->gate_address));
     f->targets = CaroTargets_Create();
     put_target(f);
     CaroVm vm = make_vm("vm", "127.0.0.1:1", VM_BOOT);
-    CaroVm gate = make_vm("gate", gate_address, GATE_BOOT);
+    CaroVm gate = make_vm("gate", f->gate_address, GATE_BOOT);
     f->at_vm = make_members(&vm, &gate);
     f->at_gate = make_members(&gate, &vm);
     f->is_gate_able = true;
@@ -270,7 +270,7 @@
                                .is_able = is_able,
                                .on_connection = on_gate_connection,
                                .context = f};
-    f->gate = CaroTunnelGate_Create(gate_address, &deps, &err);
+    f->gate = CaroTunnelGate_Create(f->gate_address, &deps, &err);
     assert_non_null(f->gate);
     make_paths(f, VM_BOOT);
     f->has_length = true;
@@ -478,6 +478,134 @@
     assert_true(f->has_end);
 }
 
+/* Lets the VM and the gate run; leases pass if "has_link". */
+static void
+run_with_leases(Fixture *f, CaroTime time, bool has_link)
+{
+    static CaroTunnelLease out;
+    CaroTime end = CaroClock_Now() + time;
+    while (CaroClock_Now() < end && !f->is_connection_closed) {
+        run_for(f, 10 * MS);
+        CaroTime now = CaroClock_Now();
+        while (CaroUpstreamPaths_CollectLease(f->paths, &out, now)) {
+            out.lease.sender = "vm";
+            if (has_link) {
+                CaroTunnelGate_ApplyLease(f->gate, &out.lease, now);
+            }
+        }
+        CaroTunnelGate_Tick(f->gate, now);
+    }
+}
+
+/* Begins a request that the upstream does not answer. */
+static void
+begin_request(Fixture *f)
+{
+    struct evbuffer *out = evbuffer_new();
+    f->holds_response = true;
+    (void)evbuffer_add_printf(out, "GET / HTTP/1.1\r\n\r\n");
+    f->channel = CaroUpstreamPaths_Open(
+        f->paths, f->target, f->upstream_address, 300 * MS, CaroClock_Now());
+    CaroChannel_Start(f->channel, out, false, &events, f);
+    evbuffer_free(out);
+    run_with_leases(f, 300 * MS, true);
+    assert_int_equal(f->gate_connections, 1);
+    assert_false(f->is_connection_closed);
+}
+
+/* Destroys the channel so that the gate gets no close: the socket stays open
+   by another descriptor, which is returned. */
+static int
+lose_channel(Fixture *f)
+{
+    struct sockaddr_in peer;
+    struct sockaddr_in gate;
+    socklen_t size;
+    int copy = -1;
+    gate.sin_port =
+        htons((uint16_t)strtoul(strchr(f->gate_address, ':') + 1, NULL, 10));
+    for (int fd = 3; fd < 256 && copy < 0; fd++) {
+        size = sizeof(peer);
+        if (getpeername(fd, (struct sockaddr *)&peer, &size) == 0 &&
+            peer.sin_family == AF_INET && peer.sin_port == gate.sin_port) {
+            copy = dup(fd);
+        }
+    }
+    assert_true(copy >= 0);
+    CaroChannel_Destroy(f->channel);
+    f->channel = NULL;
+    return copy;
+}
+
+/* Guards against a request that goes on at its upstream while the VM has sent
+   it elsewhere, as the gate never got the close. */
+static void
+test_gate_cancels_a_request_whose_close_got_lost(void **state)
+{
+    Fixture *f = *state;
+    begin_request(f);
+    int copy = lose_channel(f);
+    run_with_leases(f, 400 * MS, true);
+    assert_true(f->is_connection_closed);
+    assert_int_equal(f->counters.values[CARO_COUNT_TUNNELS_LEFT], 1);
+    (void)close(copy);
+}
+
+/* Likewise when nothing of the VM arrives any more. */
+static void
+test_gate_cancels_the_requests_of_a_vm_that_is_cut_off(void **state)
+{
+    Fixture *f = *state;
+    begin_request(f);
+    int copy = lose_channel(f);
+    run_with_leases(f, 620 * MS, false);
+    assert_true(f->is_connection_closed);
+    (void)close(copy);
+}
+
+/* Guards against a request that is cancelled while its VM waits for it. */
+static void
+test_leases_keep_a_tunnel(void **state)
+{
+    Fixture *f = *state;
+    begin_request(f);
+    run_with_leases(f, 1500 * MS, true);
+    assert_false(f->is_connection_closed);
+}
+
+/* Guards against tunnels of a version that names none, which end at once. */
+static void
+test_tunnel_without_a_number_needs_no_lease(void **state)
+{
+    Fixture *f = *state;
+    char record[CARO_TUNNEL_HELLO_MAX];
+    uint32_t size;
+    XDR xdr;
+    caro_tunnel_hello hello = {
+        .sender = "vm",
+        .sender_boot_id = VM_BOOT,
+        .gate_boot_id = GATE_BOOT,
+        .upstream = CaroTargets_GetConst(f->targets, f->target)->start_hash,
+        .address = f->upstream_address};
+    struct sockaddr_in gate = {.sin_family = AF_INET};
+    gate.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    gate.sin_port =
+        htons((uint16_t)strtoul(strchr(f->gate_address, ':') + 1, NULL, 10));
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(connect(fd, (struct sockaddr *)&gate, sizeof(gate)), 0);
+    xdrmem_create(&xdr, record + sizeof(size), sizeof(record) - sizeof(size),
+                  XDR_ENCODE);
+    assert_true(xdr_caro_tunnel_hello(&xdr, &hello));
+    size = htonl(xdr_getpos(&xdr));
+    memcpy(record, &size, sizeof(size));
+    size_t bytes = sizeof(size) + xdr_getpos(&xdr);
+    assert_int_equal(write(fd, record, bytes), bytes);
+    run_with_leases(f, 900 * MS, false);
+    assert_int_equal(f->gate_connections, 1);
+    assert_false(f->is_connection_closed);
+    (void)close(fd);
+}
+
 int
 main(void)
 {
@@ -499,6 +627,16 @@
             test_gate_without_links_says_so_at_once, set_up, tear_down),
         cmocka_unit_test_setup_teardown(
             test_malformed_first_records_are_dropped, set_up, tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_gate_cancels_a_request_whose_close_got_lost, set_up,
+            tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_gate_cancels_the_requests_of_a_vm_that_is_cut_off, set_up,
+            tear_down),
+        cmocka_unit_test_setup_teardown(test_leases_keep_a_tunnel, set_up,
+                                        tear_down),
+        cmocka_unit_test_setup_teardown(
+            test_tunnel_without_a_number_needs_no_lease, set_up, tear_down),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
