A reset that a write takes does not end a response

Cause: with a request's body still being written, the write takes the reset, the read after it sees an end, and libevent reports both at once; the channel and the gate looked at the end alone. Change: an end counts only without an error.

--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -185,6 +185,14 @@
     }
 }
 
+/* A write that takes a reset leaves an end to the read after it, and both may
+   be reported at once. */
+static bool
+is_end(short what)
+{
+    return (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == BEV_EVENT_EOF;
+}
+
 static void
 handle_close(CaroChannel *c, short what)
 {
@@ -197,7 +205,7 @@
         return;
     }
     c->is_reusable = false;
-    bool is_complete = (what & BEV_EVENT_EOF) != 0 && c->has_request &&
+    bool is_complete = is_end(what) && c->has_request &&
                        CaroHttpReader_IsInMessage(c->reader) &&
                        CaroHttpReader_Finish(c->reader) == 0;
     if (is_complete) {
@@ -205,9 +213,8 @@
     }
     else {
         report_failure(c, CARO_ERR_IO,
-                       (what & BEV_EVENT_EOF) != 0
-                           ? "the upstream closed the connection"
-                           : "the connection broke");
+                       is_end(what) ? "the upstream closed the connection"
+                                    : "the connection broke");
     }
     end_callback(c);
 }
--- a/Modules/tunnel_gate.c
+++ b/Modules/tunnel_gate.c
@@ -193,7 +193,9 @@
         return;
     }
     pass_frames(t);
-    uint16_t end = htons((what & BEV_EVENT_EOF) != 0 ? 0 : CARO_TUNNEL_BROKEN);
+    /* Both at once: a write took a reset. */
+    bool is_end = (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == BEV_EVENT_EOF;
+    uint16_t end = htons(is_end ? 0 : CARO_TUNNEL_BROKEN);
     (void)bufferevent_write(t->vm, &end, sizeof(end));
     end_tunnel(t);
 }
--- a/Test/test_channel.c
+++ b/Test/test_channel.c
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <netinet/in.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -172,11 +173,99 @@
     event_base_free(base);
 }
 
+typedef struct {
+    bool has_head;
+    bool has_end;
+    bool has_failure;
+} Outcome;
+
+static void
+record_head(void *context, const CaroHttpHead *head)
+{
+    Outcome *o = context;
+    (void)head;
+    o->has_head = true;
+}
+
+static void
+record_end(void *context)
+{
+    Outcome *o = context;
+    o->has_end = true;
+}
+
+static void
+record_failure(void *context, int code, const char *reason)
+{
+    Outcome *o = context;
+    (void)code;
+    (void)reason;
+    o->has_failure = true;
+}
+
+static const CaroChannelEvents recording_events = {.on_head = record_head,
+                                                   .on_body = ignore_body,
+                                                   .on_end = record_end,
+                                                   .on_failure =
+                                                       record_failure};
+
+/* Guards against a part of a response without a length that is taken for the
+   whole when a write takes the reset and the read after it sees an end. */
+static void
+test_reset_while_the_request_is_written_is_no_end(void **state)
+{
+    (void)state;
+    enum { ROUNDS = 20, REQUEST_BYTES = 8 << 20, TURNS_MAX = 100000 };
+    static const char response[] = "HTTP/1.1 200 OK\r\n\r\na part";
+    char address[CARO_ADDRESS_SIZE];
+    struct event_base *base = event_base_new();
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    int listener = listen_at(address);
+    for (int i = 0; i < ROUNDS; i++) {
+        Outcome o = {.has_head = false};
+        struct evbuffer *request = evbuffer_new();
+        char *bytes = calloc(1, REQUEST_BYTES);
+        (void)evbuffer_add(request, bytes, REQUEST_BYTES);
+        free(bytes);
+        CaroChannel *c = CaroChannel_Open(base, address, CARO_SECOND);
+        CaroChannel_Start(c, request, false, &recording_events, &o);
+        evbuffer_free(request);
+        int peer = -1;
+        for (int turn = 0; turn < TURNS_MAX && !o.has_head; turn++) {
+            (void)event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+            if (peer < 0) {
+                peer = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+                if (peer >= 0) {
+                    assert_int_equal(send(peer, response, strlen(response), 0),
+                                     strlen(response));
+                }
+            }
+        }
+        assert_true(o.has_head);
+        /* The request fills the buffers of both ends. */
+        for (int turn = 0; turn < 20; turn++) {
+            (void)event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        }
+        (void)setsockopt(peer, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        (void)close(peer);
+        for (int turn = 0; turn < TURNS_MAX && !o.has_failure && !o.has_end;
+             turn++) {
+            (void)event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        }
+        assert_false(o.has_end);
+        assert_true(o.has_failure);
+        CaroChannel_Destroy(c);
+    }
+    (void)close(listener);
+    event_base_free(base);
+}
+
 int
 main(void)
 {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(test_request_that_the_peer_has_is_sent),
+        cmocka_unit_test(test_reset_while_the_request_is_written_is_no_end),
         cmocka_unit_test(test_request_without_connection_is_not_sent),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
