Soak: engines that a prompt crashes

Change: one seed in three has engines that end on a prompt with one part, in one of eight ways, and callers that send such prompts all the time; more than three of them at engines later than contact_ms after the fifth crash fail it. The starts of engines and the count are shared with Tools/crashing_prompts.sh.

--- a/Tools/crashing_prompts.sh
+++ b/Tools/crashing_prompts.sh
@@ -15,7 +15,7 @@
 # A request is late when it reaches an engine more than CONTACT_MS after the
 # fifth crash.
 set -eu
-crash=$1
+export CRASH=$1
 seconds=${SECONDS_LONG:-12}
 contact_ms=${CONTACT_MS:-3000}
 gateways=${GATEWAYS:-3}
@@ -23,19 +23,6 @@
 . Tools/gateway_fleet.sh
 trap fleet_stop EXIT
 GRACE_S=2
-record="$fleet_dir/crashes.txt"
-: >"$record"
-
-gateway_start_target() { # I
-    # shellcheck disable=SC2046
-    fleet_run "t$1" "$bin/carofake" target --listen "$(gateway_target "$1")" \
-        --name "t$1" --registry "$(gateway_registry)" \
-        --domain "$(fleet_domain "$1")" --service chat \
-        --step-us 15000 --prefill-us 500 --crash "$crash" \
-        --crash-log "$record" --restart-ms "${RESTART_MS:-2000}" \
-        $([ -z "${KEEP_NAME:-}" ] || echo --keep-name)
-    gateway_wait_up "$(gateway_target "$1")"
-}
 # "/p/" is a route of the engines that is no stream.
 gateway_config() {
     local route='"host":"desk.example","timeout_ms":8000'
@@ -76,15 +63,9 @@
     --seconds "$seconds" --sound "${SOUND:-20}" --deadly "${DEADLY:-2}" \
     --burst "${BURST:-1}" --seed "${SEED:-1}" --path "${ROUTE:-/s/}" \
     --deadly-after "${DEADLY_AFTER:-2}" >"$fleet_dir/load.txt"
-counts=$(sort -n "$record" | awk -v contact="$contact_ms" '
-    $2 == "crash" && ++crashes == 5 { fifth = $1 }
-    $2 == "try" { tries++; at[tries] = $1 }
-    END {
-        for (i = 1; i <= tries; i++) late += fifth && at[i] > fifth + contact
-        printf "tries=%d crashes=%d late=%d", tries, crashes, late
-    }')
+counts=$(gateway_count_crashes "$contact_ms")
 load=$(cat "$fleet_dir/load.txt")
-echo "crash=$crash burst=${BURST:-1} domains=${DOMAINS:-3} $counts $load"
+echo "crash=$CRASH burst=${BURST:-1} domains=${DOMAINS:-3} $counts $load"
 late=${counts##*late=}
 half=$(echo "$load" | sed 's/.* second_half=\([0-9]*\).*/\1/')
 first=$(echo "$load" | sed 's/.*second_half_first_served=\([0-9]*\).*/\1/')
@@ -101,6 +82,6 @@
 fi
 if [ -n "${CRASH_KEEP:-}" ]; then
     mkdir -p "$CRASH_KEEP"
-    cp -r "$fleet_dir" "$CRASH_KEEP/$crash-${BURST:-1}-${DOMAINS:-3}"
+    cp -r "$fleet_dir" "$CRASH_KEEP/$CRASH-${BURST:-1}-${DOMAINS:-3}"
 fi
 exit $status
--- a/Tools/fake/restart.c
+++ b/Tools/fake/restart.c
@@ -9,6 +9,19 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+static volatile sig_atomic_t child_pid;
+
+/* Passes the signal on to the target and ends with it. */
+static void
+on_signal(int number)
+{
+    if (child_pid > 0) {
+        (void)kill((pid_t)child_pid, number);
+        (void)waitpid((pid_t)child_pid, NULL, 0);
+    }
+    _exit(0);
+}
+
 static int
 run_child(const FakeOptions *options, int start)
 {
@@ -25,14 +38,17 @@
 int
 FakeRestart_Run(const FakeOptions *options)
 {
+    (void)signal(SIGTERM, on_signal);
     for (int start = 1;; start++) {
         int status;
         pid_t pid = fork();
+        child_pid = pid;
         if (pid < 0) {
             perror("carofake: fork");
             return 1;
         }
         if (pid == 0) {
+            (void)signal(SIGTERM, SIG_DFL);
             _exit(run_child(options, start));
         }
         if (waitpid(pid, &status, 0) != pid ||
--- a/Tools/gateway_fleet.sh
+++ b/Tools/gateway_fleet.sh
@@ -61,14 +61,35 @@
     fleet_run "g$1" "$bin/carobloftd" --gateway "$fleet_dir/g$1.json"
 }
 
+# With CRASH=KIND:MS[:EVENTS] an engine ends on a prompt with the part "dead", is
+# started again after RESTART_MS, with KEEP_NAME under its name, and records both
+# in the file crashes.txt.
 gateway_start_target() { # I
+    local flags=()
+    if [ -n "${CRASH:-}" ]; then
+        flags=(--crash "$CRASH" --crash-log "$fleet_dir/crashes.txt"
+            --restart-ms "${RESTART_MS:-2000}")
+        [ -z "${KEEP_NAME:-}" ] || flags+=(--keep-name)
+    fi
     fleet_run "t$1" "$bin/carofake" target --listen "$(gateway_target "$1")" \
         --name "t$1-$RANDOM" --registry "$(gateway_registry)" \
         --domain "$(fleet_domain "$1")" --service chat --step-us 15000 \
-        --prefill-us 500
+        --prefill-us 500 ${flags[@]+"${flags[@]}"}
     gateway_wait_up "$(gateway_target "$1")"
 }
 
+# Prints how many deadly requests reached engines, how many crashes there were,
+# and how many requests came later than so long after the fifth.
+gateway_count_crashes() { # CONTACT_MS
+    sort -n "$fleet_dir/crashes.txt" 2>/dev/null | awk -v contact="$1" '
+        $2 == "crash" && ++crashes == 5 { fifth = $1 }
+        $2 == "try" { at[++tries] = $1 }
+        END {
+            for (i = 1; i <= tries; i++) late += fifth && at[i] > fifth + contact
+            printf "tries=%d crashes=%d late=%d", tries, crashes, late
+        }'
+}
+
 gateway_start_desk() { # I [VERSION]
     fleet_run "o$1" "$bin/carofake" target --listen "$(gateway_desk "$1")" \
         --name "o$1-$RANDOM" --registry "$(gateway_registry)" \
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -11,6 +11,9 @@
 # torn streams, a store that does not answer, order services that refuse requests
 # and write refusals once more, that want no requests for some time, or are
 # brittle, and order services and engines that announce in their responses alone that they leave.
+# In one seed in three, with faults, engines end on prompts with one part, in a way
+# drawn from the seed, and callers send such prompts all the time; no more than
+# LATE_MAX of them may reach engines later than contact_ms after the fifth crash.
 # In one seed in four the order services limit their requests, in one in five the
 # store has entries that cannot be read.
 #
@@ -28,6 +31,14 @@
 contact_ms=3000
 # Time within which a request counts as crossing a close.
 loss_slack_ms=200
+# The platform's bound.
+LATE_MAX=3
+crash_kinds=(head:50 no-head:0 no-head:200 in-event:0 events:50:1 events:0:8
+    no-head:1500 hanging:800)
+if [ $((seed % 3)) = 1 ]; then
+    export CRASH=${crash_kinds[$((seed / 3 % ${#crash_kinds[@]}))]}
+    export RESTART_MS=700
+fi
 . Tools/gateway_fleet.sh
 faults="$fleet_dir/faults"
 : >"$faults"
@@ -358,6 +369,17 @@
 gateway_load --seconds "$seconds" --seed "$seed" --workers "$workers" \
     --soak-pause-ms 1600 >"$fleet_dir/load.txt" &
 load=$!
+prompts=""
+if [ -n "${CRASH:-}" ]; then
+    fronts=()
+    for i in $(seq 1 "$gateways"); do
+        fronts+=(--front "$(gateway_front "$i")")
+    done
+    "$bin/carobench" prompts "${fronts[@]}" --host desk.example --key key-1 \
+        --seconds "$seconds" --sound 4 --deadly 1.5 --deadly-after 1 \
+        --seed "$seed" >"$fleet_dir/prompts.txt" &
+    prompts=$!
+fi
 if [ $((seed % 4)) = 0 ] && [ "$planned_only" = 0 ]; then
     restore_store &
 fi
@@ -370,6 +392,16 @@
 rc=0
 wait "$load" || rc=$?
 wait
+if [ -n "$prompts" ]; then
+    counts=$(gateway_count_crashes "$contact_ms")
+    echo "crash=$CRASH $counts $(cat "$fleet_dir/prompts.txt")"
+    [ "${counts##*late=}" -le "$LATE_MAX" ] ||
+        echo "${counts##*late=} deadly requests reached engines late" \
+            >>"$fleet_dir/failures"
+    awk -v restart="$RESTART_MS" '$2 == "crash" {
+        print $1, $1 + restart, "stream", "crash of", $3 }' \
+        "$fleet_dir/crashes.txt" >>"$faults"
+fi
 lost=$(lost_requests)
 echo "soak seed=$seed planned_only=$planned_only faults=$(wc -l <"$faults")" \
     "troubles=$(grep -c '^trouble' "$fleet_dir/load.txt" || true)"
