--- a/Include/internal/caro_prompt_guard.h
+++ b/Include/internal/caro_prompt_guard.h
@@ -9,10 +9,9 @@
 #ifndef CARO_PROMPT_GUARD_H
 #define CARO_PROMPT_GUARD_H
 
-#include "internal/caro_counters.h"
+#include "internal/caro_prompt_losses.h"
 #include "internal/caro_prompt_reports.h"
 #include "internal/caro_store_client.h"
-#include "internal/caro_targets.h"
 
 #include <jansson.h>
 
@@ -28,16 +27,6 @@
     CARO_PROMPT_REFUSED /* A part of the prompt is in quarantine. */
 } CaroPromptAdmission;
 
-/* An attempt at an upstream. */
-typedef struct {
-    CaroHandle target;
-    const char *request_id;
-    const CaroPromptParts *parts;
-    bool has_head;   /* The head of its response has arrived. */
-    uint32_t events; /* Of its response so far. */
-    CaroTime started_at;
-} CaroPromptAttempt;
-
 /* The targets and the counters are borrowed; so is the client, which may be
    NULL: then nothing is stored.  Returns NULL when out of memory. */
 CaroPromptGuard *CaroPromptGuard_Create(const CaroTargets *targets,
@@ -67,22 +56,8 @@
 void CaroPromptGuard_RecordRequest(CaroPromptGuard *g,
                                    const CaroPromptParts *parts, CaroTime now);
 
-/* The target closed the connection of the attempt before its response was
-   complete.  It counts as a crash unless the target is heard again shortly
-   after. */
-void CaroPromptGuard_RecordLoss(CaroPromptGuard *g,
-                                const CaroPromptAttempt *attempt,
-                                CaroTime now);
-
-/* The attempt was given up while its target was silent.  It counts if the
-   target turns out to have crashed. */
-void CaroPromptGuard_RecordSilence(CaroPromptGuard *g,
-                                   const CaroPromptAttempt *attempt,
-                                   CaroTime now);
-
-/* The target refused a connection. */
-void CaroPromptGuard_RecordRefusedConnection(CaroPromptGuard *g,
-                                             CaroHandle target);
+/* The attempts that were lost, borrowed. */
+CaroPromptLosses *CaroPromptGuard_Losses(CaroPromptGuard *g);
 
 /* A response has got so many events from one upstream. */
 void CaroPromptGuard_RecordEvents(CaroPromptGuard *g,
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -639,8 +639,8 @@
         r->is_cut_unread = may_be_cut_unread(r, now);
     }
     if (code == CARO_ERR_NOT_FOUND) {
-        CaroPromptGuard_RecordRefusedConnection(r->relays->deps.guard,
-                                                r->target);
+        CaroPromptLosses_RecordRefusedConnection(
+            CaroPromptGuard_Losses(r->relays->deps.guard), r->target);
     }
     end_attempt(r, is_sent ? outcome_without_end(r) : unsent, reason, now);
 }
--- a/Modules/relay_prompts.c
+++ b/Modules/relay_prompts.c
@@ -101,13 +101,15 @@
     case CARO_OUTCOME_LOST:
         if (r->channel != NULL && !r->is_cut_unread &&
             CaroChannel_IsClosedByUpstream(r->channel)) {
-            CaroPromptGuard_RecordLoss(guard_of(r), &attempt, now);
+            CaroPromptLosses_RecordClose(CaroPromptGuard_Losses(guard_of(r)),
+                                         &attempt, now);
         }
         end_probe(r, false, now);
         break;
     case CARO_OUTCOME_SILENT:
     case CARO_OUTCOME_EXPIRED:
-        CaroPromptGuard_RecordSilence(guard_of(r), &attempt, now);
+        CaroPromptLosses_RecordSilence(CaroPromptGuard_Losses(guard_of(r)),
+                                       &attempt, now);
         end_probe(r, false, now);
         break;
     case CARO_OUTCOME_UNSENT:
--- a/Test/test_prompt_guard.c
+++ b/Test/test_prompt_guard.c
@@ -191,7 +191,8 @@
                                  .request_id = r->id,
                                  .parts = &r->parts,
                                  .started_at = now};
-    CaroPromptGuard_RecordLoss(f->guards[r->vm], &attempt, now);
+    CaroPromptLosses_RecordClose(CaroPromptGuard_Losses(f->guards[r->vm]),
+                                 &attempt, now);
 }
 
 /* The upstream crashes after the head of the response. */
@@ -786,7 +787,7 @@
     CaroPromptGuard_Tick(g, 0, now);
     CaroPromptAttempt attempt = {
         .target = h, .request_id = "r1", .parts = &parts, .started_at = now};
-    CaroPromptGuard_RecordLoss(g, &attempt, now);
+    CaroPromptLosses_RecordClose(CaroPromptGuard_Losses(g), &attempt, now);
     now += 400 * CARO_MS;
     CaroPromptGuard_Tick(g, 0, now);
     CaroTargets_RecordHeard(targets, h, now);
--- a/Test/test_prompt_guard_domains.c
+++ b/Test/test_prompt_guard_domains.c
@@ -68,7 +68,8 @@
     (void)snprintf(id, sizeof(id), "r%d", number);
     CaroPromptAttempt attempt = {
         .target = h, .request_id = id, .parts = &parts, .started_at = f->now};
-    CaroPromptGuard_RecordLoss(f->guard, &attempt, f->now);
+    CaroPromptLosses_RecordClose(CaroPromptGuard_Losses(f->guard), &attempt,
+                                 f->now);
     CaroTargets_Avoid(f->targets, h, CARO_TARGET_FAILING, f->now);
 }
 
--- a/Test/test_prompt_guard_shapes.c
+++ b/Test/test_prompt_guard_shapes.c
@@ -286,7 +286,8 @@
         Stream *s = &f->streams[i];
         if (s->is_used && s->engine == engine && !s->is_given_up) {
             CaroPromptAttempt a = attempt_of(f, s);
-            CaroPromptGuard_RecordLoss(f->guards[s->vm], &a, f->now);
+            CaroPromptLosses_RecordClose(
+                CaroPromptGuard_Losses(f->guards[s->vm]), &a, f->now);
         }
     }
     CaroTargets_Remove(f->targets, target);
@@ -317,7 +318,8 @@
 give_up_silent(Fleet *f, Stream *s)
 {
     CaroPromptAttempt a = attempt_of(f, s);
-    CaroPromptGuard_RecordSilence(f->guards[s->vm], &a, f->now);
+    CaroPromptLosses_RecordSilence(CaroPromptGuard_Losses(f->guards[s->vm]),
+                                   &a, f->now);
     s->is_given_up = true;
     for (int i = 0; i < STREAMS_MAX; i++) {
         Stream *next = &f->streams[i];
