VMs tell each other which upstreams leave

Cause: a change of 100 bytes waits behind a configuration of a megabyte in the answer of a watch, at the readers of a domain, and once more at a VM that falls back from them; each VM had only this one ordered way.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -101,6 +101,7 @@
     X(LINK_PROBES, "upstream_link_probes")                                    \
     X(TUNNELS_OPENED, "tunnels_opened")                                       \
     X(TUNNELS_TAKEN, "tunnels_taken")                                         \
+    X(STORE_NOTICES, "store_notices")                                         \
     X(TUNNELS_LEFT, "tunnels_left")                                           \
     X(TUNNELS_REFUSED, "tunnels_refused")                                     \
     X(GATES_FAILED, "gates_failed")                                           \
--- a/Include/internal/caro_fleet.h
+++ b/Include/internal/caro_fleet.h
@@ -61,6 +61,8 @@
     void (*on_load_report)(void *context, const caro_load_report *report);
     /* A peer reported parts of prompts that crash upstreams; borrowed. */
     void (*on_prompt_report)(void *context, const caro_prompt_report *report);
+    /* A peer read in the store that upstreams leave; borrowed. */
+    void (*on_store_notices)(void *context, const caro_store_notices *notices);
     /* A peer named its tunnels through this VM; borrowed. */
     void (*on_tunnel_lease)(void *context, const caro_tunnel_lease *lease);
     /* Evidence on prompts in the present form; borrowed. */
@@ -164,6 +166,11 @@
 void CaroFleet_SendBrittleNotice(CaroFleet *f,
                                  const caro_brittle_notice *notice);
 
+/* Sends notices of upstreams that leave to so many usable VMs, chosen at
+   random; sets the sender. */
+void CaroFleet_SendStoreNotices(CaroFleet *f, caro_store_notices *notices,
+                                int fanout);
+
 /* Names to a VM the tunnels through it that are in use; sets the sender. */
 void CaroFleet_SendTunnelLease(CaroFleet *f, CaroHandle vm,
                                caro_tunnel_lease *lease);
--- a/Include/internal/caro_registry.h
+++ b/Include/internal/caro_registry.h
@@ -40,6 +40,9 @@
     /* An upstream instance was added, changed or is about to be removed; in
        the last case its slot may be reused after the call. */
     void (*on_target)(void *context, CaroHandle target);
+    /* The store said of a start of an upstream, by its hash, that it leaves,
+       or that it is gone; may be NULL. */
+    void (*on_target_left)(void *context, uint32_t start_hash, bool is_gone);
     /* Another VM is registered with this peer address. */
     void (*on_vm)(void *context, const char *peer);
     /* A rollout request or its outcome was read; "bytes" is NULL when the
--- a/Include/internal/caro_target_notices.h
+++ b/Include/internal/caro_target_notices.h
@@ -15,8 +15,9 @@
 /* Who read that a target leaves.  Higher values are the stronger evidence. */
 typedef enum {
     CARO_LEAVING_UNKNOWN,
-    CARO_LEAVING_BY_PEER, /* Another VM, which reported it. */
-    CARO_LEAVING_BY_SELF  /* This VM. */
+    CARO_LEAVING_BY_PEER,  /* Another VM, which reported it. */
+    CARO_LEAVING_IN_STORE, /* Another VM, in the store. */
+    CARO_LEAVING_BY_SELF   /* This VM. */
 } CaroLeavingSource;
 
 /* All notices of one start of a target; zero for none. */
--- a/Include/internal/caro_targets.h
+++ b/Include/internal/caro_targets.h
@@ -188,6 +188,10 @@
 CaroHandle CaroTargets_RecordLeavingByPeer(CaroTargets *t, uint32_t start_hash,
                                            CaroTime now);
 
+/* Likewise as another VM read in the store. */
+CaroHandle CaroTargets_RecordLeavingInStore(CaroTargets *t,
+                                            uint32_t start_hash, CaroTime now);
+
 /* Records that the target wants no request before the time "until". */
 void CaroTargets_RecordUnavailable(CaroTargets *t, CaroHandle h,
                                    CaroTime until);
--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -39,9 +39,9 @@
    and do not reply to a call for the packed form. */
 typedef enum { CONFIG_UNKNOWN, CONFIG_PACKED, CONFIG_PLAIN } ConfigForm;
 
-/* VMs that get a message with evidence on prompts, and that are asked for
-   theirs. */
-enum { PROMPT_FANOUT_MAX = 8, PROMPT_QUERIES = 3 };
+/* VMs that get a message chosen at random, and that are asked for evidence on
+   prompts. */
+enum { FANOUT_MAX = 8, PROMPT_QUERIES = 3 };
 
 struct CaroFleet {
     CaroRpc *rpc;
@@ -471,6 +471,12 @@
         }
         CaroRpc_Ignore(request);
         break;
+    case CARO_STORE_NOTICES:
+        if (f->handlers->on_store_notices != NULL) {
+            f->handlers->on_store_notices(f->context, args);
+        }
+        CaroRpc_Ignore(request);
+        break;
     case CARO_TUNNEL_LEASE:
         if (f->handlers->on_tunnel_lease != NULL) {
             f->handlers->on_tunnel_lease(f->context, args);
@@ -745,6 +751,20 @@
     return n;
 }
 
+void
+CaroFleet_SendStoreNotices(CaroFleet *f, caro_store_notices *notices,
+                           int fanout)
+{
+    CaroHandle peers[FANOUT_MAX];
+    int n = choose_peers(f, peers, fanout < FANOUT_MAX ? fanout : FANOUT_MAX);
+    notices->sender = f->name;
+    for (int i = 0; i < n; i++) {
+        CaroRpc_Call(f->rpc, CaroMembership_Get(f->membership, peers[i])->peer,
+                     CARO_RPC_UDP, CARO_STORE_NOTICES, notices,
+                     LOAD_REPORT_TIMEOUT, NULL, NULL);
+    }
+}
+
 void
 CaroFleet_SendTunnelLease(CaroFleet *f, CaroHandle vm,
                           caro_tunnel_lease *lease)
@@ -760,9 +780,8 @@
                              const caro_prompt_evidence *evidence,
                              const caro_prompt_report *old, int fanout)
 {
-    CaroHandle peers[PROMPT_FANOUT_MAX];
-    int n = choose_peers(
-        f, peers, fanout < PROMPT_FANOUT_MAX ? fanout : PROMPT_FANOUT_MAX);
+    CaroHandle peers[FANOUT_MAX];
+    int n = choose_peers(f, peers, fanout < FANOUT_MAX ? fanout : FANOUT_MAX);
     for (int i = 0; i < n; i++) {
         const char *peer = CaroMembership_Get(f->membership, peers[i])->peer;
         CaroRpc_Call(f->rpc, peer, CARO_RPC_UDP, CARO_PROMPT_EVIDENCE,
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -28,6 +28,7 @@
 #include "internal/caro_service_rollouts.h"
 #include "internal/caro_service_room.h"
 #include "internal/caro_slot_permits.h"
+#include "internal/caro_store_notices.h"
 #include "internal/caro_tunnel_gate.h"
 #include "internal/caro_upstream_paths.h"
 
@@ -110,6 +111,7 @@
     CaroFleet *fleet;
     CaroUpstreamPaths *paths;
     CaroTunnelGate *tunnel_gate;
+    CaroStoreNotices *store_notices;
     CaroPeerReports *peer_reports;
     CaroGatewayHttp *status_http;
     struct event *tick;
@@ -393,6 +395,14 @@
                                sent_at);
 }
 
+static void
+on_target_left(void *context, uint32_t start_hash, bool is_gone)
+{
+    CaroGateway *g = context;
+    CaroStoreNotices_Record(g->store_notices, start_hash, is_gone,
+                            CaroClock_Now());
+}
+
 static void
 on_target(void *context, CaroHandle h)
 {
@@ -464,6 +474,7 @@
     .on_config = on_config,
     .on_config_confirmed = on_config_confirmed,
     .on_target = on_target,
+    .on_target_left = on_target_left,
     .on_vm = on_vm,
     .on_rollout_request = on_rollout_request,
     .on_rollout_outcome = on_rollout_outcome,
@@ -646,6 +657,24 @@
     CaroPromptGuard_ApplyOld(g->guard, report, CaroClock_Now());
 }
 
+static void
+on_store_notices(void *context, const caro_store_notices *notices)
+{
+    CaroGateway *g = context;
+    CaroHandle left[CARO_STORE_NOTICES_MAX];
+    CaroTime now = CaroClock_Now();
+    int n = CaroStoreNotices_Apply(g->store_notices, notices, left, now);
+    for (int i = 0; i < n; i++) {
+        CaroCounters_Add(&g->counters, CARO_COUNT_STORE_NOTICES, 1);
+        CaroLog_Info("registry",
+                     "Another VM read in the store that an upstream leaves. "
+                     "upstream=%s vm=%s",
+                     CaroTargets_GetConst(g->targets, left[i])->entry.id,
+                     notices->sender);
+        CaroRelays_OnTargetClosed(g->relays, left[i], now);
+    }
+}
+
 static void
 on_tunnel_lease(void *context, const caro_tunnel_lease *lease)
 {
@@ -723,6 +752,7 @@
     .on_pace_report = on_pace_report,
     .on_retention_report = on_retention_report,
     .on_prompt_report = on_prompt_report,
+    .on_store_notices = on_store_notices,
     .on_tunnel_lease = on_tunnel_lease,
     .on_prompt_evidence = on_prompt_evidence,
     .on_prompt_query = on_prompt_query,
@@ -921,6 +951,17 @@
     CaroTunnelGate_Tick(g->tunnel_gate, now);
 }
 
+/* Tells other VMs which upstreams leave. */
+static void
+send_store_notices(CaroGateway *g, CaroTime now)
+{
+    CaroStoreNoticesMessage out;
+    int fanout = CaroStoreNotices_Collect(g->store_notices, &out, now);
+    if (fanout > 0) {
+        CaroFleet_SendStoreNotices(g->fleet, &out.message, fanout);
+    }
+}
+
 static void
 on_tick(evutil_socket_t fd, short what, void *arg)
 {
@@ -947,6 +988,7 @@
         CaroTargets_ForgetFailures(g->targets);
     }
     tick_tunnels(g, now);
+    send_store_notices(g, now);
     bool is_fresh = is_config_fresh(g);
     if (is_fresh != g->was_config_fresh) {
         g->was_config_fresh = is_fresh;
@@ -1038,6 +1080,7 @@
             ? NULL
             : CaroServiceRollouts_Create(g->store, s->rollout_exposure_max,
                                          s->rollout_request_allowance);
+    g->store_notices = CaroStoreNotices_Create(g->targets);
     g->guard = CaroPromptGuard_Create(g->targets, g->store, &g->counters);
     g->limits = g->targets == NULL || g->rng == NULL
                     ? NULL
@@ -1049,9 +1092,10 @@
                      : CaroSlotPermits_Create(g->targets, &g->counters,
                                               CaroRelays_OnPermit);
     if (g->permits == NULL || g->config == NULL || g->guard == NULL ||
-        g->room == NULL || g->rng == NULL || g->latency == NULL ||
-        g->peer_loads == NULL || g->pace == NULL || g->retained == NULL ||
-        g->pool == NULL || g->lending == NULL || g->rollouts == NULL) {
+        g->store_notices == NULL || g->room == NULL || g->rng == NULL ||
+        g->latency == NULL || g->peer_loads == NULL || g->pace == NULL ||
+        g->retained == NULL || g->pool == NULL || g->lending == NULL ||
+        g->rollouts == NULL) {
         return CARO_ERR_NOMEM;
     }
     CaroRetryBudget_Start(g->budget, now);
@@ -1289,6 +1333,7 @@
     CaroEnginePace_Destroy(g->pace);
     CaroRetainedPrompts_Destroy(g->retained);
     CaroServiceRollouts_Destroy(g->rollouts);
+    CaroStoreNotices_Destroy(g->store_notices);
     CaroPromptGuard_Destroy(g->guard);
     CaroRequestLimits_Destroy(g->limits);
     CaroServiceRoom_Destroy(g->room);
--- a/Modules/registry_items.c
+++ b/Modules/registry_items.c
@@ -20,6 +20,16 @@
     CaroTargets_Remove(r->targets, h);
 }
 
+static void
+report_left(const CaroRegistry *r, CaroHandle h, bool is_gone)
+{
+    if (r->handlers->on_target_left != NULL) {
+        r->handlers->on_target_left(
+            r->context, CaroTargets_GetConst(r->targets, h)->start_hash,
+            is_gone);
+    }
+}
+
 static void
 record_departure(CaroRegistry *r, CaroHandle h)
 {
@@ -94,6 +104,8 @@
              CaroTargets_GetConst(r->targets, old)->entry.is_leaving) {
         entry.is_leaving = true;
     }
+    bool was_leaving = old != CARO_NO_HANDLE &&
+                       CaroTargets_GetConst(r->targets, old)->entry.is_leaving;
     CaroHandle h = CaroTargets_Put(r->targets, &entry, CaroClock_Now());
     if (h == CARO_NO_HANDLE) {
         CaroHandle replaced =
@@ -121,6 +133,9 @@
             CaroClock_Now() + DEPARTED_REST_TIME;
     }
     r->last_list[h] = r->list_sequence;
+    if (entry.is_leaving && !was_leaving && r->is_loaded) {
+        report_left(r, h, false);
+    }
     r->handlers->on_target(r->context, h);
 }
 
@@ -132,6 +147,7 @@
     const CaroLeaseGrace *g = &r->lease_grace;
     if (!CaroLeaseGrace_Keeps(g, now)) {
         record_departure(r, h);
+        report_left(r, h, true);
         remove_target(r, h, cause);
     }
     else if (!target->is_missing) {
--- a/Modules/rpc_message.c
+++ b/Modules/rpc_message.c
@@ -43,6 +43,7 @@
         PROCEDURE(caro_brittle_notice, caro_brittle_notice),
     [CARO_PROMPT_EVIDENCE] =
         PROCEDURE(caro_prompt_evidence, caro_prompt_evidence),
+    [CARO_STORE_NOTICES] = PROCEDURE(caro_store_notices, caro_store_notices),
     [CARO_TUNNEL_LEASE] = PROCEDURE(caro_tunnel_lease, caro_tunnel_lease),
     [CARO_PROMPT_QUERY] = PROCEDURE(caro_prompt_query, caro_prompt_evidence),
 };
--- a/Objects/target_notices.c
+++ b/Objects/target_notices.c
@@ -46,7 +46,7 @@
 CaroTargetNotice_IsDoubtful(const CaroTargetNotice *notice, CaroTime now)
 {
     return notice->leaving == CARO_LEAVING_BY_PEER ||
-           (notice->leaving == CARO_LEAVING_BY_SELF &&
+           (notice->leaving >= CARO_LEAVING_IN_STORE &&
             now - notice->leaving_at >= LEAVING_TTL);
 }
 
--- a/Objects/targets.c
+++ b/Objects/targets.c
@@ -488,12 +488,13 @@
     add_recent(t, h, now);
 }
 
-CaroHandle
-CaroTargets_RecordLeavingByPeer(CaroTargets *t, uint32_t start_hash,
-                                CaroTime now)
+/* Records what another VM learned of a start, which need not be registered.
+   Returns its handle if it was not known to leave. */
+static CaroHandle
+record_leaving(CaroTargets *t, uint32_t start_hash, CaroLeavingSource source,
+               CaroTime now)
 {
-    CaroTargetNotice notice = {.leaving = CARO_LEAVING_BY_PEER,
-                               .leaving_at = now};
+    CaroTargetNotice notice = {.leaving = source, .leaving_at = now};
     CaroHandle h = CaroTargets_FindByStart(t, start_hash);
     if (h != CARO_NO_HANDLE) {
         bool is_new = t->all[h].notice.leaving == CARO_LEAVING_UNKNOWN;
@@ -504,6 +505,20 @@
     return CARO_NO_HANDLE;
 }
 
+CaroHandle
+CaroTargets_RecordLeavingByPeer(CaroTargets *t, uint32_t start_hash,
+                                CaroTime now)
+{
+    return record_leaving(t, start_hash, CARO_LEAVING_BY_PEER, now);
+}
+
+CaroHandle
+CaroTargets_RecordLeavingInStore(CaroTargets *t, uint32_t start_hash,
+                                 CaroTime now)
+{
+    return record_leaving(t, start_hash, CARO_LEAVING_IN_STORE, now);
+}
+
 void
 CaroTargets_RecordUnavailable(CaroTargets *t, CaroHandle h, CaroTime until)
 {
--- a/Protocol/caro_peer.h
+++ b/Protocol/caro_peer.h
@@ -270,6 +270,23 @@
 	char *address;
 };
 typedef struct caro_tunnel_hello caro_tunnel_hello;
+#define CARO_STORE_NOTICES_MAX 256
+
+struct caro_store_notice {
+	u_int start;
+	bool_t is_gone;
+	u_int age_ms;
+};
+typedef struct caro_store_notice caro_store_notice;
+
+struct caro_store_notices {
+	char *sender;
+	struct {
+		u_int notices_len;
+		caro_store_notice *notices_val;
+	} notices;
+};
+typedef struct caro_store_notices caro_store_notices;
 #define CARO_TUNNELS_MAX 1024
 
 struct caro_tunnel_lease {
@@ -711,6 +728,9 @@
 #define CARO_TUNNEL_LEASE 26
 extern  caro_tunnel_lease * caro_tunnel_lease_1(caro_tunnel_lease *, CLIENT *);
 extern  caro_tunnel_lease * caro_tunnel_lease_1_svc(caro_tunnel_lease *, struct svc_req *);
+#define CARO_STORE_NOTICES 27
+extern  caro_store_notices * caro_store_notices_1(caro_store_notices *, CLIENT *);
+extern  caro_store_notices * caro_store_notices_1_svc(caro_store_notices *, struct svc_req *);
 extern int caro_peer_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -792,6 +812,9 @@
 #define CARO_TUNNEL_LEASE 26
 extern  caro_tunnel_lease * caro_tunnel_lease_1();
 extern  caro_tunnel_lease * caro_tunnel_lease_1_svc();
+#define CARO_STORE_NOTICES 27
+extern  caro_store_notices * caro_store_notices_1();
+extern  caro_store_notices * caro_store_notices_1_svc();
 extern int caro_peer_1_freeresult ();
 #endif /* K&R C */
 
@@ -823,6 +846,8 @@
 extern  bool_t xdr_caro_brittle_service (XDR *, caro_brittle_service*);
 extern  bool_t xdr_caro_brittle_notice (XDR *, caro_brittle_notice*);
 extern  bool_t xdr_caro_tunnel_hello (XDR *, caro_tunnel_hello*);
+extern  bool_t xdr_caro_store_notice (XDR *, caro_store_notice*);
+extern  bool_t xdr_caro_store_notices (XDR *, caro_store_notices*);
 extern  bool_t xdr_caro_tunnel_lease (XDR *, caro_tunnel_lease*);
 extern  bool_t xdr_caro_tunnel_status (XDR *, caro_tunnel_status*);
 extern  bool_t xdr_caro_why_args (XDR *, caro_why_args*);
@@ -883,6 +908,8 @@
 extern bool_t xdr_caro_brittle_service ();
 extern bool_t xdr_caro_brittle_notice ();
 extern bool_t xdr_caro_tunnel_hello ();
+extern bool_t xdr_caro_store_notice ();
+extern bool_t xdr_caro_store_notices ();
 extern bool_t xdr_caro_tunnel_lease ();
 extern bool_t xdr_caro_tunnel_status ();
 extern bool_t xdr_caro_why_args ();
--- a/Protocol/caro_peer.x
+++ b/Protocol/caro_peer.x
@@ -217,6 +217,20 @@
 /* Behind the hello, if the VM names its tunnels in leases, stands an unsigned
    int: the number of the tunnel, not 0. */
 
+const CARO_STORE_NOTICES_MAX = 256;
+
+/* A VM read in the store that an upstream leaves, or is no longer registered. */
+struct caro_store_notice {
+    unsigned int start; /* Hash of the start of the upstream. */
+    bool is_gone;
+    unsigned int age_ms;
+};
+
+struct caro_store_notices {
+    string sender<CARO_NAME_MAX>;
+    caro_store_notice notices<CARO_STORE_NOTICES_MAX>;
+};
+
 const CARO_TUNNELS_MAX = 1024;
 
 /* The tunnels of the sender through the gate that are still in use.  The gate
@@ -567,5 +581,6 @@
             CARO_PROMPT_EVIDENCE(caro_prompt_evidence) = 24;
         caro_prompt_evidence CARO_PROMPT_QUERY(caro_prompt_query) = 25;
         caro_tunnel_lease CARO_TUNNEL_LEASE(caro_tunnel_lease) = 26;
+        caro_store_notices CARO_STORE_NOTICES(caro_store_notices) = 27;
     } = 1;
 } = 0x20079410;
--- a/Protocol/caro_peer_xdr.c
+++ b/Protocol/caro_peer_xdr.c
@@ -519,6 +519,33 @@
 	return TRUE;
 }
 
+bool_t
+xdr_caro_store_notice (XDR *xdrs, caro_store_notice *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->start))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_gone))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_caro_store_notices (XDR *xdrs, caro_store_notices *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->sender, CARO_NAME_MAX))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->notices.notices_val, (u_int *) &objp->notices.notices_len, CARO_STORE_NOTICES_MAX,
+		sizeof (caro_store_notice), (xdrproc_t) xdr_caro_store_notice))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_caro_tunnel_lease (XDR *xdrs, caro_tunnel_lease *objp)
 {
--- a/Test/test_store_readers.c
+++ b/Test/test_store_readers.c
@@ -939,7 +939,7 @@
         assert_true(p == NULL || (p->args != NULL && p->result != NULL &&
                                   p->args_size > 0 && p->result_size > 0));
         assert_true((p != NULL) ==
-                    (i >= CARO_HEARTBEAT && i <= CARO_BRITTLE_NOTICE));
+                    (i >= CARO_HEARTBEAT && i <= CARO_STORE_NOTICES));
     }
 }
 
