--- a/Controllers/prompt_quarantine.c
+++ b/Controllers/prompt_quarantine.c
@@ -206,84 +206,127 @@
     return is_single + !is_consistent(c) + is_late + !is_covering;
 }
 
-/* Examines the crashes under the suspect.  Returns false if it has none. */
-static bool
-examine(const Evidence *e, SuspectKind kind, int needed,
-        CaroPromptChoice *choice)
+/* What was seen of a suspect, crash by crash. */
+typedef struct {
+    CaroPromptChoice *choice;
+    bool is_common;
+    bool is_covered[CARO_PROMPT_CRASHES_MAX];   /* By the upstream. */
+    uint32_t progress[CARO_PROMPT_CRASHES_MAX]; /* Least of the upstream. */
+    CaroTime learned[PASSED_EVENTS_MIN + DOUBTS_MAX]; /* By the event. */
+    const CaroPromptCrash *first;
+    const CaroPromptCrash *last_event;
+    CaroTime last_at;
+    int n_unexplained; /* Crashes that no quarantine explains. */
+    LostDomains lost;
+    DomainEvents domain_events;
+} Examination;
+
+static void
+count_event(Examination *x, const CaroPromptCrash *c)
 {
-    const CaroPromptCrashes *t = e->table;
-    uint64_t part = choice->suspect;
-    bool is_common = CaroPromptCrashes_IsCommon(t, part);
-    uint32_t progress[CARO_PROMPT_CRASHES_MAX];
-    bool is_covered[CARO_PROMPT_CRASHES_MAX] = {false};
-    CaroTime learned[PASSED_EVENTS_MIN + DOUBTS_MAX];
-    LostDomains lost = {.n = 0};
-    DomainEvents domain_events = {.n = 0};
-    const CaroPromptCrash *last = NULL;
-    const CaroPromptCrash *first = NULL;
-    CaroTime last_at = 0;
-    int n_new = 0;
-    for (int i = 0; i < e->n; i++) {
-        const CaroPromptCrash *c = &e->crashes[i];
-        int u = e->upstream[i];
-        if (!is_suspect(t, c, part, kind) || !counts_for(e, i, part)) {
-            continue;
+    bool counts =
+        (!c->is_domain_lost ||
+         counts_as_domain_loss(c, x->is_common, &x->lost)) &&
+        is_separate(c, x->last_event, x->is_common, &x->domain_events);
+    if (counts) {
+        int n = x->choice->events++;
+        x->last_event = c;
+        if (n < (int)(sizeof(x->learned) / sizeof(x->learned[0]))) {
+            x->learned[n] = c->received_at;
         }
-        choice->requests = first == NULL                  ? 1
-                           : c->request == first->request ? choice->requests
-                                                          : 2;
-        choice->has_heads = (first == NULL || choice->has_heads) &&
-                            c->has_head && c->events == 0;
-        choice->first_at = first == NULL ? c->at : choice->first_at;
-        first = first == NULL ? c : first;
-        last_at = c->at;
-        if (is_covered[u]) {
-            progress[u] = c->events < progress[u] ? c->events : progress[u];
-            continue;
-        }
-        is_covered[u] = true;
-        progress[u] = c->events;
-        choice->crashes++;
-        n_new += e->explained_by[u] == NULL;
-        if ((c->is_domain_lost &&
-             !counts_as_domain_loss(c, is_common, &lost)) ||
-            !is_separate(c, last, is_common, &domain_events)) {
-            continue;
-        }
-        last = c;
-        if (choice->events < (int)(sizeof(learned) / sizeof(learned[0]))) {
-            learned[choice->events] = c->received_at;
-        }
-        choice->events++;
     }
-    if (first == NULL) {
-        return false;
+}
+
+static void
+count_crash(const Evidence *e, Examination *x, int i)
+{
+    const CaroPromptCrash *c = &e->crashes[i];
+    CaroPromptChoice *choice = x->choice;
+    int u = e->upstream[i];
+    if (x->first == NULL) {
+        x->first = c;
+        choice->requests = 1;
+        choice->has_heads = true;
+        choice->first_at = c->at;
+    }
+    else if (c->request != x->first->request) {
+        choice->requests = 2;
+    }
+    choice->has_heads &= c->has_head && c->events == 0;
+    x->last_at = c->at;
+    if (x->is_covered[u]) {
+        x->progress[u] =
+            c->events < x->progress[u] ? c->events : x->progress[u];
+        return;
     }
+    x->is_covered[u] = true;
+    x->progress[u] = c->events;
+    choice->crashes++;
+    x->n_unexplained += e->explained_by[u] == NULL;
+    count_event(x, c);
+}
+
+static void
+set_progress(const Evidence *e, const Examination *x)
+{
+    CaroPromptChoice *choice = x->choice;
     choice->progress_min = UINT32_MAX;
     for (int u = 0; u < e->n_upstreams; u++) {
-        if (is_covered[u]) {
-            uint32_t p = progress[u];
+        uint32_t p = x->progress[u];
+        if (x->is_covered[u]) {
             choice->progress_min =
                 p < choice->progress_min ? p : choice->progress_min;
             choice->progress_max =
                 p > choice->progress_max ? p : choice->progress_max;
         }
     }
+}
+
+/* Returns whether the part is none of the causes, however many events it
+   has. */
+static bool
+is_excluded(const Examination *x)
+{
+    const CaroPromptChoice *c = x->choice;
+    bool is_rare =
+        c->crashes * COVERAGE_DIVISOR_MAX < c->crashes + c->other_crashes &&
+        c->events < COVERAGE_EVENTS_MIN;
+    bool is_bystander = c->has_passed && !is_consistent(c);
+    bool is_explained = x->n_unexplained < c->crashes &&
+                        x->n_unexplained < AMBIGUOUS_CRASHES_MIN;
+    return is_rare || is_bystander || is_explained;
+}
+
+/* Examines the crashes under the suspect.  Returns false if it has none. */
+static bool
+examine(const Evidence *e, SuspectKind kind, int needed,
+        CaroPromptChoice *choice)
+{
+    Examination x = {
+        .choice = choice,
+        .is_common = CaroPromptCrashes_IsCommon(e->table, choice->suspect)};
+    for (int i = 0; i < e->n; i++) {
+        if (is_suspect(e->table, &e->crashes[i], choice->suspect, kind) &&
+            counts_for(e, i, choice->suspect)) {
+            count_crash(e, &x, i);
+        }
+    }
+    if (x.first == NULL) {
+        return false;
+    }
     choice->has_passed = kind == SUSPECT_PASSED_BEFORE;
+    set_progress(e, &x);
     choice->other_crashes =
-        count_others(e, choice, first->service, last_at, is_covered);
-    choice->needed = needed + count_doubts(choice);
-    bool is_rare = choice->crashes * COVERAGE_DIVISOR_MAX <
-                       choice->crashes + choice->other_crashes &&
-                   choice->events < COVERAGE_EVENTS_MIN;
-    if (is_rare ||
-        (n_new < choice->crashes && n_new < AMBIGUOUS_CRASHES_MIN)) {
+        count_others(e, choice, x.first->service, x.last_at, x.is_covered);
+    if (is_excluded(&x)) {
         choice->needed = choice->events + 1;
         return true;
     }
+    choice->needed = needed + count_doubts(choice);
     for (int i = 0; i < choice->needed && i < choice->events; i++) {
-        choice->settled_at =
-            learned[i] > choice->settled_at ? learned[i] : choice->settled_at;
+        choice->settled_at = x.learned[i] > choice->settled_at
+                                 ? x.learned[i]
+                                 : choice->settled_at;
     }
     return true;
 }
--- a/Include/internal/caro_prompt_parts.h
+++ b/Include/internal/caro_prompt_parts.h
@@ -41,6 +41,9 @@
 bool CaroPromptParts_Contain(const CaroPromptParts *all,
                              const CaroPromptParts *some);
 
+/* Returns whether both have the same parts, in any order. */
+bool CaroPromptParts_Equal(const CaroPromptParts *a, const CaroPromptParts *b);
+
 /* Adds a part unless it is there or there is no room. */
 void CaroPromptParts_Add(CaroPromptParts *parts, uint64_t id);
 
--- a/Modules/prompt_losses.c
+++ b/Modules/prompt_losses.c
@@ -102,8 +102,7 @@
     for (int i = 0; i < l->n; i++) {
         const CaroPromptCrash *c = &l->all[i].crash;
         if (l->all[i].kind == kind && c->upstream == crash->upstream &&
-            CaroPromptParts_Contain(&c->parts, &crash->parts) &&
-            CaroPromptParts_Contain(&crash->parts, &c->parts)) {
+            CaroPromptParts_Equal(&c->parts, &crash->parts)) {
             return &l->all[i];
         }
     }
--- a/Modules/quarantine_store.c
+++ b/Modules/quarantine_store.c
@@ -58,12 +58,6 @@
     free(s);
 }
 
-static bool
-has_same_parts(const CaroPromptParts *a, const CaroPromptParts *b)
-{
-    return CaroPromptParts_Contain(a, b) && CaroPromptParts_Contain(b, a);
-}
-
 static void
 mark_stored(CaroPromptCrashes *table, const CaroPromptParts *parts,
             CaroTime until)
@@ -71,7 +65,7 @@
     int n;
     CaroQuarantine *all = CaroPromptCrashes_Quarantines(table, &n);
     for (int i = 0; i < n; i++) {
-        if (has_same_parts(&all[i].parts, parts) &&
+        if (CaroPromptParts_Equal(&all[i].parts, parts) &&
             all[i].stored_until < until) {
             all[i].stored_until = until;
         }
@@ -248,7 +242,8 @@
 CaroQuarantineStore_TakeProbe(CaroQuarantineStore *s,
                               const CaroPromptParts *parts, CaroTime now)
 {
-    if (now >= s->permitted_until || !has_same_parts(&s->permitted, parts)) {
+    if (now >= s->permitted_until ||
+        !CaroPromptParts_Equal(&s->permitted, parts)) {
         return false;
     }
     s->permitted_until = 0;
--- a/Objects/prompt_crashes.c
+++ b/Objects/prompt_crashes.c
@@ -292,12 +292,6 @@
     return now - c->at >= (c->parts.n == 0 ? BARE_CRASH_TTL : DISPROVED_TTL);
 }
 
-static bool
-has_same_parts(const CaroPromptParts *a, const CaroPromptParts *b)
-{
-    return CaroPromptParts_Contain(a, b) && CaroPromptParts_Contain(b, a);
-}
-
 /* Returns the index of the crash, or -1.  Requests with the same parts at one
    upstream are one. */
 static int
@@ -307,7 +301,7 @@
         const CaroPromptCrash *c = &t->crashes[i];
         if (c->upstream == crash->upstream &&
             (c->request == crash->request ||
-             has_same_parts(&c->parts, &crash->parts))) {
+             CaroPromptParts_Equal(&c->parts, &crash->parts))) {
             return i;
         }
     }
@@ -474,7 +468,7 @@
 {
     for (int i = 0; i < t->n_quarantines; i++) {
         CaroQuarantine *q = &t->quarantines[i];
-        if (!q->is_lifted && has_same_parts(&q->parts, parts)) {
+        if (!q->is_lifted && CaroPromptParts_Equal(&q->parts, parts)) {
             q->probes++;
             q->at = now;
             q->expires_at = now + CARO_QUARANTINE_TTL;
--- a/Objects/prompt_parts.c
+++ b/Objects/prompt_parts.c
@@ -31,6 +31,12 @@
     return true;
 }
 
+bool
+CaroPromptParts_Equal(const CaroPromptParts *a, const CaroPromptParts *b)
+{
+    return CaroPromptParts_Contain(a, b) && CaroPromptParts_Contain(b, a);
+}
+
 void
 CaroPromptParts_Add(CaroPromptParts *parts, uint64_t id)
 {
