Of the evidence on prompts only news are passed on at once

Change: reports at once have what was learned in the last second; all evidence goes to one VM a second, for ten seconds; crashes without parts and the progress of parts in one crash are no reason to send; the form of earlier versions goes with quarantines only.

--- a/Include/internal/caro_prompt_reports.h
+++ b/Include/internal/caro_prompt_reports.h
@@ -28,9 +28,12 @@
     caro_quarantine quarantines[CARO_QUARANTINES_MAX];
 } CaroPromptReport;
 
-/* Fills the message, except the sender; it points into the table.  "*turn"
-   tells which of the older crashes come next.  Returns whether there is
-   anything to report. */
+/* Fill the message, except the sender; it points into the table.  News are
+   what was learned in the last second, and all quarantines.  "*turn" tells
+   which of the older crashes come next.  Returns whether there is anything to
+   report. */
+bool CaroPromptReports_CollectNews(CaroPromptCrashes *t,
+                                   CaroPromptEvidence *out, CaroTime now);
 bool CaroPromptReports_Collect(CaroPromptCrashes *t, CaroPromptEvidence *out,
                                int *turn, CaroTime now);
 bool CaroPromptReports_CollectOld(CaroPromptCrashes *t, CaroPromptReport *out,
--- a/Modules/peer_reports.c
+++ b/Modules/peer_reports.c
@@ -153,9 +153,13 @@
     }
     int fanout = CaroPromptGuard_Collect(p->deps.guard, &out, now);
     if (fanout > 0) {
-        bool has_old = CaroPromptGuard_CollectOld(p->deps.guard, &old, now);
+        /* Quarantines are what VMs of earlier versions need. */
+        bool has_old = out.evidence.quarantines.quarantines_len > 0 &&
+                       CaroPromptGuard_CollectOld(p->deps.guard, &old, now);
         out.evidence.sender = p->deps.vm;
-        old.report.sender = p->deps.vm;
+        if (has_old) {
+            old.report.sender = p->deps.vm;
+        }
         CaroFleet_SendPromptEvidence(p->deps.fleet, &out.evidence,
                                      has_old ? &old.report : NULL, fanout);
     }
--- a/Modules/prompt_guard.c
+++ b/Modules/prompt_guard.c
@@ -19,11 +19,11 @@
 #define REPORTS_PER_CHANGE 4
 #define REPORT_FANOUT 4
 #define REPORT_INTERVAL (100 * CARO_MS)
-/* Evidence without a change is sent to one VM at this interval, for VMs that
-   started since; less often when it is older than REPEAT_TIME. */
-#define REPEAT_INTERVAL (400 * CARO_MS)
-#define REPEAT_TIME (60 * CARO_SECOND)
-#define LATE_REPEAT_INTERVAL (2 * CARO_SECOND)
+/* All evidence is sent to one VM at this interval, as messages get lost; when
+   there was no change for REPEAT_TIME, the quarantines alone are a reason. */
+#define REPEAT_INTERVAL (1 * CARO_SECOND)
+#define REPEAT_TIME (10 * CARO_SECOND)
+#define LATE_REPEAT_INTERVAL (4 * CARO_SECOND)
 /* Time from a decision to the first probe; each failed one multiplies it. */
 #define PROBE_DELAY (120 * CARO_SECOND)
 #define PROBE_DELAY_MAX (72000 * CARO_SECOND)
@@ -391,6 +391,14 @@
     }
 }
 
+static bool
+has_quarantine(const CaroPromptGuard *g)
+{
+    int n;
+    (void)CaroPromptCrashes_QuarantinesConst(g->table, &n);
+    return n > 0;
+}
+
 int
 CaroPromptGuard_Collect(CaroPromptGuard *g, CaroPromptEvidence *out,
                         CaroTime now)
@@ -399,21 +407,19 @@
         g->n_reports_due = REPORTS_PER_CHANGE;
         g->changed_at = now;
     }
-    bool is_due = g->n_reports_due > 0 && now >= g->next_report;
-    if (!is_due && now < g->next_repeat) {
-        return 0;
-    }
-    g->next_repeat =
-        now + (now - g->changed_at < REPEAT_TIME ? REPEAT_INTERVAL
-                                                 : LATE_REPEAT_INTERVAL);
-    if (is_due) {
+    if (g->n_reports_due > 0 && now >= g->next_report) {
         g->n_reports_due--;
         g->next_report = now + REPORT_INTERVAL;
+        return CaroPromptReports_CollectNews(g->table, out, now)
+                   ? REPORT_FANOUT
+                   : 0;
     }
-    if (!CaroPromptReports_Collect(g->table, out, &g->turn, now)) {
+    bool is_late = now - g->changed_at >= REPEAT_TIME;
+    if (now < g->next_repeat || (is_late && !has_quarantine(g))) {
         return 0;
     }
-    return is_due ? REPORT_FANOUT : 1;
+    g->next_repeat = now + (is_late ? LATE_REPEAT_INTERVAL : REPEAT_INTERVAL);
+    return CaroPromptReports_Collect(g->table, out, &g->turn, now) ? 1 : 0;
 }
 
 void
--- a/Objects/prompt_crashes.c
+++ b/Objects/prompt_crashes.c
@@ -110,13 +110,19 @@
     return entry;
 }
 
-/* The part is in a crash or a quarantine. */
+/* Other VMs wait for the progress of the part: it is in a quarantine or in the
+   crashes of several upstreams. */
 static bool
 is_suspected(const CaroPromptCrashes *t, uint64_t part)
 {
+    const CaroPromptCrash *first = NULL;
     for (int i = 0; i < t->n_crashes; i++) {
-        if (CaroPromptParts_Has(&t->crashes[i].parts, part)) {
-            return true;
+        const CaroPromptCrash *c = &t->crashes[i];
+        if (CaroPromptParts_Has(&c->parts, part)) {
+            if (first != NULL && c->upstream != first->upstream) {
+                return true;
+            }
+            first = c;
         }
     }
     for (int i = 0; i < t->n_quarantines; i++) {
@@ -370,7 +376,8 @@
     CaroPromptCrash added = *crash;
     added.received_at = now;
     insert_crash(t, &added);
-    t->has_unsent_change = true;
+    /* One without parts is sent with the next one that has some. */
+    t->has_unsent_change |= added.parts.n > 0;
     t->has_new_evidence = true;
 }
 
--- a/Objects/prompt_reports.c
+++ b/Objects/prompt_reports.c
@@ -14,6 +14,8 @@
     QUARANTINE_BYTES = 16,
     PART_BYTES = 8
 };
+/* What was learned in this time is news. */
+#define NEWS_TTL (1 * CARO_SECOND)
 /* Crashes that are always sent, the newest ones. */
 enum { NEWEST_CRASHES = 24 };
 
@@ -45,10 +47,11 @@
     }
 }
 
-/* Adds the known progress of the parts that are not listed yet. */
+/* Adds the progress of the parts since a time that is not listed yet. */
 static void
 collect_progress(const CaroPromptCrashes *t, const CaroPromptParts *parts,
-                 CaroPromptEvidence *out, size_t *size, CaroTime now)
+                 CaroPromptEvidence *out, size_t *size, CaroTime since,
+                 CaroTime now)
 {
     u_int *n = &out->evidence.progress.progress_len;
     for (int i = 0; i < parts->n; i++) {
@@ -59,7 +62,8 @@
             *n == CARO_PARTS_PROGRESS_MAX ||
             *size + PROGRESS_BYTES > MESSAGE_BYTES_MAX ||
             !CaroPromptCrashes_GetProgress(t, parts->ids[i], &finished_at,
-                                           &events, &events_at);
+                                           &events, &events_at) ||
+            (finished_at < since && events_at < since);
         for (u_int j = 0; j < *n && !is_listed; j++) {
             is_listed = out->progress[j].part == parts->ids[i];
         }
@@ -77,7 +81,7 @@
 
 static void
 collect_quarantines(CaroPromptCrashes *t, CaroPromptEvidence *out,
-                    size_t *size, CaroTime now)
+                    size_t *size, CaroTime since, CaroTime now)
 {
     int n;
     CaroQuarantine *all = CaroPromptCrashes_Quarantines(t, &n);
@@ -94,7 +98,7 @@
                     .probes = (u_int)q->probes,
                     .events = q->events};
         }
-        collect_progress(t, &q->parts, out, size, now);
+        collect_progress(t, &q->parts, out, size, since, now);
     }
 }
 
@@ -120,22 +124,56 @@
                            .age_ms = age_ms(c->at, now),
                            .parts = {.parts_len = (u_int)c->parts.n,
                                      .parts_val = (u_quad_t *)c->parts.ids}};
-    collect_progress(t, &c->parts, out, size, now);
+    collect_progress(t, &c->parts, out, size, CARO_NEVER_PASSED, now);
     return true;
 }
 
-bool
-CaroPromptReports_Collect(CaroPromptCrashes *t, CaroPromptEvidence *out,
-                          int *turn, CaroTime now)
+static bool
+is_empty(const caro_prompt_evidence *e)
+{
+    return e->losses.losses_len == 0 && e->quarantines.quarantines_len == 0 &&
+           e->progress.progress_len == 0;
+}
+
+static void
+begin_message(CaroPromptEvidence *out)
 {
     caro_prompt_evidence *e = &out->evidence;
-    size_t size = 0;
-    int n;
     memset(e, 0, sizeof(*e));
     e->losses.losses_val = out->losses;
     e->progress.progress_val = out->progress;
     e->quarantines.quarantines_val = out->quarantines;
-    collect_quarantines(t, out, &size, now);
+}
+
+bool
+CaroPromptReports_CollectNews(CaroPromptCrashes *t, CaroPromptEvidence *out,
+                              CaroTime now)
+{
+    size_t size = 0;
+    int n;
+    begin_message(out);
+    collect_quarantines(t, out, &size, now - NEWS_TTL, now);
+    const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
+    for (int i = n - 1; i >= 0; i--) {
+        if (crashes[i].received_at >= now - NEWS_TTL) {
+            (void)collect_crash(t, &crashes[i], out, &size, now);
+        }
+        else {
+            collect_progress(t, &crashes[i].parts, out, &size, now - NEWS_TTL,
+                             now);
+        }
+    }
+    return !is_empty(&out->evidence);
+}
+
+bool
+CaroPromptReports_Collect(CaroPromptCrashes *t, CaroPromptEvidence *out,
+                          int *turn, CaroTime now)
+{
+    size_t size = 0;
+    int n;
+    begin_message(out);
+    collect_quarantines(t, out, &size, CARO_NEVER_PASSED, now);
     const CaroPromptCrash *crashes = CaroPromptCrashes_List(t, &n);
     int older = n - NEWEST_CRASHES;
     for (int i = n - 1; i >= 0 && i >= older; i--) {
@@ -147,8 +185,7 @@
             break;
         }
     }
-    return e->losses.losses_len > 0 || e->quarantines.quarantines_len > 0 ||
-           e->progress.progress_len > 0;
+    return !is_empty(&out->evidence);
 }
 
 /* A response that was received whole is the only sure begin for a version that
