--- a/Modules/fleet.c
+++ b/Modules/fleet.c
@@ -729,22 +729,38 @@
     send_to_all(f, CARO_BRITTLE_NOTICE, notice);
 }
 
-/* Chooses up to "most" different usable VMs at random; returns their number.
- */
+/* Returns whether a message may go to the VM; a local one stays in the failure
+   domain, as bytes between domains cost. */
+static bool
+is_wanted_peer(const CaroFleet *f, CaroHandle vm, bool is_local)
+{
+    const CaroMembership *m = f->membership;
+    return vm != CARO_SELF && CaroMembership_IsUsable(m, vm) &&
+           (!is_local ||
+            strcmp(CaroMembership_Get(m, vm)->domain,
+                   CaroMembership_Get(m, CARO_SELF)->domain) == 0);
+}
+
+/* Chooses up to "most" different usable VMs at random, three of four in the
+   own domain as long as some are found; returns their number. */
 static int
 choose_peers(CaroFleet *f, CaroHandle *peers, int most)
 {
+    enum { LOCAL_DIVISOR = 4, TRIES_PER_PEER = 8 };
     int count = CaroMembership_Count(f->membership);
     int n = 0;
-    for (int tries = 0; tries < 8 * most && n < most; tries++) {
+    unsigned long turn = gsl_rng_uniform_int(f->rng, LOCAL_DIVISOR);
+    for (int tries = 0; tries < 2 * TRIES_PER_PEER * most && n < most;
+         tries++) {
         CaroHandle vm =
             (CaroHandle)gsl_rng_uniform_int(f->rng, (unsigned long)count);
-        bool is_usable =
-            vm != CARO_SELF && CaroMembership_IsUsable(f->membership, vm);
-        for (int i = 0; i < n && is_usable; i++) {
-            is_usable = peers[i] != vm;
+        bool is_local = (turn + (unsigned long)n) % LOCAL_DIVISOR != 0 &&
+                        tries < TRIES_PER_PEER * most;
+        bool is_chosen = is_wanted_peer(f, vm, is_local);
+        for (int i = 0; i < n && is_chosen; i++) {
+            is_chosen = peers[i] != vm;
         }
-        if (is_usable) {
+        if (is_chosen) {
             peers[n++] = vm;
         }
     }
