--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -22,6 +22,10 @@
 
 stop_all() {
     local pid
+    # Those that a subshell started.
+    for pid in $(cat "${work:-/nonexistent}/pids" 2>/dev/null); do
+        kill -KILL "$pid" 2>/dev/null || true
+    done
     for pid in ${pids[@]+"${pids[@]}"}; do kill -CONT "$pid" 2>/dev/null || true; done
     for pid in ${pids[@]+"${pids[@]}"}; do kill -KILL "$pid" 2>/dev/null || true; done
     for pid in ${pids[@]+"${pids[@]}"}; do wait "$pid" 2>/dev/null || true; done
