--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -2,7 +2,9 @@
 # on loopback ports, with the project's stand-ins for the store and the order
 # servers.  To be sourced by bash in the repository's root.
 #
-# case_begin N           prepares a temporary folder, ports and record.txt
+# The script sets trouble (0 or 1) and record (the path of its record.txt).
+#
+# case_begin N           prepares a temporary folder and ports, empties the record
 # say TEXT...            writes a line to record.txt and to standard output
 # start_store, start_server I [FLAGS...], start_gateway I
 # write_store KEY JSON   writes as the operator does; prints nothing
@@ -17,7 +19,6 @@
 daemon=target/carobloftd
 fake=build/carofake
 bench=build/carobench
-trouble=${TROUBLE:-1}
 pids=()
 
 stop_all() {
@@ -65,7 +66,6 @@
 }
 
 case_begin() { # N
-    record=review/$1/record.txt
     work=""
     : >"$record"
     trap stop_all EXIT
