Messages of HTTP are read by the grammar alone

In the other direction answers with a broken framing of chunks reached their callers as whole ones.

Cause: heads were checked byte by byte, bodies went to http_parser unchecked. It skips an extension up to any carriage return, two bytes behind the data of a chunk and one behind the carriage return of a size, and takes line feeds as line ends in trailers. Ruled out: line feeds alone (data followed by "XY" were accepted too), and bytes read behind a refused request (nothing ran there).

Change: one reader by the grammar of RFC 9112, for requests and responses, heads and bodies: Modules/http_head.c, http_chunks.c, Objects/http_target.c, http_chars.c. http_parser is no longer used: the check in front of it has to know the whole grammar, and a lenient parser behind it is a second reader. Also of the class: headers that decide something and stand twice, targets with dot segments or that match another route when decoded, names of needed headers in Connection, a missing Host, a body behind 304, HTTP/1.0 searched for in all of the head, and a promise "not run" in a malformed response, which is not passed on. Each refusal has a cause with a counter and a line in the log with the peer and the offset. docs/design/http-messages.md says what is accepted, refused and dropped.

--- a/Controllers/request_check.c
+++ b/Controllers/request_check.c
@@ -1,6 +1,10 @@
 /* Whether a request is served, and the response if it is not. */
 #include "internal/caro_request_check.h"
 
+#include "internal/caro_http_target.h"
+
+#include <stdlib.h>
+
 /* Retry-After of a VM that is starting.  It has its configuration and the
    list of targets within this time, which covers two responses of the store
    and the spread of a fleet's first calls. */
@@ -32,6 +36,25 @@
                : route->timeout;
 }
 
+/* Returns whether a reader that decodes the path or merges its slashes would
+   choose another route, with other limits and another number of attempts. */
+static bool
+is_route_ambiguous(const CaroRequestCheckQuery *q, const CaroRoute *route)
+{
+    if (!CaroHttpTarget_HasOtherForm(q->path)) {
+        return false;
+    }
+    char *other = malloc(q->path.size);
+    if (other == NULL) {
+        return true;
+    }
+    size_t size = CaroHttpTarget_WriteOtherForm(q->path, other);
+    bool is_other = CaroRoutes_Find(q->routes, q->host.at, q->host.size, other,
+                                    size) != route;
+    free(other);
+    return is_other;
+}
+
 CaroRequestCheckResult
 CaroRequestCheck_Run(const CaroRequestCheckQuery *q)
 {
@@ -61,6 +84,9 @@
                    : refuse(503, OTHER_VM_RETRY_DELAY_S,
                             "the configuration may be out of date");
     }
+    if (is_route_ambiguous(q, result.route)) {
+        return refuse(400, 0.0, "the path matches another route when decoded");
+    }
     if (result.route->is_unusable) {
         return refuse(503, UNUSABLE_CONFIG_RETRY_DELAY_S,
                       "the route cannot be read");
--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 CFLAGS = -std=c11 -O2 -g -D_GNU_SOURCE -Wall -Wextra -Werror $(SANFLAGS) \
          -fno-omit-frame-pointer
 CPPFLAGS = -IInclude -IProtocol -ITools/fake $(PKG_CFLAGS)
-LDLIBS = $(PKG_LIBS) -lhttp_parser -lm
+LDLIBS = $(PKG_LIBS) -lm
 
 LIB_SRC := $(wildcard Objects/*.c Controllers/*.c Parser/*.c Modules/*.c \
              Filters/*.c platform/*.c)
--- a/Modules/channel.c
+++ b/Modules/channel.c
@@ -397,6 +397,9 @@
     c->reader = CaroHttpReader_Create(false);
     c->bev = bufferevent_socket_new(
         base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    if (c->reader != NULL) {
+        CaroHttpReader_SetPeer(c->reader, c->address);
+    }
     if (c->reader == NULL || c->bev == NULL ||
         (path->gate != NULL && !begin_tunnel(c))) {
         goto error;
--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -72,6 +72,7 @@
                             CaroCounters_Name((CaroCounter)i),
                             (unsigned long long)c->values[i]);
     }
+    CaroHttpFault_WriteCounters(buf);
     h->handlers->write_latency(h->context, buf);
     evhttp_add_header(evhttp_request_get_output_headers(req), "Content-Type",
                       "text/plain");
--- a/Modules/http_server.c
+++ b/Modules/http_server.c
@@ -256,6 +256,8 @@
         return "Request Timeout";
     case 413:
         return "Content Too Large";
+    case 417:
+        return "Expectation Failed";
     case 431:
         return "Request Header Fields Too Large";
     case 502:
@@ -314,8 +316,14 @@
         refuse(c, 413, "request body too large");
         return;
     }
-    if (CaroText_EqualsIgnoreCase(CaroHttpHead_Find(head, "expect"),
-                                  "100-continue")) {
+    CaroText expectation = CaroHttpHead_Find(head, "expect");
+    bool is_continue = CaroText_EqualsIgnoreCase(expectation, "100-continue");
+    if (expectation.at != NULL && !is_continue) {
+        CaroHttpFault_Record(CARO_HTTP_REQUEST, CARO_HTTP_FAULT_EXPECTATION);
+        refuse(c, 417, CaroHttpFault_Text(CARO_HTTP_FAULT_EXPECTATION));
+        return;
+    }
+    if (is_continue && head->minor_version > 0) {
         evbuffer_add_printf(bufferevent_get_output(c->bev),
                             "HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -575,6 +583,7 @@
     }
     (void)snprintf(c->peer, sizeof(c->peer), "%s:%u", host,
                    ntohs(in->sin_port));
+    CaroHttpReader_SetPeer(c->reader, c->peer);
     int enabled = 1;
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
     c->next = s->calls;
@@ -754,8 +763,7 @@
 {
     struct evbuffer *out = bufferevent_get_output(call->bev);
     /* HTTP/1.0 has no chunks: the end of the connection ends the body. */
-    const char *bytes = CaroCall_Head(call)->bytes;
-    call->is_chunked_response = strstr(bytes, "HTTP/1.0\r\n") == NULL;
+    call->is_chunked_response = CaroCall_Head(call)->minor_version > 0;
     call->is_unframed = !call->is_chunked_response;
     call->closes_connection = call->closes_connection || call->is_unframed;
     write_head(call, status, headers);
--- a/Modules/relay_attempt.c
+++ b/Modules/relay_attempt.c
@@ -160,8 +160,8 @@
                        now);
 }
 
-/* The outcome of an attempt whose response has no end; its head may have said
-   that the request was not run. */
+/* The outcome of an attempt whose response has no end within the bounds; its
+   head may have said that the request was not run. */
 static CaroOutcome
 outcome_without_end(const CaroRelay *r)
 {
@@ -642,7 +642,11 @@
         CaroPromptLosses_RecordRefusedConnection(
             CaroPromptGuard_Losses(r->relays->deps.guard), r->target);
     }
-    end_attempt(r, is_sent ? outcome_without_end(r) : unsent, reason, now);
+    /* What a malformed response says is no promise: its head may belong to
+       another response. */
+    CaroOutcome sent =
+        code == CARO_ERR_INPUT ? CARO_OUTCOME_LOST : outcome_without_end(r);
+    end_attempt(r, is_sent ? sent : unsent, reason, now);
 }
 
 static const CaroChannelEvents channel_events = {.on_head = on_head,
--- a/Modules/relay_head.c
+++ b/Modules/relay_head.c
@@ -35,35 +35,6 @@
     return false;
 }
 
-/* The message's Connection header lists the name (RFC 9110, 7.6.1). */
-static bool
-is_listed_in_connection(const CaroHttpHead *head, CaroText name)
-{
-    CaroText list = CaroHttpHead_Find(head, "connection");
-    size_t from = 0;
-    while (from < list.size) {
-        size_t to = from;
-        while (to < list.size && list.at[to] != ',') {
-            to++;
-        }
-        size_t first = from;
-        size_t last = to;
-        while (first < last && list.at[first] == ' ') {
-            first++;
-        }
-        while (last > first && list.at[last - 1] == ' ') {
-            last--;
-        }
-        CaroText word = {list.at + first, last - first};
-        if (word.size == name.size && word.size > 0 &&
-            strncasecmp(word.at, name.at, name.size) == 0) {
-            return true;
-        }
-        from = to + 1;
-    }
-    return false;
-}
-
 /* The header is set by the gateway, or is meant for the gateway alone. */
 static bool
 is_gateway_header(CaroHeaderId id)
@@ -102,8 +73,8 @@
         const CaroHttpHeader *h = &head->headers[i];
         CaroHeaderId id = CaroPlatform_HeaderId(h->name);
         /* A Connection header cannot remove a header that the gateway uses. */
-        bool is_stripped =
-            id == CARO_HEADER_OTHER && is_listed_in_connection(head, h->name);
+        bool is_stripped = id == CARO_HEADER_OTHER &&
+                           CaroHttpHead_IsListedInConnection(head, h->name);
         if (!is_hop_by_hop(h->name) && !is_gateway_header(id) &&
             !is_stripped) {
             add_header_line(out, h->name, h->value);
@@ -177,8 +148,8 @@
     for (int i = 0; i < head->n_headers; i++) {
         const CaroHttpHeader *h = &head->headers[i];
         CaroHeaderId id = CaroPlatform_HeaderId(h->name);
-        bool is_stripped =
-            id == CARO_HEADER_OTHER && is_listed_in_connection(head, h->name);
+        bool is_stripped = id == CARO_HEADER_OTHER &&
+                           CaroHttpHead_IsListedInConnection(head, h->name);
         if (!is_hop_by_hop(h->name) && id != CARO_HEADER_TARGET_LOAD &&
             id != CARO_HEADER_TARGET_LIMIT &&
             id != CARO_HEADER_TARGET_LEAVING && !is_stripped) {
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -310,6 +310,9 @@
     if (strcmp(command, "capacity") == 0) {
         return Bench_RunCapacity();
     }
+    if (strcmp(command, "messages") == 0) {
+        return Bench_RunMessages();
+    }
     if (strcmp(command, "relay") == 0 && argc == 4) {
         return Bench_RunRelay(argv[2], argv[3]);
     }
@@ -334,8 +337,9 @@
     if (strcmp(command, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
-    (void)fprintf(stderr, "usage: carobench load|gateway|order|audit|get|call|"
-                          "decisions|membership|rollouts|capacity|relay|"
-                          "prompts [FLAGS]\n");
+    (void)fprintf(stderr,
+                  "usage: carobench load|gateway|order|audit|get|call|"
+                  "decisions|membership|rollouts|capacity|messages|relay|"
+                  "prompts [FLAGS]\n");
     return 2;
 }
--- a/Test/fuzz_parsers.c
+++ b/Test/fuzz_parsers.c
@@ -4,6 +4,8 @@
  * and the documents of the platform.  The first byte of the input selects
  * the parser.
  */
+#include "http_grammar.h"
+
 #include "caro_gateway_settings.h"
 #include "caro_settings.h"
 #include "internal/caro_command.h"
@@ -33,20 +35,33 @@
 }
 
 /* Reads messages from chunks of 7 bytes until the input ends or a message is
-   refused. */
+   refused.  The first one is accepted exactly if the grammar has it. */
 static void
 fuzz_http(const char *text, size_t size, bool is_request)
 {
+    static GrammarResult expected;
     CaroHttpReader *r = CaroHttpReader_Create(is_request);
     struct evbuffer *in = evbuffer_new();
     CaroHttpPiece piece = {.kind = CARO_PIECE_NONE};
+    size_t body = 0;
+    int n_ends = 0;
     int rc = 0;
     for (size_t i = 0; i < size && rc == 0; i += 7) {
         (void)evbuffer_add(in, text + i, size - i < 7 ? size - i : 7);
         do {
             rc = CaroHttpReader_Next(r, in, &piece);
+            body += n_ends == 0 ? piece.body.size : 0;
+            n_ends += piece.kind == CARO_PIECE_END;
         } while (rc == 0 && piece.kind != CARO_PIECE_NONE);
     }
+    bool is_message =
+        n_ends > 0 || (rc == 0 && CaroHttpReader_IsInMessage(r) &&
+                       CaroHttpReader_Head(r)->is_close_delimited);
+    grammar_read(is_request, text, size, &expected);
+    if ((expected.verdict == GRAMMAR_MESSAGE) != is_message ||
+        (is_message && body != expected.body_size)) {
+        abort();
+    }
     (void)CaroHttpReader_Finish(r);
     evbuffer_free(in);
     CaroHttpReader_Destroy(r);
--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -181,4 +181,7 @@
 int Bench_RunCapacity(void);
 int Bench_RunRollouts(int argc, char **argv);
 
+/* Processor time of reading HTTP messages. */
+int Bench_RunMessages(void);
+
 #endif
--- a/Tools/fake/endless.c
+++ b/Tools/fake/endless.c
@@ -1,7 +1,8 @@
 /*
  * A fake upstream that answers each request with bytes without end, until the
- * caller closes.  Its name says which: see the table.  It prints the ids of
- * the requests, and does not register itself.
+ * caller closes, or with a body in chunks, most of them malformed.  Its name
+ * says which: see the table.  It prints the ids of the requests, and does not
+ * register itself.
  */
 #include "fake.h"
 
@@ -26,8 +27,10 @@
 #define OWN "X-Attempt-Id: %s\r\nX-Response-Seal: s\r\n"
 #define EVENTS "Content-Type: text/event-stream\r\n"
 
+#define CHUNKED "HTTP/1.1 200 OK\r\n" OWN "Transfer-Encoding: chunked\r\n\r\n"
+
 /* What is sent: a start, in which %s is the id of the request, and a text that
-   is repeated. */
+   is repeated; NULL for an answer that ends. */
 static const struct {
     const char *name;
     const char *start;
@@ -75,6 +78,19 @@
     {"event",
      "HTTP/1.1 200 OK\r\n" OWN EVENTS "\r\nid: 1\ndata: ", "abcdefgh"},
     {"no-events", "HTTP/1.1 200 OK\r\n" OWN EVENTS "\r\n", "\n\n"},
+    {"sound", CHUNKED "5;a=\"b;c\"\r\nhello\r\n0\r\nNote: a\r\n\r\n", NULL},
+    {"lf-in-extension", CHUNKED "5;a\nb\r\nhello\r\n0\r\n\r\n", NULL},
+    {"data-end", CHUNKED "5\r\nhelloXY0\r\n\r\n", NULL},
+    {"data-end-cr", CHUNKED "5\r\nhello\rX0\r\n\r\n", NULL},
+    {"two-sizes", CHUNKED "5 7\r\nhello\r\n0\r\n\r\n", NULL},
+    {"trailer-lf", CHUNKED "5\r\nhello\r\n0\r\nNote: a\n\n", NULL},
+    {"last-lf", CHUNKED "5\r\nhello\r\n0\r\n\n", NULL},
+    {"folded-trailer", CHUNKED "5\r\nhello\r\n0\r\nNote: a\r\n b\r\n\r\n",
+     NULL},
+    {"refusal-data-end",
+     "HTTP/1.1 503 X\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\n"
+     "Transfer-Encoding: chunked\r\n\r\n5\r\nhelloXY0\r\n\r\n",
+     NULL},
 };
 enum { N_KINDS = sizeof(kinds) / sizeof(kinds[0]) };
 
@@ -94,7 +110,8 @@
     Connection *c = arg;
     struct evbuffer *out = bufferevent_get_output(bev);
     const char *text = kinds[c->fake->kind].repeated;
-    while (c->has_begun && evbuffer_get_length(out) < OUTPUT_MIN) {
+    while (c->has_begun && text != NULL &&
+           evbuffer_get_length(out) < OUTPUT_MIN) {
         (void)evbuffer_add(out, text, strlen(text));
     }
 }
@@ -113,7 +130,8 @@
     char *id = strstr(head, header);
     id = id == NULL ? head : id + strlen(header);
     id[strcspn(id, "\r")] = '\0';
-    c->has_begun = true;
+    c->has_begun = kinds[c->fake->kind].repeated != NULL;
+    evbuffer_drain(in, evbuffer_get_length(in));
     (void)printf("%s\n", id);
     (void)fflush(stdout);
     const char *start = kinds[c->fake->kind].start;
