What a VM holds for callers that do not read is bounded

Cause: the next request of a connection was read as soon as the last response was in the output buffer, however much of it was unsent. The bound on unsent bytes was one of a response that is forwarded. Ruled out: input read ahead (it has a watermark) and the log (lines are dropped).

Change: a connection reads the next request when the response before it has been written.

--- a/Include/internal/caro_counters.h
+++ b/Include/internal/caro_counters.h
@@ -53,6 +53,8 @@
     X(MALFORMED, "refused_malformed")                                         \
     X(CONFIG_CONFIRMED_BY_PEERS, "proofs_of_peers")                           \
     X(CONNECTIONS_CUT, "connections_cut")                                     \
+    X(CONNECTIONS_SHED, "connections_shed")                                   \
+    X(CALLER_BYTES, "caller_bytes_held")                                      \
     X(PROMPT_CRASHES, "prompt_crashes")                                       \
     X(PROMPT_LOSSES, "prompt_losses")                                         \
     X(PROMPT_LOSSES_HEARD, "prompt_losses_heard")                             \
--- a/Include/internal/caro_http_server.h
+++ b/Include/internal/caro_http_server.h
@@ -12,6 +12,7 @@
 #define CARO_HTTP_SERVER_H
 
 #include "caro_error.h"
+#include "internal/caro_held_bytes.h"
 #include "internal/caro_http_reader.h"
 
 #include <event2/event.h>
@@ -20,6 +21,8 @@
 typedef struct CaroCall CaroCall;
 
 typedef struct {
+    size_t held_bytes_max;  /* Of all connections together: requests that were
+                               read and responses that were not sent. */
     size_t head_bytes_max;  /* Head of one request. */
     size_t body_bytes_max;  /* Body of one request. */
     size_t all_bytes_max;   /* Bodies of all requests together. */
@@ -48,6 +51,10 @@
        are in memory.  "reason" is a static text. */
     void (*on_cut)(void *context, const char *peer, size_t unsent,
                    const char *reason);
+    /* The server closes the connection, or refuses the request that arrives on
+       it, because all connections hold too many bytes, of which this one holds
+       "held". */
+    void (*on_shed)(void *context, const char *peer, size_t held);
 } CaroHttpServerHandlers;
 
 /*
@@ -87,6 +94,9 @@
 int CaroHttpServer_CountConnections(const CaroHttpServer *s);
 int CaroHttpServer_CountCalls(const CaroHttpServer *s);
 
+/* What the connections hold; borrowed. */
+const CaroHeldBytes *CaroHttpServer_HeldBytes(const CaroHttpServer *s);
+
 /* The head of the request; borrowed until the call is over. */
 const CaroHttpHead *CaroCall_Head(const CaroCall *call);
 /* The body of the request; borrowed, and not to be changed. */
@@ -94,6 +104,10 @@
 /* Address "ip:port" of the caller; borrowed. */
 const char *CaroCall_Peer(const CaroCall *call);
 
+/* Counts the bytes that the connection holds for the client account from now
+   on; copied. */
+void CaroCall_SetAccount(CaroCall *call, const char *account);
+
 /* A pointer of the handler's own; NULL at first. */
 void CaroCall_SetOwner(CaroCall *call, void *owner);
 void *CaroCall_Owner(const CaroCall *call);
--- a/Modules/gateway.c
+++ b/Modules/gateway.c
@@ -40,6 +40,8 @@
 
 /* Fraction of the VM's memory for the bodies of requests. */
 #define BODY_MEMORY_FRACTION 0.25
+/* Of the memory, for all that connections of callers hold, with the bodies. */
+#define HELD_MEMORY_FRACTION 0.4
 /* Likewise for responses that callers have not taken. */
 #define RESPONSE_MEMORY_FRACTION 0.25
 /* Fractions of the file descriptors for tunnels of other VMs, as a limit of
@@ -263,6 +265,8 @@
         refuse_request(g, call, &result);
     }
     else {
+        CaroCall_SetAccount(
+            call, result.account == NULL ? "" : result.account->name);
         CaroRelays_Accept(g->relays, call, result.route, result.account, now);
     }
     return true;
@@ -334,12 +338,28 @@
                  peer, unsent, reason);
 }
 
+static void
+on_shed(void *context, const char *peer, size_t held)
+{
+    CaroGateway *g = context;
+    const CaroHeldBytes *all = CaroHttpServer_HeldBytes(g->http_server);
+    CaroAccountBytes largest = {.account = ""};
+    (void)CaroHeldBytes_ListAccounts(all, &largest, 1);
+    CaroCounters_Add(&g->counters, CARO_COUNT_CONNECTIONS_SHED, 1);
+    CaroLog_Warn("front",
+                 "A connection was shed. peer=%s held_bytes=%zu "
+                 "held_by_account=%zu account=%s held_by_all=%zu",
+                 peer, held, largest.bytes, largest.account,
+                 CaroHeldBytes_Total(all));
+}
+
 static const CaroHttpServerHandlers http_server_handlers = {
     .on_request = on_request,
     .on_disconnected = on_call_disconnected,
     .on_drained = on_drained,
     .on_refused = on_refused,
-    .on_cut = on_cut};
+    .on_cut = on_cut,
+    .on_shed = on_shed};
 
 static double
 memory_bytes(const CaroGatewaySettings *s)
@@ -353,14 +373,15 @@
     double memory = memory_bytes(&g->settings);
     double callers =
         CALLER_DESCRIPTORS_FRACTION * (double)g->settings.descriptors;
-    return (CaroHttpServerLimits){.head_bytes_max = (size_t)l->head_bytes_max,
-                                  .body_bytes_max = (size_t)l->body_bytes_max,
-                                  .all_bytes_max =
-                                      (size_t)(BODY_MEMORY_FRACTION * memory),
-                                  .connections_max = (int)callers,
-                                  .head_timeout = l->head_timeout,
-                                  .idle_timeout = l->idle_timeout,
-                                  .write_timeout = WRITE_TIMEOUT};
+    return (CaroHttpServerLimits){
+        .held_bytes_max = (size_t)(HELD_MEMORY_FRACTION * memory),
+        .head_bytes_max = (size_t)l->head_bytes_max,
+        .body_bytes_max = (size_t)l->body_bytes_max,
+        .all_bytes_max = (size_t)(BODY_MEMORY_FRACTION * memory),
+        .connections_max = (int)callers,
+        .head_timeout = l->head_timeout,
+        .idle_timeout = l->idle_timeout,
+        .write_timeout = WRITE_TIMEOUT};
 }
 
 /* --- configuration --- */
@@ -791,6 +812,8 @@
     CaroGateway *g = context;
     g->counters.values[CARO_COUNT_STORE_CALLS] =
         CaroStoreClient_CountCalls(g->store);
+    g->counters.values[CARO_COUNT_CALLER_BYTES] =
+        CaroHeldBytes_Total(CaroHttpServer_HeldBytes(g->http_server));
     g->counters.values[CARO_COUNT_LINKS_STATE] =
         CaroUpstreamPaths_State(g->paths);
     g->counters.values[CARO_COUNT_STORE_READER] =
@@ -821,6 +844,24 @@
     return left > 0 ? (json_int_t)(left / CARO_MS) : 0;
 }
 
+/* The client accounts whose connections hold the most. */
+static json_t *
+dump_accounts(const CaroGateway *g)
+{
+    enum { ACCOUNTS_SHOWN_MAX = 8 };
+    CaroAccountBytes held[ACCOUNTS_SHOWN_MAX];
+    json_t *list = json_array();
+    int n = CaroHeldBytes_ListAccounts(
+        CaroHttpServer_HeldBytes(g->http_server), held, ACCOUNTS_SHOWN_MAX);
+    for (int i = 0; i < n; i++) {
+        (void)json_array_append_new(
+            list, json_pack("{s:s, s:I, s:i}", "account", held[i].account,
+                            "held_bytes", (json_int_t)held[i].bytes,
+                            "connections", held[i].connections));
+    }
+    return list;
+}
+
 static json_t *
 get_state(void *context)
 {
@@ -846,7 +887,7 @@
     }
     return json_pack(
         "{s:s, s:b, s:s, s:i, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i, s:i, "
-        "s:i, s:I, s:o, s:o, s:o}",
+        "s:i, s:I, s:o, s:o, s:o, s:o}",
         "vm", g->settings.vm, "ready", is_ready(g), "upstream_links",
         CaroLinksState_Name(CaroUpstreamPaths_State(g->paths)), "tunnels_for",
         CaroTunnelGate_Count(g->tunnel_gate), "store_role",
@@ -864,8 +905,9 @@
         "requests", CaroRelays_Count(g->relays), "connections",
         CaroHttpServer_CountConnections(g->http_server), "channels_kept",
         CaroChannelPool_CountIdle(g->pool), "channels_opened",
-        (json_int_t)CaroChannelPool_CountOpened(g->pool), "upstreams", targets,
-        "moves", CaroServiceRollouts_Dump(g->rollouts), "quarantines",
+        (json_int_t)CaroChannelPool_CountOpened(g->pool), "callers",
+        dump_accounts(g), "upstreams", targets, "moves",
+        CaroServiceRollouts_Dump(g->rollouts), "quarantines",
         CaroPromptGuard_Dump(g->guard, CaroClock_Now()));
 }
 
--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -18,6 +18,7 @@
     HEAD_BYTES_MAX = 8192,
     BODY_BYTES_MAX = 8192,
     ALL_BODY_BYTES_MAX = 65536,
+    HELD_BYTES_MAX = 4 << 20, /* Some responses have a large state. */
     CONNECTIONS_MAX = 64
 };
 #define REQUEST_TIMEOUT (5 * CARO_SECOND)
@@ -225,12 +226,21 @@
     (void)reason;
 }
 
+static void
+on_shed(void *context, const char *peer, size_t held)
+{
+    (void)context;
+    CaroLog_Info("http", "A connection was shed. peer=%s held_bytes=%zu", peer,
+                 held);
+}
+
 static const CaroHttpServerHandlers server_handlers = {
     .on_request = on_request,
     .on_disconnected = on_disconnected,
     .on_drained = on_drained,
     .on_refused = on_refused,
-    .on_cut = on_cut};
+    .on_cut = on_cut,
+    .on_shed = on_shed};
 
 /* Returns whether the address is served; sets *err if it is not. */
 static bool
@@ -238,6 +248,7 @@
           AddressKind kind, CaroError *err)
 {
     static const CaroHttpServerLimits limits = {
+        .held_bytes_max = HELD_BYTES_MAX,
         .head_bytes_max = HEAD_BYTES_MAX,
         .body_bytes_max = BODY_BYTES_MAX,
         .all_bytes_max = ALL_BODY_BYTES_MAX,
--- a/Modules/http_server.c
+++ b/Modules/http_server.c
@@ -2,7 +2,9 @@
  * The HTTP server for callers' requests.
  *
  * A connection carries one request at a time; bytes that follow it stay in
- * the input buffer, whose size is limited, until the response has ended.
+ * the input buffer, whose size is limited, until the response has been written
+ * to the socket.  What all connections hold is limited as well: beyond that
+ * CaroHeldBytes chooses which is closed.
  * A connection that is to be closed is first shut down for writing and read
  * for a short time, because closing a socket with unread input resets the
  * connection, and the caller could lose the response.
@@ -15,16 +17,20 @@
 #include <arpa/inet.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 enum {
     LISTEN_BACKLOG = 512,
-    READ_AHEAD_MAX = 65536, /* Input bytes buffered after a request. */
+    READ_AHEAD_MAX = 16384, /* Input bytes buffered after a request. */
+    /* Bytes of responses that the system keeps besides those in flight. */
+    SYSTEM_UNSENT_MAX = 65536,
     /* Unsent bytes of a response above which write_timeout runs. */
     WRITE_TIMED_BYTES_MIN = 16384
 };
@@ -42,7 +48,7 @@
     CALL_BODY,       /* The head and a part of the body have been read. */
     CALL_RUNNING,    /* The handler has the request. */
     CALL_RESPONDING, /* The response has begun. */
-    CALL_FLUSHING,   /* The last response is being written. */
+    CALL_FLUSHING,   /* The response has ended and is being written. */
     CALL_LINGERING   /* Shut down for writing; input is discarded. */
 } CallState;
 
@@ -55,6 +61,7 @@
     struct event *timer;
     CaroHttpReader *reader;
     struct evbuffer *body;
+    CaroHandle held;      /* In the server's table of held bytes. */
     size_t counted_bytes; /* Bytes of the body in the server's body_bytes. */
     CallState state;
     bool is_chunked_response; /* The response is sent in chunks. */
@@ -64,6 +71,7 @@
     bool is_put_off;          /* The timeout has been put off once. */
     bool is_reset;            /* The timer closes the connection by a reset. */
     bool has_sent;            /* Bytes were sent since the timer was set. */
+    int queued;               /* Bytes in the socket when it was set. */
     CaroTime idle_since;
     char peer[CARO_ADDRESS_SIZE];
     void *owner;
@@ -82,6 +90,8 @@
     CaroCall *calls; /* All connections. */
     int n_connections;
     size_t body_bytes; /* Size of all request bodies in memory. */
+    CaroHeldBytes *held;
+    struct event *shed_event; /* Active when too much is held. */
     bool closes_after_responses;
 };
 
@@ -122,6 +132,8 @@
         c->next->prev = c->prev;
     }
     s->n_connections--;
+    CaroHeldBytes_Close(s->held, c->held);
+    c->held = CARO_NO_HANDLE;
     event_free(c->timer);
     if (c->is_unframed &&
         (c->state == CALL_RESPONDING || c->is_reset || has_unsent_bytes(c))) {
@@ -183,6 +195,24 @@
     (void)event_add(c->timer, &t);
 }
 
+/* The bytes that were written to the socket and that the caller's system has
+   not acknowledged. */
+static int
+count_queued(const CaroCall *c)
+{
+    int n = 0;
+    return ioctl(bufferevent_getfd(c->bev), SIOCOUTQ, &n) < 0 ? 0 : n;
+}
+
+/* Starts the timeout of a caller that has to accept bytes. */
+static void
+set_write_timer(CaroCall *c)
+{
+    c->has_sent = false;
+    c->queued = count_queued(c);
+    set_timer(c, c->server->limits.write_timeout);
+}
+
 static CaroTime
 idle_timeout(const CaroHttpServer *s, CaroTime now)
 {
@@ -214,8 +244,7 @@
         (void)event_del(c->timer);
         break;
     case CALL_FLUSHING:
-        c->has_sent = false;
-        set_timer(c, l->write_timeout);
+        set_write_timer(c);
         break;
     case CALL_LINGERING:
         set_timer(c, LINGER_TIMEOUT);
@@ -233,27 +262,35 @@
     evbuffer_drain(in, evbuffer_get_length(in));
 }
 
-/* Reads the next request or begins to close, once the whole response is in
-   the output buffer. */
+/* Goes on once the whole response has been written: begins to close, or waits
+   for the next request. */
+static void
+finish_flush(CaroCall *c)
+{
+    if (c->closes_connection) {
+        begin_linger(c);
+        return;
+    }
+    enter_state(c, CALL_IDLE);
+    if (!c->is_reading) {
+        /* The next request is not handled within the call that ends the
+           response to this one. */
+        bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
+/* The whole response is in the output buffer. */
 static void
 end_response(CaroCall *c)
 {
     c->owner = NULL;
     c->on_closed = NULL;
     drain_body(c);
-    if (!c->closes_connection) {
-        enter_state(c, CALL_IDLE);
-        if (!c->is_reading) {
-            /* The next request is not handled within the call that ends the
-               response to this one. */
-            bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
-        }
+    if (has_unsent_bytes(c)) {
+        enter_state(c, CALL_FLUSHING);
         return;
     }
-    enter_state(c, CALL_FLUSHING);
-    if (!has_unsent_bytes(c)) {
-        begin_linger(c);
-    }
+    finish_flush(c);
 }
 
 static const char *
@@ -425,7 +462,8 @@
 on_read(struct bufferevent *bev, void *arg)
 {
     CaroCall *c = arg;
-    if (c->state == CALL_FLUSHING || c->state == CALL_LINGERING) {
+    if ((c->state == CALL_FLUSHING && c->closes_connection) ||
+        c->state == CALL_LINGERING) {
         struct evbuffer *in = bufferevent_get_input(bev);
         evbuffer_drain(in, evbuffer_get_length(in));
         return;
@@ -439,10 +477,7 @@
     (void)bev;
     CaroCall *c = arg;
     if (c->state == CALL_FLUSHING && !has_unsent_bytes(c)) {
-        begin_linger(c);
-    }
-    else if (c->state == CALL_IDLE && !has_unsent_bytes(c)) {
-        enter_state(c, CALL_IDLE);
+        finish_flush(c);
     }
     else if (c->state == CALL_RESPONDING) {
         (void)event_del(c->timer);
@@ -450,13 +485,72 @@
     }
 }
 
+/* Counts what the input, the body and the output of a connection hold. */
+static void
+on_buffer_changed(struct evbuffer *buffer,
+                  const struct evbuffer_cb_info *change, void *arg)
+{
+    (void)buffer;
+    CaroCall *c = arg;
+    CaroHttpServer *s = c->server;
+    if (c->held == CARO_NO_HANDLE) {
+        return;
+    }
+    CaroHeldBytes_Add(s->held, c->held,
+                      (ptrdiff_t)change->n_added -
+                          (ptrdiff_t)change->n_deleted);
+    if (CaroHeldBytes_IsExceeded(s->held)) {
+        event_active(s->shed_event, EV_TIMEOUT, 0);
+    }
+}
+
 static void
 on_output_changed(struct evbuffer *output,
                   const struct evbuffer_cb_info *change, void *arg)
 {
-    (void)output;
     CaroCall *c = arg;
     c->has_sent |= change->n_deleted > 0;
+    on_buffer_changed(output, change, arg);
+}
+
+/* Releases what a connection holds: a request that is still arriving is
+   refused, so that its caller knows that it did not run; any other connection
+   is closed. */
+static void
+shed(CaroCall *c)
+{
+    CaroHttpServer *s = c->server;
+    s->handlers->on_shed(s->context, c->peer,
+                         CaroHeldBytes_OfConnection(s->held, c->held));
+    if ((c->state == CALL_HEAD || c->state == CALL_BODY) &&
+        !has_unsent_bytes(c)) {
+        struct evbuffer *in = bufferevent_get_input(c->bev);
+        refuse(c, 503, "limit of bytes held for callers reached");
+        evbuffer_drain(in, evbuffer_get_length(in));
+        return;
+    }
+    close_call(c, "limit of bytes held for callers reached");
+}
+
+/* Runs from the loop, because the bytes are added within calls for a
+   connection that may be the one to close. */
+static void
+on_shed_event(evutil_socket_t fd, short what, void *arg)
+{
+    (void)fd;
+    (void)what;
+    CaroHttpServer *s = arg;
+    while (CaroHeldBytes_IsExceeded(s->held)) {
+        CaroHandle chosen = CaroHeldBytes_Choose(s->held);
+        CaroCall *c = s->calls;
+        while (c != NULL && c->held != chosen) {
+            c = c->next;
+        }
+        if (c == NULL) {
+            return;
+        }
+        shed(c);
+    }
 }
 
 static void
@@ -490,12 +584,11 @@
 {
     const CaroHttpServer *s = c->server;
     CaroTime now = CaroClock_Now();
-    bool is_sending = c->state == CALL_RESPONDING ||
-                      c->state == CALL_FLUSHING ||
-                      (c->state == CALL_IDLE && has_unsent_bytes(c));
-    if (is_sending && c->has_sent) {
-        c->has_sent = false;
-        set_timer(c, s->limits.write_timeout);
+    bool is_sending = c->state == CALL_RESPONDING || c->state == CALL_FLUSHING;
+    /* The system takes more bytes only when many have left, which a caller
+       that reads slowly does not reach within the timeout. */
+    if (is_sending && (c->has_sent || count_queued(c) < c->queued)) {
+        set_write_timer(c);
         return true;
     }
     if (c->state == CALL_IDLE) {
@@ -578,13 +671,17 @@
     c->timer = event_new(s->base, -1, 0, on_timer, c);
     c->bev = bufferevent_socket_new(
         s->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    c->held = CaroHeldBytes_Open(s->held, CaroClock_Now());
     if (c->reader == NULL || c->body == NULL || c->timer == NULL ||
-        c->bev == NULL) {
+        c->bev == NULL || c->held == CARO_NO_HANDLE) {
         goto error;
     }
     CaroHttpReader_SetHeadMax(c->reader, s->limits.head_bytes_max);
     return c;
 error:
+    if (c->held != CARO_NO_HANDLE) {
+        CaroHeldBytes_Close(s->held, c->held);
+    }
     CaroHttpReader_Destroy(c->reader);
     if (c->body != NULL) {
         evbuffer_free(c->body);
@@ -619,7 +716,10 @@
                    ntohs(in->sin_port));
     CaroHttpReader_SetPeer(c->reader, c->peer);
     int enabled = 1;
+    int unsent_max = SYSTEM_UNSENT_MAX;
     (void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+    (void)setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_max,
+                     sizeof(unsent_max));
     c->next = s->calls;
     if (s->calls != NULL) {
         s->calls->prev = c;
@@ -629,6 +729,8 @@
     bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
     (void)evbuffer_add_cb(bufferevent_get_output(c->bev), on_output_changed,
                           c);
+    (void)evbuffer_add_cb(bufferevent_get_input(c->bev), on_buffer_changed, c);
+    (void)evbuffer_add_cb(c->body, on_buffer_changed, c);
     bufferevent_setwatermark(c->bev, EV_READ, 0, READ_AHEAD_MAX);
     bufferevent_setwatermark(c->bev, EV_WRITE, 0, 0);
     (void)bufferevent_enable(c->bev, EV_READ | EV_WRITE);
@@ -661,6 +763,14 @@
     s->limits = *limits;
     s->handlers = handlers;
     s->context = context;
+    s->held = CaroHeldBytes_Create(limits->held_bytes_max);
+    s->shed_event = event_new(base, -1, 0, on_shed_event, s);
+    if (s->held == NULL || s->shed_event == NULL) {
+        (void)CaroError_Set(err, CARO_ERR_NOMEM, "listen", address,
+                            "no memory");
+        CaroHttpServer_Destroy(s);
+        return NULL;
+    }
     s->listener = evconnlistener_new_bind(
         base, on_accept, s, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
         LISTEN_BACKLOG, (struct sockaddr *)&at, sizeof(at));
@@ -668,7 +778,7 @@
         (void)CaroError_Set(
             err, CARO_ERR_IO, "listen", address,
             "the address is in use or not an address of this VM");
-        free(s);
+        CaroHttpServer_Destroy(s);
         return NULL;
     }
     return s;
@@ -691,6 +801,10 @@
     if (s->listener != NULL) {
         evconnlistener_free(s->listener);
     }
+    if (s->shed_event != NULL) {
+        event_free(s->shed_event);
+    }
+    CaroHeldBytes_Destroy(s->held);
     free(s);
 }
 
@@ -704,6 +818,7 @@
         s->longer_idle_until = now + IDLE_LIMIT_TTL;
     }
     s->limits = *limits;
+    CaroHeldBytes_SetMax(s->held, limits->held_bytes_max);
     for (CaroCall *c = s->calls; c != NULL; c = c->next) {
         CaroHttpReader_SetHeadMax(c->reader, limits->head_bytes_max);
     }
@@ -731,6 +846,12 @@
     }
 }
 
+const CaroHeldBytes *
+CaroHttpServer_HeldBytes(const CaroHttpServer *s)
+{
+    return s->held;
+}
+
 int
 CaroHttpServer_CountConnections(const CaroHttpServer *s)
 {
@@ -765,6 +886,12 @@
     return call->peer;
 }
 
+void
+CaroCall_SetAccount(CaroCall *call, const char *account)
+{
+    CaroHeldBytes_SetAccount(call->server->held, call->held, account);
+}
+
 void
 CaroCall_SetOwner(CaroCall *call, void *owner)
 {
@@ -831,8 +958,7 @@
     }
     if (CaroCall_PendingBytes(call) > WRITE_TIMED_BYTES_MIN &&
         !event_pending(call->timer, EV_TIMEOUT, NULL)) {
-        call->has_sent = false;
-        set_timer(call, call->server->limits.write_timeout);
+        set_write_timer(call);
     }
 }
 
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -33,6 +33,7 @@
        with 413 and the limit; longer ones with 413 alone. */
     BODY_READ_FACTOR = 4,
     ALL_BODY_BYTES_MAX = 64 << 20,
+    HELD_BYTES_MAX = 128 << 20,
     CONNECTIONS_MAX = 4096,
     PATH_SHOWN_MAX = 80
 };
@@ -488,19 +489,30 @@
                  peer, unsent, reason);
 }
 
+static void
+on_shed(void *context, const char *peer, size_t held)
+{
+    CaroNode *n = context;
+    CaroCounters_Add(n->common.counters, CARO_COUNT_CONNECTIONS_SHED, 1);
+    CaroLog_Warn("node", "A connection was shed. peer=%s held_bytes=%zu", peer,
+                 held);
+}
+
 static const CaroHttpServerHandlers http_handlers = {.on_request = on_http,
                                                      .on_disconnected =
                                                          on_call_disconnected,
                                                      .on_drained = on_drained,
                                                      .on_refused = on_refused,
-                                                     .on_cut = on_cut};
+                                                     .on_cut = on_cut,
+                                                     .on_shed = on_shed};
 
 static int
 serve_http(CaroNode *n, CaroError *err)
 {
     const CaroSettings *s = n->common.settings;
     CaroTime timeout = s->header_timeout_ms * CARO_MS;
-    CaroHttpServerLimits limits = {.head_bytes_max = HEADER_BYTES_MAX,
+    CaroHttpServerLimits limits = {.held_bytes_max = HELD_BYTES_MAX,
+                                   .head_bytes_max = HEADER_BYTES_MAX,
                                    .body_bytes_max = BODY_READ_FACTOR *
                                                      (size_t)s->body_bytes_max,
                                    .all_bytes_max = ALL_BODY_BYTES_MAX,
--- a/Programs/carobench.c
+++ b/Programs/carobench.c
@@ -310,6 +310,10 @@
     if (strcmp(command, "capacity") == 0) {
         return Bench_RunCapacity();
     }
+    if (strcmp(command, "crowd") == 0 && argc == 7) {
+        return Bench_RunCrowd(argv[2], argv[3], atoi(argv[4]), atoi(argv[5]),
+                              argv[6]);
+    }
     if (strcmp(command, "messages") == 0) {
         return Bench_RunMessages();
     }
@@ -337,9 +341,9 @@
     if (strcmp(command, "call") == 0) {
         return run_call(argc - 1, argv + 1);
     }
-    (void)fprintf(stderr,
-                  "usage: carobench load|gateway|order|audit|get|call|"
-                  "decisions|membership|rollouts|capacity|messages|relay|"
-                  "prompts [FLAGS]\n");
+    (void)fprintf(
+        stderr, "usage: carobench load|gateway|order|audit|get|call|"
+                "decisions|membership|rollouts|capacity|messages|crowd|relay|"
+                "prompts [FLAGS]\n");
     return 2;
 }
--- a/Test/relay_fixture.h
+++ b/Test/relay_fixture.h
@@ -331,12 +331,21 @@
     (void)reason;
 }
 
+static inline void
+on_shed(void *context, const char *peer, size_t held)
+{
+    (void)context;
+    (void)peer;
+    (void)held;
+}
+
 static const CaroHttpServerHandlers handlers = {.on_request = on_request,
                                                 .on_disconnected =
                                                     on_disconnected,
                                                 .on_drained = on_drained,
                                                 .on_refused = on_refused,
-                                                .on_cut = on_cut};
+                                                .on_cut = on_cut,
+                                                .on_shed = on_shed};
 
 static inline void
 put_started(Fixture *f, const char *id, int64_t started_at_ms)
@@ -397,7 +406,8 @@
                            .attempts_max = 4,
                            .n_shares = 1,
                            .shares = shares};
-    CaroHttpServerLimits limits = {.head_bytes_max = 8192,
+    CaroHttpServerLimits limits = {.held_bytes_max = 128 << 20,
+                                   .head_bytes_max = 8192,
                                    .body_bytes_max = 32 << 20,
                                    .all_bytes_max = 64 << 20,
                                    .connections_max = 16,
--- a/Test/test_http_server.c
+++ b/Test/test_http_server.c
@@ -30,7 +30,9 @@
     int n_requests;
     int n_disconnected;
     int n_cut;
-    CaroTime stalled; /* Sum of what run_for ran too long. */
+    int n_shed;
+    size_t most_pending; /* Unsent bytes when a request was handed over. */
+    CaroTime stalled;    /* Sum of what run_for ran too long. */
 } Fixture;
 
 /* A caller's connection. */
@@ -64,6 +66,8 @@
 {
     Fixture *f = context;
     f->n_requests++;
+    size_t pending = CaroCall_PendingBytes(call);
+    f->most_pending = pending > f->most_pending ? pending : f->most_pending;
     char *bytes = calloc(1, f->response_bytes + 1);
     assert_non_null(bytes);
     if (f->is_stream) {
@@ -111,12 +115,21 @@
     ((Fixture *)context)->n_cut++;
 }
 
+static void
+on_shed(void *context, const char *peer, size_t held)
+{
+    (void)peer;
+    (void)held;
+    ((Fixture *)context)->n_shed++;
+}
+
 static const CaroHttpServerHandlers handlers = {.on_request = on_request,
                                                 .on_disconnected =
                                                     on_disconnected,
                                                 .on_drained = on_drained,
                                                 .on_refused = on_refused,
-                                                .on_cut = on_cut};
+                                                .on_cut = on_cut,
+                                                .on_shed = on_shed};
 
 /* Finds a free port: binds it once, then leaves it to the server. */
 static void
@@ -148,7 +161,8 @@
     assert_non_null(f);
     f->base = event_base_new();
     f->response_bytes = 4;
-    f->limits = (CaroHttpServerLimits){.head_bytes_max = 8192,
+    f->limits = (CaroHttpServerLimits){.held_bytes_max = 64 << 20,
+                                       .head_bytes_max = 8192,
                                        .body_bytes_max = 1 << 20,
                                        .all_bytes_max = 4 << 20,
                                        .connections_max = 16,
@@ -546,6 +560,111 @@
     (void)close(c.fd);
 }
 
+/* Guards against memory that is used up by a caller that sends requests behind
+   each other and does not read (review case 7). */
+static void
+test_requests_behind_an_unread_response_are_not_read(void **state)
+{
+    enum { REQUESTS = 4000 };
+    Fixture *f = *state;
+    Caller c;
+    int n_sent = 0;
+    f->response_bytes = 4096;
+    f->limits.write_timeout = 60 * CARO_SECOND;
+    start_server(f);
+    connect_caller(f, &c, 65536);
+    for (int i = 0; i < REQUESTS; i++) {
+        size_t size = strlen(REQUEST);
+        ssize_t n = send(c.fd, REQUEST, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+        if (n != (ssize_t)size) {
+            break;
+        }
+        n_sent++;
+        if (i % 100 == 0) {
+            run_for(f, CARO_MS);
+        }
+    }
+    run_for(f, 20 * CARO_MS);
+    assert_int_equal(f->most_pending, 0);
+    assert_true(CaroHeldBytes_Total(CaroHttpServer_HeldBytes(f->server)) <=
+                2 * 16384 + f->response_bytes + 1024);
+    /* All of them are answered once the caller reads. */
+    while (f->n_requests < n_sent) {
+        run_for(f, CARO_MS);
+        receive(&c, SIZE_MAX);
+        assert_false(c.is_closed);
+    }
+    (void)close(c.fd);
+}
+
+static void
+test_response_that_nobody_reads_is_ended(void **state)
+{
+    Fixture *f = *state;
+    Caller c;
+    f->response_bytes = 8 << 20;
+    f->limits.write_timeout = 100 * CARO_MS;
+    start_server(f);
+    connect_caller(f, &c, 4096);
+    send_text(&c, REQUEST);
+    run_for(f, 400 * CARO_MS);
+    assert_int_equal(CaroHttpServer_CountConnections(f->server), 0);
+    assert_int_equal(f->n_cut, 1);
+    (void)close(c.fd);
+}
+
+/* The connection that holds the most is closed, and the others are served. */
+static void
+test_connection_that_holds_the_most_is_shed(void **state)
+{
+    Fixture *f = *state;
+    Caller slow;
+    Caller sound;
+    f->limits.held_bytes_max = 4 << 20;
+    f->limits.write_timeout = 5 * CARO_SECOND;
+    f->limits.idle_timeout = 5 * CARO_SECOND;
+    start_server(f);
+    connect_caller(f, &slow, 4096);
+    f->response_bytes = 16 << 20;
+    send_text(&slow, REQUEST);
+    run_for(f, 20 * CARO_MS);
+    f->response_bytes = 4;
+    connect_caller(f, &sound, 0);
+    send_text(&sound, REQUEST);
+    wait_for_response(f, &sound);
+    assert_true(has_response(&sound, "200"));
+    assert_int_equal(f->n_shed, 1);
+    assert_int_equal(CaroHttpServer_CountConnections(f->server), 1);
+    (void)close(slow.fd);
+    (void)close(sound.fd);
+}
+
+/* A request that is still arriving when it is shed is told that it did not
+   run. */
+static void
+test_request_that_is_shed_is_refused(void **state)
+{
+    Fixture *f = *state;
+    Caller c;
+    f->limits.held_bytes_max = 1000;
+    start_server(f);
+    connect_caller(f, &c, 0);
+    send_text(&c, "POST /p/a HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 5000\r\n\r\n");
+    for (int i = 0; i < 8; i++) {
+        send_text(&c,
+                  "0123456789012345678901234567890123456789012345678901234"
+                  "56789012345678901234567890123456789012345678901234567890"
+                  "1234567890123456789012345678901234567890123456789012345");
+        run_for(f, CARO_MS);
+    }
+    wait_for_response(f, &c);
+    assert_true(has_response(&c, "503"));
+    assert_int_equal(f->n_requests, 0);
+    assert_int_equal(f->n_shed, 1);
+    (void)close(c.fd);
+}
+
 int
 main(void)
 {
@@ -569,6 +688,15 @@
         TEST(test_idle_connection_is_closed_before_the_exit),
         TEST(test_closed_connection_ends_before_the_next_turn_of_the_loop),
 #undef TEST
+        cmocka_unit_test_setup_teardown(
+            test_requests_behind_an_unread_response_are_not_read, setup,
+            teardown),
+        cmocka_unit_test_setup_teardown(
+            test_response_that_nobody_reads_is_ended, setup, teardown),
+        cmocka_unit_test_setup_teardown(
+            test_connection_that_holds_the_most_is_shed, setup, teardown),
+        cmocka_unit_test_setup_teardown(test_request_that_is_shed_is_refused,
+                                        setup, teardown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/Tools/bench/bench.h
+++ b/Tools/bench/bench.h
@@ -184,6 +184,11 @@
 int Bench_RunCapacity(void);
 int Bench_RunRollouts(int argc, char **argv);
 
+/* Sends the text of a request, without the empty line behind it, from many
+   connections for some seconds; "kind" is "unread", "slow" or "silent". */
+int Bench_RunCrowd(const char *address, const char *kind, int count,
+                   int seconds, const char *request);
+
 /* Processor time of reading HTTP messages. */
 int Bench_RunMessages(void);
 
