--- a/Modules/http_head.c
+++ b/Modules/http_head.c
@@ -165,7 +165,7 @@
         return read_part(s, c, CaroHttpChar_IsToken(c), ' ', HEAD_TARGET,
                          CARO_HTTP_FAULT_START_LINE);
     case HEAD_TARGET:
-        return read_part(s, c, c > ' ' && c != 0x7f, ' ', HEAD_REQUEST_VERSION,
+        return read_part(s, c, c > ' ' && c <= '~', ' ', HEAD_REQUEST_VERSION,
                          CARO_HTTP_FAULT_START_LINE);
     case HEAD_REQUEST_VERSION:
         return read_version(s, c, HEAD_REQUEST_CR);
