A response without a body states no length that is not known

What callers saw: a response with status 204, or to a HEAD request, came with "Content-Length: 0", whatever the upstream said of the length (RFC 9110, section 8.6, forbids it with 204; with HEAD it tells a wrong size).

Cause: CaroCall_Respond wrote the length of the body at hand. What the product sends has to keep the rule by which it reads.

test_relay: "response that has no body has no length" failed before. "messages are framed anew" holds what goes to upstreams and to callers against the grammar, when a body came in chunks with extensions and trailers.

--- a/Modules/http_server.c
+++ b/Modules/http_server.c
@@ -918,9 +918,16 @@
 {
     struct evbuffer *out = bufferevent_get_output(call->bev);
     size_t size = body == NULL ? 0 : evbuffer_get_length(body);
-    write_head(call, status, headers);
-    evbuffer_add_printf(out, "Content-Length: %zu\r\n\r\n", size);
     bool is_head = CaroText_Equals(CaroCall_Head(call)->method, "HEAD");
+    /* A length that is not known is not stated where no body follows
+       (RFC 9110, section 8.6). */
+    bool has_no_length = status < 200 || status == 204 ||
+                         (size == 0 && (is_head || status == 304));
+    write_head(call, status, headers);
+    if (!has_no_length) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", size);
+    }
+    (void)evbuffer_add(out, "\r\n", 2);
     if (body != NULL && !is_head) {
         evbuffer_add_buffer(out, body);
     }
--- a/Test/test_relay.c
+++ b/Test/test_relay.c
@@ -5,6 +5,8 @@
  */
 #include "relay_fixture.h"
 
+#include "http_grammar.h"
+
 static void
 test_headers_and_body_are_forwarded(void **state)
 {
@@ -25,6 +27,58 @@
     assert_null(strstr(sent, "X-Tenant"));
 }
 
+/* What is sent is by the grammar, whatever the framing in which it came;
+   extensions, trailers and headers that Connection lists do not pass. */
+static void
+test_messages_are_framed_anew(void **state)
+{
+    Fixture *f = *state;
+    static GrammarResult sent;
+    static const char text[] =
+        "POST http://a/p/r1?q HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: r1\r\n"
+        "X-Deadline-Ms: 4000\r\nConnection: X-Own\r\nConnection: X-Two\r\n"
+        "X-Own: 1\r\nX-Two: 2\r\nX-Kept:\t\xe4 3 \r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+        "3;a=\"0\"\r\nabc\r\n0003\r\ndef\r\n0\r\nNote: n\r\n\r\n";
+    script(f, RESPONSE_KEEP_OPEN,
+           "HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s-r1\r\n"
+           "Connection: X-Hop\r\nX-Hop: 1\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n"
+           "2;b=c\r\ngo\r\n02\r\nod\r\n00\r\nNote: m\r\n\r\n");
+    send_text(f, text);
+    wait_for(f, "good");
+    const char *request = f->up.requests[0];
+    grammar_read(true, request, strlen(request), &sent);
+    assert_int_equal(sent.verdict, GRAMMAR_MESSAGE);
+    assert_int_equal(sent.size, strlen(request));
+    assert_int_equal(sent.body_size, 6);
+    assert_memory_equal(sent.body, "abcdef", 6);
+    assert_non_null(strstr(request, "POST /p/r1?q HTTP/1.1\r\n"));
+    assert_non_null(strstr(request, "X-Kept: \xe4 3\r\n"));
+    assert_null(strstr(request, "X-Own"));
+    assert_null(strstr(request, "X-Two"));
+    assert_null(strstr(request, "Note"));
+    grammar_read(false, f->received, strlen(f->received), &sent);
+    assert_int_equal(sent.verdict, GRAMMAR_MESSAGE);
+    assert_int_equal(sent.size, strlen(f->received));
+    assert_memory_equal(sent.body, "good", 4);
+    assert_null(strstr(f->received, "X-Hop"));
+    assert_null(strstr(f->received, "Note"));
+}
+
+/* A response without a body states no length that nobody knows. */
+static void
+test_response_that_has_no_body_has_no_length(void **state)
+{
+    Fixture *f = *state;
+    script(f, RESPONSE_KEEP_OPEN,
+           "HTTP/1.1 204 X\r\nX-Attempt-Id: r1\r\n"
+           "X-Response-Seal: s-r1\r\n\r\n");
+    request(f, "r1", 3, LOOP_STEP);
+    wait_for(f, "HTTP/1.1 204");
+    assert_null(strstr(f->received, "Content-Length"));
+}
+
 /* After an early response the upstream still expects the rest of the body:
    the next request must not be sent on that channel, where it would be read
    as a part of the body.  The body is larger than the socket buffers. */
@@ -1309,6 +1363,8 @@
 {
     const struct CMUnitTest tests[] = {
         RELAY_TEST(test_headers_and_body_are_forwarded),
+        RELAY_TEST(test_messages_are_framed_anew),
+        RELAY_TEST(test_response_that_has_no_body_has_no_length),
         RELAY_TEST(test_response_before_end_of_request),
         RELAY_TEST(test_foreign_response_is_skipped),
         RELAY_TEST(test_foreign_response_breaks_off),
