Soak: callers that do not read, and requests hidden in malformed bodies

In one seed in two 20 callers a gateway at a time send requests without reading or read slowly, and a request comes in whose malformed body an order stands that must not run. Events of other seeds stay as they were drawn.

--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -15,7 +15,9 @@
 # drawn from the seed, and callers send such prompts all the time; no more than
 # LATE_MAX of them may reach engines later than contact_ms after the fifth crash.
 # In one seed in four the order services limit their requests, in one in five the
-# store has entries that cannot be read.
+# store has entries that cannot be read.  In one seed in two some callers send
+# requests behind each other without reading or read slowly, and others send
+# requests in whose malformed bodies an order stands, which must not run.
 #
 # A request that ended without an answer is lost, unless its gateway or its
 # upstream had a fault at that time, or the request crossed the gateway's close
@@ -327,6 +329,36 @@
     esac
 }
 
+# Callers that do not behave, until the soak ends.  Each malformed request may get
+# one refusal, or none from a gateway that ends.
+hostile_callers() {
+    local n=0 i kind address order answer
+    while [ "$(now_ms)" -lt "$ends_at" ]; do
+        for i in $(seq 1 "$gateways"); do
+            n=$((n + 1))
+            address=$(gateway_front "$i")
+            kind=unread
+            [ $((n % 2)) = 0 ] || kind=slow
+            "$bin/carobench" crowd "$address" "$kind" 20 1 \
+                $'GET /never/x HTTP/1.1\r\nHost: desk.example' >/dev/null ||
+                true
+            order="POST /o/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: \
+hidden-$n\r\nX-Api-Key: key-1\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n"
+            # shellcheck disable=SC2059
+            answer=$({
+                exec 9<>"/dev/tcp/${address%:*}/${address#*:}" &&
+                    printf "POST /o/x HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: shown-$n\r\nX-Api-Key: key-1\r\nX-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n2;\nxx\r\n9c\r\n0\r\n\r\n$order" >&9 &&
+                    timeout 2 cat <&9
+            } 2>/dev/null | grep -a -o 'HTTP/1.1 [0-9]*' | tr '\n' ' ') || true
+            case $answer in
+            "" | "HTTP/1.1 400 ") ;;
+            *) echo "malformed request $n at g$i: $answer" \
+                >>"$fleet_dir/failures" ;;
+            esac
+        done
+    done
+}
+
 # Prints the requests that no fault excuses.
 lost_requests() {
     sed -n 's/^trouble //p' "$fleet_dir/load.txt" |
@@ -384,6 +416,9 @@
     restore_store &
 fi
 ends_at=$(($(now_ms) + 1000 * seconds))
+if [ $((seed % 2)) = 0 ]; then
+    hostile_callers &
+fi
 while [ "$(now_ms)" -lt "$ends_at" ]; do
     step "$planned_only"
     draw 30 900
