--- a/Include/internal/caro_http_server.h
+++ b/Include/internal/caro_http_server.h
@@ -33,6 +33,7 @@
                                response; up to twice that. */
 } CaroHttpServerLimits;
 
+/* Each but on_request, on_refused and on_shed may be NULL. */
 typedef struct {
     /* A request has been read completely. */
     void (*on_request)(void *context, CaroCall *call);
--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -193,21 +193,6 @@
     CaroHttp_SendText(req, 404, "no such path\n");
 }
 
-/* Every request is answered at once. */
-static void
-on_disconnected(void *context, CaroCall *req)
-{
-    (void)context;
-    (void)req;
-}
-
-static void
-on_drained(void *context, CaroCall *req)
-{
-    (void)context;
-    (void)req;
-}
-
 static void
 on_refused(void *context, const char *peer, int status, const char *reason)
 {
@@ -217,15 +202,6 @@
                  peer, status, reason);
 }
 
-static void
-on_cut(void *context, const char *peer, size_t unsent, const char *reason)
-{
-    (void)context;
-    (void)peer;
-    (void)unsent;
-    (void)reason;
-}
-
 static void
 on_shed(void *context, const char *peer, size_t held)
 {
@@ -235,12 +211,7 @@
 }
 
 static const CaroHttpServerHandlers server_handlers = {
-    .on_request = on_request,
-    .on_disconnected = on_disconnected,
-    .on_drained = on_drained,
-    .on_refused = on_refused,
-    .on_cut = on_cut,
-    .on_shed = on_shed};
+    .on_request = on_request, .on_refused = on_refused, .on_shed = on_shed};
 
 /* Returns whether the address is served; sets *err if it is not. */
 static bool
--- a/Modules/http_head.c
+++ b/Modules/http_head.c
@@ -308,6 +308,28 @@
             CaroPlatform_HeaderId(name) != CARO_HEADER_OTHER);
 }
 
+/* A place in the lists of the headers Connection; zero at first. */
+typedef struct {
+    int n_headers; /* Headers that have been looked at. */
+    CaroText list; /* The rest of the list of the last of them. */
+} OptionCursor;
+
+/* Stores the next option, possibly empty.  Returns false at the end. */
+static bool
+next_option(const CaroHttpHead *head, OptionCursor *at, CaroText *option)
+{
+    while (!CaroText_NextElement(&at->list, option)) {
+        if (at->n_headers == head->n_headers) {
+            return false;
+        }
+        const CaroHttpHeader *h = &head->headers[at->n_headers++];
+        if (CaroText_EqualsIgnoreCase(h->name, "connection")) {
+            at->list = h->value;
+        }
+    }
+    return true;
+}
+
 typedef struct {
     bool has_close;
     bool has_keep_alive;
@@ -318,24 +340,18 @@
 read_connection(const CaroHttpHead *head, CaroHttpMessageKind kind,
                 ConnectionOptions *options, size_t *offset)
 {
+    OptionCursor at = {.n_headers = 0};
+    CaroText option;
     *options = (ConnectionOptions){.has_close = false};
-    for (int i = 0; i < head->n_headers; i++) {
-        CaroText list = head->headers[i].value;
-        CaroText option;
-        if (!CaroText_EqualsIgnoreCase(head->headers[i].name, "connection")) {
-            continue;
-        }
-        while (CaroText_NextElement(&list, &option)) {
-            if (!is_token(option) || is_needed_by_hop(option, kind)) {
-                *offset = (size_t)(option.at - head->bytes);
-                return CARO_HTTP_FAULT_CONNECTION;
-            }
-            options->has_close |= CaroText_EqualsIgnoreCase(option, "close");
-            options->has_keep_alive |=
-                CaroText_EqualsIgnoreCase(option, "keep-alive");
-            options->has_upgrade |=
-                CaroText_EqualsIgnoreCase(option, "upgrade");
+    while (next_option(head, &at, &option)) {
+        if (!is_token(option) || is_needed_by_hop(option, kind)) {
+            *offset = (size_t)(option.at - head->bytes);
+            return CARO_HTTP_FAULT_CONNECTION;
         }
+        options->has_close |= CaroText_EqualsIgnoreCase(option, "close");
+        options->has_keep_alive |=
+            CaroText_EqualsIgnoreCase(option, "keep-alive");
+        options->has_upgrade |= CaroText_EqualsIgnoreCase(option, "upgrade");
     }
     return CARO_HTTP_FAULT_NONE;
 }
@@ -489,17 +505,12 @@
 bool
 CaroHttpHead_IsListedInConnection(const CaroHttpHead *head, CaroText name)
 {
-    for (int i = 0; i < head->n_headers; i++) {
-        CaroText list = head->headers[i].value;
-        CaroText option;
-        if (!CaroText_EqualsIgnoreCase(head->headers[i].name, "connection")) {
-            continue;
-        }
-        while (CaroText_NextElement(&list, &option)) {
-            if (option.size == name.size && name.size > 0 &&
-                strncasecmp(option.at, name.at, name.size) == 0) {
-                return true;
-            }
+    OptionCursor at = {.n_headers = 0};
+    CaroText option;
+    while (next_option(head, &at, &option)) {
+        if (option.size == name.size && name.size > 0 &&
+            strncasecmp(option.at, name.at, name.size) == 0) {
+            return true;
         }
     }
     return false;
--- a/Modules/http_server.c
+++ b/Modules/http_server.c
@@ -167,20 +167,26 @@
     if (c->on_closed != NULL) {
         c->on_closed(c->closed_context);
     }
-    else {
+    else if (c->server->handlers->on_disconnected != NULL) {
         c->server->handlers->on_disconnected(c->server->context, c);
     }
 }
 
-/* Closes a connection of a caller that has not left. */
 static void
-close_call(CaroCall *c, const char *reason)
+report_cut(const CaroCall *c, const char *reason)
 {
-    CaroHttpServer *s = c->server;
-    if (is_busy(c)) {
+    const CaroHttpServer *s = c->server;
+    if (is_busy(c) && s->handlers->on_cut != NULL) {
         s->handlers->on_cut(s->context, c->peer, CaroCall_PendingBytes(c),
                             reason);
     }
+}
+
+/* Closes a connection of a caller that has not left. */
+static void
+close_call(CaroCall *c, const char *reason)
+{
+    report_cut(c, reason);
     if (is_handed_over(c)) {
         report_disconnected(c);
     }
@@ -481,7 +487,9 @@
     }
     else if (c->state == CALL_RESPONDING) {
         (void)event_del(c->timer);
-        c->server->handlers->on_drained(c->server->context, c);
+        if (c->server->handlers->on_drained != NULL) {
+            c->server->handlers->on_drained(c->server->context, c);
+        }
     }
 }
 
@@ -792,10 +800,7 @@
     }
     while (s->calls != NULL) {
         CaroCall *c = s->calls;
-        if (is_busy(c)) {
-            s->handlers->on_cut(s->context, c->peer, CaroCall_PendingBytes(c),
-                                "the server was destroyed");
-        }
+        report_cut(c, "the server was destroyed");
         destroy_call(c);
     }
     if (s->listener != NULL) {
--- a/Modules/node.c
+++ b/Modules/node.c
@@ -454,21 +454,6 @@
     }
 }
 
-/* Calls that are answered later have a handler of their own for this. */
-static void
-on_call_disconnected(void *context, CaroCall *req)
-{
-    (void)context;
-    (void)req;
-}
-
-static void
-on_drained(void *context, CaroCall *req)
-{
-    (void)context;
-    (void)req;
-}
-
 static void
 on_refused(void *context, const char *peer, int status, const char *reason)
 {
@@ -499,9 +484,6 @@
 }
 
 static const CaroHttpServerHandlers http_handlers = {.on_request = on_http,
-                                                     .on_disconnected =
-                                                         on_call_disconnected,
-                                                     .on_drained = on_drained,
                                                      .on_refused = on_refused,
                                                      .on_cut = on_cut,
                                                      .on_shed = on_shed};
--- a/Tools/fake/engine.c
+++ b/Tools/fake/engine.c
@@ -386,14 +386,12 @@
     const char *prefix = json_string_value(json_object_get(root, "prefix"));
     e->requests_total++;
     if (prompt == NULL) {
-        Fake_SendProblem(req, 400, CARO_RUN_NO, "bad request",
-                         "$.prompt: found nothing; allowed: a string");
+        Fake_SendText(req, 400, "bad request\n");
         json_decref(root);
         return;
     }
     if (draw_uniform() < e->fail_rate) {
-        Fake_SendProblem(req, 500, CARO_RUN_UNKNOWN, "engine error",
-                         "a fault was set");
+        Fake_SendText(req, 500, "engine error\n");
         json_decref(root);
         return;
     }
--- a/Tools/fake/fake_http.c
+++ b/Tools/fake/fake_http.c
@@ -3,24 +3,10 @@
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
-#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static const char *
-run_name(CaroRun run)
-{
-    switch (run) {
-    case CARO_RUN_NO:
-        return "no";
-    case CARO_RUN_YES:
-        return "yes";
-    default:
-        return "unknown";
-    }
-}
-
 static void
 send_bytes(struct evhttp_request *req, int status, const char *type,
            const char *text)
@@ -37,28 +23,6 @@
     evbuffer_free(buf);
 }
 
-void
-Fake_SendProblem(struct evhttp_request *req, int status, CaroRun run,
-                 const char *title, const char *detail_format, ...)
-{
-    char detail[512];
-    va_list args;
-    va_start(args, detail_format);
-    (void)vsnprintf(detail, sizeof(detail), detail_format, args);
-    va_end(args);
-    json_t *value = json_pack("{s:s, s:i, s:s, s:s}", "title", title, "status",
-                              status, "detail", detail, "run", run_name(run));
-    if (value == NULL) { /* The detail is not valid UTF-8. */
-        value = json_pack("{s:s, s:i, s:s}", "title", title, "status", status,
-                          "run", run_name(run));
-    }
-    char *text = json_dumps(value, JSON_COMPACT);
-    send_bytes(req, status, "application/problem+json",
-               text == NULL ? "{}" : text);
-    free(text);
-    json_decref(value);
-}
-
 void
 Fake_SendJson(struct evhttp_request *req, int status, const json_t *value)
 {
