Readiness, directory and metrics take as many connections as a moment brings

With 64 connections an address, callers that all ask the directory at one moment, as after a loss of VMs, could be turned away while each of the 64 had a request that was not read yet. evhttp had no limit; 1,024 is what the bytes allow. Found by reading.

--- a/Modules/gateway_http.c
+++ b/Modules/gateway_http.c
@@ -19,7 +19,7 @@
     BODY_BYTES_MAX = 8192,
     ALL_BODY_BYTES_MAX = 65536,
     HELD_BYTES_MAX = 4 << 20, /* Some responses have a large state. */
-    CONNECTIONS_MAX = 64
+    CONNECTIONS_MAX = 1024    /* All callers may ask at one moment. */
 };
 #define REQUEST_TIMEOUT (5 * CARO_SECOND)
 
