--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -1,11 +1,11 @@
 # Runs machines, the store and servers on loopback addresses, for the scripts of
-# the cases 11 to 15.  To be sourced by bash from run.sh, which has set "here".
+# the cases 11 to 15.  To be sourced by bash from run.sh, which has set "here" and
+# "record".
 #
 # Every machine has an address of its own, and all have the same ports, as on
 # the platform.  end_all ends what was started, by process ids.
 cd "$here/../.."
 work=$(mktemp -d)
-record="$here/record.txt"
 : >"$record"
 pids=()
 tools=build/review-3
